--- /dev/null
+++ b/src/main/java/pipitstage/Fields.java
@@ -0,0 +1,157 @@
+package pipitstage;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Named access to a JSON object or to an array of values in a known order. */
+final class Fields {
+    private final String where;
+    private final Map<?, ?> members;
+    private final List<?> values;
+
+    private Fields(String where, Map<?, ?> members, List<?> values) {
+        this.where = where;
+        this.members = members;
+        this.values = values;
+    }
+
+    static Fields ofObject(String where, Object json) {
+        if (json instanceof Map<?, ?> members) {
+            return new Fields(where, members, List.of());
+        }
+        throw new WireException(where + ": an object is needed");
+    }
+
+    static Fields ofArray(String where, Object json) {
+        if (json instanceof List<?> values) {
+            return new Fields(where, Map.of(), values);
+        }
+        throw new WireException(where + ": an array is needed");
+    }
+
+    /** An array that begins with its own name. */
+    static Fields ofMessage(Object json) {
+        Fields message = ofArray("message", json);
+        return ofArray(message.text(0), json);
+    }
+
+    /** Reads the value at the parser's current token into maps, lists, text, numbers and booleans. */
+    static Object read(JsonParser parser) throws IOException {
+        JsonToken token = parser.currentToken();
+        if (token == null) {
+            throw new WireException("the line ends early");
+        }
+        return switch (token) {
+            case START_ARRAY -> readArray(parser);
+            case START_OBJECT -> readObject(parser);
+            case VALUE_STRING -> parser.getText();
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
+            case VALUE_TRUE -> Boolean.TRUE;
+            case VALUE_FALSE -> Boolean.FALSE;
+            case VALUE_NULL -> null;
+            default -> throw new WireException("unexpected " + token);
+        };
+    }
+
+    private static List<Object> readArray(JsonParser parser) throws IOException {
+        List<Object> values = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            values.add(read(parser));
+        }
+        return values;
+    }
+
+    private static Map<String, Object> readObject(JsonParser parser) throws IOException {
+        Map<String, Object> members = new HashMap<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            members.put(name, read(parser));
+        }
+        return members;
+    }
+
+    Object value(Object at) {
+        if (at instanceof Integer index) {
+            return index < values.size() ? values.get(index) : null;
+        }
+        return members.get(at);
+    }
+
+    Fields object(Object at) {
+        return ofObject(where + "." + at, value(at));
+    }
+
+    List<?> list(Object at) {
+        Object value = value(at);
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof List<?> list) {
+            return list;
+        }
+        throw missing(at, "an array");
+    }
+
+    String text(Object at) {
+        if (value(at) instanceof String text) {
+            return text;
+        }
+        throw missing(at, "text");
+    }
+
+    String textOrNull(Object at) {
+        return value(at) instanceof String text ? text : null;
+    }
+
+    double number(Object at) {
+        if (value(at) instanceof Number number) {
+            return number.doubleValue();
+        }
+        throw missing(at, "a number");
+    }
+
+    double number(Object at, double absent) {
+        return value(at) == null ? absent : number(at);
+    }
+
+    long whole(Object at) {
+        if (value(at) instanceof Number number) {
+            return number.longValue();
+        }
+        throw missing(at, "a whole number");
+    }
+
+    long whole(Object at, long absent) {
+        return value(at) == null ? absent : whole(at);
+    }
+
+    boolean flag(Object at) {
+        Object value = value(at);
+        if (value == null) {
+            return false;
+        }
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        throw missing(at, "true or false");
+    }
+
+    /** Seconds on the wire as microseconds. */
+    long micros(Object at) {
+        return Math.round(number(at) * 1e6);
+    }
+
+    long micros(Object at, long absent) {
+        return value(at) == null ? absent : micros(at);
+    }
+
+    private WireException missing(Object at, String what) {
+        return new WireException(where + ": value " + at + " must be " + what);
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/Logic.java
@@ -0,0 +1,938 @@
+// The interface is in Policy.java: settings, events and actions. docs/design.md explains the mechanism.
+package pipitstage;
+
+import java.nio.ByteBuffer;
+import java.util.*;
+import pipitstage.State.*;
+
+/** Every decision of a relay: which route, when, how long, and whether to hold, refuse or fail. */
+public final class Logic implements Policy {
+    // Circuit.
+    private static final int FAILURES_TO_OPEN = 3; // the source's
+    private static final double CALLS_A_FAILURE = 2; // calls in ten seconds that ask for one failure more
+    private static final long RECOVERY = 2_000_000; // outages last seconds
+    private static final long TEST_SPACING = 1_000_000; // between tests when all relays test one destination
+    private static final double JITTER = 1; // those that learned the same at once don't return at once
+    private static final double UNHEALTHY = 0.5; // the source's error rate, which also opens
+    private static final double WEIGHT = 0.2; // about the last five calls count
+
+    // Score.
+    private static final double NEAR_TOP = 20; // the source's span of the draw
+    private static final long QUICK = 1_000_000; // the source's bonus
+    private static final long SLUGGISH = 5_000_000; // the source's penalty
+    private static final double SLOW_RATIO = 3; // times the destination's best that count as sluggish
+    private static final double PLACE_BONUS = 8; // tilts the draw to near or cheap routes, can't decide it
+
+    // Pace.
+    private static final double PACE_GROWTH = 0.1; // the source's
+    private static final double PACE_CUT = 0.5; // from few senders to a fleet in few refusals
+    private static final double LEAST_PACE = 3; // of all relays, where no limit is known
+    private static final double FIRST_SENDERS = 12; // a clump of two seconds or so, spread over a fleet
+    private static final long GROWTH_SPAN = 5_000_000; // one serve after a long rest proves little
+    private static final long CUT_PAUSE = 500_000; // refusals so soon after a cut were sent before it
+    private static final long SHUT_WAIT = 2_500_000; // longer than a counting window: the destination is shut
+    private static final long SHUT_SPAN = 1_000_000; // refusals without a serve for so long: as good as shut
+
+    // Release after an outage.
+    private static final double RELEASE_MARGIN = 0.9; // of the rule's budget
+    private static final double LEAST_RELEASE = 0.75; // of all relays where nothing else is known
+    private static final double ROUGH_DIVISOR = 1.5; // a rough rate may be half too high
+
+    // Time-outs and silence.
+    private static final long TIMEOUT_FLOOR = 6_000_000; // slow calls must not be sent twice
+    private static final long OVERDUE_FLOOR = 2_500_000; // later than most goals
+    private static final double OVERDUE_RATIO = 8; // times the usual response: work varies that much
+    private static final long TEST_TIMEOUT = 1_500_000; // a longer test has told enough
+    private static final double TEST_RATIO = 4; // where the usual response is long
+    private static final long FIRST_GUESS = 400_000; // response before the first answer
+    private static final long STALE = 5_000_000; // a response so old says nothing of now
+
+    // Slots.
+    private static final double SLOT_SHARE = 0.5; // of one destination
+    private static final double SCARCE_SLOT_SHARE = 0.2; // of a slow one, and of any with half the slots out
+
+    // Notes.
+    private static final long GUARD = 10_000_000; // how long trouble told of makes all ask for turns
+    private static final long PATIENCE = 8_000_000; // a turn so late is lost: a relay goes by its own pace
+    private static final double KEEPER_CUT = 0.8; // gentle, as a keeper hears the refusals of all
+    private static final double MOST_FACTOR = 2; // a rough rate may be this much too low
+
+    private static final long RATE_SPAN = 10_000_000; // a relay may call a destination once in so long
+    private static final long SECOND = 1_000_000;
+    private static final long HORIZON = 2_000_000; // what those that wait now may wait longer
+    private static final long WAKE = 1; // timer of whatever is due next
+    private static final long ASK = 2; // timer of the list
+    private static final long ASK_AGAIN = 3_000_000; // far within the span of the rule
+
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<String, Kind> kinds = new HashMap<>();
+    private final Map<String, Route> routes = new LinkedHashMap<>();
+    private final Map<Integer, Destination> destinations = new LinkedHashMap<>();
+    private final Map<Integer, Group> groups = new HashMap<>();
+    private final Set<Group> kept = new LinkedHashSet<>();
+    private final Map<Long, Request> requests = new HashMap<>();
+    private final Map<String, OrderLine> lines = new HashMap<>();
+    private final TreeSet<Request> ends = new TreeSet<>(
+            Comparator.<Request>comparingLong(r -> r.deadline).thenComparingLong(r -> r.id));
+    /** Destinations with messages waiting: a round costs what these cost, however many are known. */
+    private final Set<Destination> busy = new LinkedHashSet<>();
+    /** Calls out, oldest first; each takes a slot. */
+    private final Set<Call> out = new LinkedHashSet<>();
+    private long now;
+    private Actions actions;
+    private int held;
+    private long wakeAt = Long.MAX_VALUE;
+    private boolean asked;
+
+    /** A module that starts knowing only its settings. */
+    public Logic(Settings settings) {
+        this.settings = settings;
+        random = new SplittableRandom(settings.seed());
+        settings.classes().forEach(type -> classes.put(type.name(), type));
+        settings.kinds().forEach(kind -> kinds.put(kind.name(), kind));
+    }
+
+    @Override
+    public void onRound(long now, List<Event> events, Actions actions) {
+        this.now = now;
+        this.actions = actions;
+        askForList();
+        for (Event event : events) {
+            absorb(event);
+        }
+        endOverdue();
+        if (!events.stream().allMatch(Logic::onlyRestrains)) {
+            dispatch();
+            arm();
+        }
+    }
+
+    /** Guards against a fleet whose every guard costs every relay a round's work: it lets nothing new go. */
+    private static boolean onlyRestrains(Event event) {
+        return event instanceof PeerNote e && e.bytes().length > 0 && Word.of(e.bytes()[0]) == Word.GUARD;
+    }
+
+    private void absorb(Event event) {
+        if (event instanceof Accepted e) {
+            accept(e);
+        } else if (event instanceof Outcome e) {
+            outcome(e);
+        } else if (event instanceof Withdrawn e) {
+            Optional.ofNullable(requests.get(e.id())).filter(r -> !r.done).ifPresent(this::finish);
+        } else if (event instanceof TimerFired e) {
+            timer(e.name());
+        } else if (event instanceof RouteList e) {
+            list(e);
+        } else if (event instanceof ProbeDone e) {
+            probed(e);
+        } else if (event instanceof PeerNote e && e.bytes().length == Integer.BYTES + 1) {
+            ByteBuffer note = ByteBuffer.wrap(e.bytes());
+            hear(e.from(), Word.of(note.get()), note.getInt());
+        }
+    }
+
+    private void accept(Accepted e) {
+        RequestClass type = classes.get(e.requestClass());
+        if (type == null) {
+            throw new IllegalArgumentException("unknown request class " + e.requestClass());
+        }
+        Request request = new Request(e, type, destination(e.destination()));
+        requests.put(request.id, request);
+        ends.add(request);
+        held++;
+        hold(request);
+        if (request.key != null) {
+            lines.computeIfAbsent(request.key, k -> new OrderLine()).requests.add(request);
+        }
+        if (held >= settings.limits().maxOpen()) {
+            makeRoom();
+        }
+    }
+
+    private void hold(Request request) {
+        request.destination.waiting.add(request);
+        busy.add(request.destination);
+    }
+
+    private void unhold(Request request) {
+        request.destination.waiting.remove(request);
+        if (request.destination.waiting.isEmpty()) {
+            busy.remove(request.destination);
+        }
+    }
+
+    private Destination destination(int number) {
+        return destinations.computeIfAbsent(number, n -> new Destination());
+    }
+
+    /** Guards against a full buffer, which would turn away worthy requests at the door unseen. */
+    private void makeRoom() {
+        busy.stream().flatMap(destination -> destination.waiting.stream()).filter(this::refusable)
+                .min(Comparator.comparingDouble(request -> value(request, now))).ifPresent(this::end);
+    }
+
+    private boolean refusable(Request request) {
+        return switch (request.type.repeat()) {
+            case REPEATABLE -> true;
+            case BY_KEY -> request.type.keyScope() == KeyScope.ALL || firstThatMayHaveRun(request) == null;
+            case ONCE -> firstThatMayHaveRun(request) == null;
+        };
+    }
+
+    /** Ends a request that has no attempt out, undelivered. */
+    private void end(Request request) {
+        if (refusable(request)) {
+            actions.refuse(request.id, 0);
+        } else {
+            actions.fail(request.id);
+        }
+        finish(request);
+    }
+
+    private void finish(Request request) {
+        request.done = true;
+        held--;
+        unhold(request);
+        ends.remove(request);
+        settle(request);
+    }
+
+    /** Forgets a finished request once no attempt of it is out. */
+    private void settle(Request request) {
+        if (!request.done || request.out > 0) {
+            return;
+        }
+        requests.remove(request.id);
+        OrderLine line = request.key == null ? null : lines.get(request.key);
+        if (line != null) {
+            line.requests.remove(request);
+            if (line.requests.isEmpty() && line.restUntil <= now) {
+                lines.remove(request.key);
+            }
+        }
+    }
+
+    private boolean hasTurn(Request request) {
+        if (request.key == null) {
+            return true;
+        }
+        OrderLine line = lines.get(request.key);
+        return line.requests.peek() == request && (!request.attempts.isEmpty() || line.restUntil <= now);
+    }
+
+    /** Ends what has run out of time; an attempt still out reports its own time-out. */
+    private void endOverdue() {
+        while (!ends.isEmpty() && ends.first().deadline <= now) {
+            Request request = ends.pollFirst();
+            if (request.out == 0) {
+                end(request);
+            }
+        }
+    }
+
+    /** What a request would earn if it were delivered at a time. */
+    private double value(Request request, long at) {
+        RequestClass type = request.type;
+        long age = at - request.acceptedAt;
+        if (age <= type.goal()) {
+            return type.worth();
+        }
+        if (at >= request.deadline) {
+            return 0;
+        }
+        double late = age - type.goal();
+        double part = settings.fadesByHalf()
+                ? Math.max(type.lateWorth(), Math.pow(0.5, late / Math.max(1, type.goal())))
+                : 1 - (1 - type.lateWorth()) * late / (type.deadline() - type.goal());
+        return type.worth() * part;
+    }
+
+    private void outcome(Outcome e) {
+        Request request = requests.get(e.id());
+        if (request == null || e.attempt() >= request.attempts.size()) {
+            return;
+        }
+        Attempt attempt = request.attempts.get(e.attempt());
+        if (attempt.result != null) {
+            return;
+        }
+        attempt.result = e.result();
+        request.out--;
+        Call call = attempt.call;
+        if (--call.pending == 0) {
+            out.remove(call);
+            call.route.out.remove(call);
+            call.route.group.calls--;
+        }
+        // Guards against a wait told to only some of the requests of one call.
+        if (e.toldWait() > 0) {
+            call.route.group.waitUntil = Math.max(call.route.group.waitUntil, now + e.toldWait());
+        }
+        if (!call.judged) {
+            call.judged = true;
+            judge(call, e.result(), e.toldWait(), e.elapsed(), e.report());
+        }
+        rest(request, e.result());
+        if (request.done) {
+            settle(request);
+        } else if (e.closed()) {
+            finish(request);
+        } else if (request.out == 0) {
+            tryAgain(request);
+        }
+    }
+
+    private void rest(Request request, Result result) {
+        boolean answered = result == Result.OK || result == Result.ERROR;
+        if (request.key != null && !answered && !neverRan(result)) {
+            lines.get(request.key).restUntil = now + settings.rules().orderPause();
+            actions.remind(WAKE, settings.rules().orderPause());
+        }
+    }
+
+    /** Which results prove that an attempt took no effect. */
+    private static boolean neverRan(Result result) {
+        return result == Result.FULL || result == Result.CONNECT_FAILED || result == Result.NOT_SENT;
+    }
+
+    private static Attempt firstThatMayHaveRun(Request request) {
+        return request.attempts.stream().filter(a -> a.result == null || !neverRan(a.result)).findFirst()
+                .orElse(null);
+    }
+
+    private void tryAgain(Request request) {
+        boolean spent = request.attempts.size() >= settings.limits().maxAttempts();
+        boolean ran = firstThatMayHaveRun(request) != null;
+        if (now >= request.deadline || spent || ran && request.type.repeat() == Repeat.ONCE) {
+            end(request);
+        } else {
+            hold(request);
+        }
+    }
+
+    /** Lets one call's result count for its route and its group. */
+    private void judge(Call call, Result result, long wait, long elapsed, LimitReport report) {
+        Route route = call.route;
+        Group group = route.group;
+        if (report.rate() > 0) {
+            group.reportedRate = report.rate();
+        }
+        if (call.test) {
+            route.circuit.testing = false;
+            group.circuit.testing = false;
+        }
+        switch (result) {
+            case OK -> served(call, elapsed);
+            case ERROR, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED -> failed(call);
+            case FULL -> refused(call, wait);
+            case NOT_SENT -> { }
+        }
+        if (result == Result.OK || result == Result.ERROR || result == Result.FULL) {
+            route.answeredAt = now;
+        }
+    }
+
+    private void served(Call call, long elapsed) {
+        Route route = call.route;
+        Group group = route.group;
+        route.errorRate *= 1 - WEIGHT;
+        route.response = route.response == 0 ? elapsed
+                : route.response + WEIGHT * (elapsed - route.response);
+        group.refusals = 0;
+        if (group.reports || group.circuit.state != CircuitState.CLOSED) {
+            group.reports = false;
+            report(group, Word.SERVED);
+        }
+        count(group.served);
+        group.pace *= growth(group.grownAt);
+        group.grownAt = now;
+        close(call, group.circuit, route);
+        if (route.circuit != group.circuit) {
+            close(call, route.circuit, route);
+        }
+    }
+
+    /** Regrowth since a time, for a span that the serves seen speak for. */
+    private double growth(long since) {
+        return Math.pow(1 + PACE_GROWTH, Math.min(GROWTH_SPAN, now - since) / (double) SECOND);
+    }
+
+    private void close(Call call, Circuit circuit, Route route) {
+        circuit.run = 0;
+        if (circuit.state == CircuitState.CLOSED) {
+            return;
+        }
+        boolean older = call.sentAt < circuit.openedAt;
+        if (older && !circuit.bySilence) {
+            return;
+        }
+        circuit.state = CircuitState.CLOSED;
+        route.errorRate = 0;
+        if (circuit == route.group.circuit) {
+            if (!older) {
+                route.group.releasedAt = now;
+                route.group.nextAt = now + interval(releaseRate(route.group, now));
+            }
+            actions.log("serves again: " + route.name);
+        }
+    }
+
+    private void failed(Call call) {
+        Route route = call.route;
+        Group group = route.group;
+        route.errorRate += WEIGHT * (1 - route.errorRate);
+        route.circuit.run++;
+        boolean bad = route.circuit.run >= failuresToOpen(group) || route.errorRate > UNHEALTHY;
+        if (bad || route.circuit.state != CircuitState.CLOSED && call.test) {
+            open(route.circuit, group, false, 0);
+        }
+        if (group.circuit != route.circuit) {
+            group.circuit.run++;
+            boolean noneLeft = group.routes.stream()
+                    .noneMatch(r -> r.listed && r.circuit.state == CircuitState.CLOSED);
+            if (group.circuit.run >= FAILURES_TO_OPEN || noneLeft) {
+                open(group.circuit, group, false, 0);
+            }
+        }
+        if (group.reports || route.circuit.state == CircuitState.OPEN) {
+            report(group, Word.FAILED);
+        }
+        if (releasing(group)) {
+            // Guards against release into an outage that goes on: a failure puts the release back.
+            group.releasedAt = now;
+        }
+    }
+
+    private void refused(Call call, long wait) {
+        Group group = call.route.group;
+        if (group.refusals++ == 0) {
+            group.refusedSince = now;
+        }
+        // Guards against a shut destination, which refuses like one above its limit but returns cold.
+        boolean shut = wait > SHUT_WAIT
+                || group.refusals >= FAILURES_TO_OPEN && now - group.refusedSince >= SHUT_SPAN;
+        if (shut || group.circuit.state != CircuitState.CLOSED) {
+            open(group.circuit, group, false, wait);
+        }
+        if (now - group.cutAt >= CUT_PAUSE) {
+            cut(group);
+        }
+        long until = Math.max(now, group.waitUntil);
+        group.nextAt = Math.max(group.nextAt, until + spread(interval(group.pace)));
+        report(group, Word.REFUSED);
+    }
+
+    /** The limit over sender count, which refusals teach: an equal part is too little for who has a clump. */
+    private void cut(Group group) {
+        group.cutAt = now;
+        group.grownAt = now;
+        double limit = limit(group) > 0 ? limit(group) : LEAST_PACE;
+        double senders = Math.min(FIRST_SENDERS, settings.fleetSize());
+        group.pace = group.pace == Double.POSITIVE_INFINITY
+                ? Math.max(limit / senders, rate(group.served) / 2)
+                : Math.max(limit / settings.fleetSize(), group.pace * PACE_CUT);
+    }
+
+    private void open(Circuit circuit, Group group, boolean bySilence, long wait) {
+        if (circuit.state == CircuitState.CLOSED) {
+            circuit.openedAt = now;
+            circuit.bySilence = bySilence;
+            if (circuit == group.circuit) {
+                if (!releasing(group)) {
+                    group.usualRate = rate(group.sent);
+                }
+                actions.log("out: " + group.routes.get(0).name + (bySilence ? ", silent" : ""));
+            }
+        }
+        circuit.state = CircuitState.OPEN;
+        circuit.until = now + Math.max(wait, testPause(group));
+    }
+
+    /**
+     * Guards against a fleet that tests a destination to death: a relay tests as often as its part of the
+     * calls lets a cold destination bear. Harms what is parked at one that calls rarely: it waits long.
+     */
+    private long testPause(Group group) {
+        long longest = settings.fleetSize() * TEST_SPACING;
+        return spread(Math.max(RECOVERY, Math.min(interval(releaseRate(group, now)), longest)));
+    }
+
+    private long spread(long pause) {
+        return (long) (pause * (1 - JITTER / 2 + JITTER * random.nextDouble()));
+    }
+
+    /** Who calls a destination rarely can't wait for three failures; a single error costs it a pause. */
+    private static int failuresToOpen(Group group) {
+        return (int) Math.max(1, Math.min(FAILURES_TO_OPEN, group.sent.count / CALLS_A_FAILURE));
+    }
+
+    private void probed(ProbeDone e) {
+        Route route = routes.get(e.route());
+        if (route != null) {
+            judge(new Call(route, now - e.elapsed(), true), e.result(), 0, e.elapsed(), e.report());
+        }
+    }
+
+    /** Calls a second that the group takes from all relays, as reported or listed; 0 where unknown. */
+    private double limit(Group group) {
+        double listed = group.routes.stream().filter(r -> r.listed).mapToDouble(r -> r.rate).max().orElse(0);
+        double hint = switch (settings.rateHint()) {
+            case NONE -> 0;
+            case NOMINAL -> listed;
+            case ROUGH -> listed / ROUGH_DIVISOR;
+        };
+        return group.reportedRate > 0 ? group.reportedRate : hint;
+    }
+
+    /** Events a second over the last {@link #RATE_SPAN} or so. */
+    private double rate(Rate rate) {
+        return rate.count * Math.exp((rate.at - now) / (double) RATE_SPAN) * SECOND / RATE_SPAN;
+    }
+
+    private void count(Rate rate) {
+        rate.count = 1 + rate.count * Math.exp((rate.at - now) / (double) RATE_SPAN);
+        rate.at = now;
+    }
+
+    private boolean releasing(Group group) {
+        return now - group.releasedAt < settings.rules().warmUp();
+    }
+
+    /** How much of its usual calls a destination bears since its return: it warms up evenly. */
+    private double bearable(long since) {
+        double warm = (now - since) / (double) Math.max(1, settings.rules().warmUp());
+        double part = settings.rules().coldFrom() * (1 - warm) + warm;
+        return RELEASE_MARGIN * settings.rules().fallMultiple() * part;
+    }
+
+    /** Calls a second of this relay that a group bears since its return. */
+    private double releaseRate(Group group, long since) {
+        double usual = Math.max(group.usualRate, limit(group) / settings.fleetSize());
+        return Math.max(LEAST_RELEASE / settings.fleetSize(), bearable(since) * usual);
+    }
+
+    private double paceOf(Group group) {
+        return releasing(group) ? Math.min(group.pace, releaseRate(group, group.releasedAt)) : group.pace;
+    }
+
+    private static long interval(double rate) {
+        return rate == Double.POSITIVE_INFINITY ? 0 : (long) (SECOND / rate);
+    }
+
+    /** When a call is overdue by its route's own measure: it will hardly be answered any more. */
+    private long overdueAt(Call call) {
+        return call.sentAt + (long) Math.max(OVERDUE_FLOOR, OVERDUE_RATIO * response(call.route));
+    }
+
+    /** True where a call has been out for such a part of its span and nothing has answered since. */
+    private boolean mute(Route route, double part) {
+        Call oldest = route.out.peek();
+        return oldest != null && route.answeredAt <= oldest.sentAt
+                && now - oldest.sentAt >= part * (overdueAt(oldest) - oldest.sentAt);
+    }
+
+    /** Guards against silence, which would cost three time-outs before the circuit opens. */
+    private void openIfMute(Route route) {
+        boolean enough = route.out.size() >= Math.min(2, failuresToOpen(route.group));
+        if (enough && route.circuit.state == CircuitState.CLOSED && mute(route, 1)) {
+            open(route.circuit, route.group, true, 0);
+        }
+    }
+
+    /** Expected response time; what has not been tried lately is taken as well again, so that it is tried. */
+    private double response(Route route) {
+        boolean stale = route.out.isEmpty() && now - route.answeredAt > STALE;
+        return route.response == 0 || stale ? FIRST_GUESS : route.response;
+    }
+
+    /** Guards against one destination, above all a slow one, that holds every slot. */
+    private boolean crowded(Group group, Route route) {
+        int slots = settings.limits().callSlots();
+        boolean scarce = out.size() > slots / 2 || route.response > SLUGGISH / 2;
+        double part = scarce ? SCARCE_SLOT_SHARE : SLOT_SHARE;
+        return group.calls >= (int) Math.ceil(slots * part);
+    }
+
+    private boolean usable(Route route) {
+        Group group = route.group;
+        openIfMute(route);
+        return route.listed && now >= group.waitUntil && mayGo(group)
+                && route.circuit.state == CircuitState.CLOSED && group.circuit.state == CircuitState.CLOSED
+                && !(route.out.size() >= 2 && mute(route, 0.5)) && !crowded(group, route);
+    }
+
+    private double score(Route route, double best) {
+        double score = 100 - route.errorRate * 50 - route.circuit.run * 10;
+        score -= route.errorRate > UNHEALTHY ? 50 : 0;
+        score += response(route) < QUICK ? 20 : 0;
+        score -= response(route) > Math.min(SLUGGISH, SLOW_RATIO * Math.max(FIRST_GUESS, best)) ? 30 : 0;
+        return Math.max(0, score + route.placeBonus);
+    }
+
+    private double placeBonus(String zone) {
+        double dearest = settings.zones().stream().mapToDouble(Zone::toll).max().orElse(0);
+        if (dearest > 0) {
+            double toll = settings.zones().stream().filter(z -> z.name().equals(zone))
+                    .mapToDouble(Zone::toll).findFirst().orElse(dearest);
+            return PLACE_BONUS * (1 - toll / dearest);
+        }
+        return zone.equals(settings.zone()) ? PLACE_BONUS : 0;
+    }
+
+    /** True where the repeat rules let the request go to the route now. */
+    private boolean allowed(Request request, Route route) {
+        Attempt first = firstThatMayHaveRun(request);
+        if (first == null || request.type.repeat() == Repeat.REPEATABLE) {
+            return true;
+        }
+        if (request.type.repeat() == Repeat.ONCE || now >= first.call.sentAt + request.type.keyWindow()) {
+            return false;
+        }
+        return switch (request.type.keyScope()) {
+            case ALL -> true;
+            case ZONE -> first.call.route.zone.equals(route.zone);
+            case CELL -> first.call.route == route;
+        };
+    }
+
+    private Route pick(Request request, List<Route> usable) {
+        List<Route> open = new ArrayList<>(usable.stream().filter(r -> allowed(request, r)).toList());
+        if (open.size() > 1) {
+            open.remove(request.lastRoute());
+        }
+        return draw(open);
+    }
+
+    private Route draw(List<Route> open) {
+        double best = open.stream().mapToDouble(this::response).min().orElse(0);
+        double[] scores = open.stream().mapToDouble(route -> score(route, best)).toArray();
+        double top = Arrays.stream(scores).max().orElse(0);
+        double sum = 0;
+        for (int i = 0; i < scores.length; i++) {
+            scores[i] = scores[i] < top - NEAR_TOP ? 0 : scores[i] + 1;
+            sum += scores[i];
+        }
+        double at = random.nextDouble() * sum;
+        int i = 0;
+        while (i < scores.length - 1 && at >= scores[i]) {
+            at -= scores[i++];
+        }
+        return open.get(i);
+    }
+
+    private record Candidate(Request request, Route route, double loss) { }
+
+    private void dispatch() {
+        var candidates = new PriorityQueue<>(
+                Comparator.comparingDouble(Candidate::loss).reversed().thenComparingLong(c -> c.request.id));
+        kept.forEach(this::giveTurns);
+        kept.removeIf(group -> group.keeper.askers.isEmpty());
+        for (Destination destination : List.copyOf(busy)) {
+            test(destination);
+            addCandidate(destination, candidates);
+        }
+        while (!candidates.isEmpty() && out.size() < settings.limits().callSlots()) {
+            Candidate next = candidates.poll();
+            call(next.request, next.route, false);
+            addCandidate(next.request.destination, candidates);
+        }
+        busy.forEach(this::wantTurns);
+    }
+
+    private void addCandidate(Destination destination, PriorityQueue<Candidate> candidates) {
+        if (destination.waiting.isEmpty()) {
+            return;
+        }
+        List<Route> usable = destination.routes.values().stream().filter(this::usable).toList();
+        if (usable.isEmpty()) {
+            return;
+        }
+        Request best = null;
+        double most = -1;
+        for (Request request : destination.waiting) {
+            double loss = loss(request, usable.get(0));
+            boolean earlier = best != null && loss == most && request.deadline < best.deadline;
+            if ((loss > most || earlier) && hasTurn(request)
+                    && usable.stream().anyMatch(route -> allowed(request, route))) {
+                best = request;
+                most = loss;
+            }
+        }
+        if (best != null) {
+            candidates.add(new Candidate(best, pick(best, usable), most));
+        }
+    }
+
+    /** What a request loses if others go first for a while. */
+    private double loss(Request request, Route route) {
+        long arrival = now + (long) response(route);
+        return value(request, arrival) - value(request, arrival + HORIZON);
+    }
+
+    /** Within pace; while all ask for turns, with a turn or after waiting for one in vain. */
+    private boolean mayGo(Group group) {
+        return now >= group.nextAt
+                && (now >= group.guardedUntil || now < group.turnUntil || group.asked && !waits(group));
+    }
+
+    /**
+     * Guards, where relays may send notes, against hundreds of relays that each see too little to keep a pace
+     * or to find an outage: trouble is told to the group's keeper, which all know by the group's number and
+     * which gives turns one at a time. A lost note, or a dead keeper, costs {@link #PATIENCE}.
+     */
+    private void report(Group group, Word word) {
+        if (!settings.limits().peers()) {
+            return;
+        }
+        if (word != Word.SERVED) {
+            group.asked = true;
+            group.askedAt = now;
+        }
+        tell(Math.floorMod(group.number, settings.fleetSize()), word, group.number);
+    }
+
+    private void tell(int relay, Word word, int number) {
+        if (relay == settings.relay()) {
+            hear(relay, word, number);
+        } else {
+            ByteBuffer note = ByteBuffer.allocate(Integer.BYTES + 1);
+            actions.tell(relay, note.put((byte) word.ordinal()).putInt(number).array());
+        }
+    }
+
+    private void hear(int from, Word word, int number) {
+        Group group = groups.get(number);
+        if (group == null) {
+            return;
+        }
+        switch (word) {
+            case TURN, TEST -> turn(group, word == Word.TEST);
+            case GUARD -> group.guardedUntil = now + GUARD;
+            case WANT, REFUSED, FAILED, SERVED -> keep(group, from, word);
+            case NONE -> { }
+        }
+    }
+
+    private void turn(Group group, boolean test) {
+        group.asked = false;
+        group.reports = test;
+        group.nextAt = now;
+        group.turnUntil = now + SECOND;
+        group.circuit.until = now;
+        group.routes.forEach(route -> route.circuit.until = now);
+    }
+
+    private void keep(Group group, int from, Word word) {
+        Keeper keeper = group.keeper;
+        if (word == Word.SERVED) {
+            keeper.upAt = keeper.failures >= FAILURES_TO_OPEN ? now : keeper.upAt;
+            keeper.failures = 0;
+            return;
+        }
+        keeper.failures += word == Word.FAILED ? 1 : 0;
+        if (word == Word.REFUSED && now - keeper.cutAt >= CUT_PAUSE) {
+            keeper.factor *= KEEPER_CUT;
+            keeper.cutAt = now;
+        }
+        keeper.askers.add(from);
+        kept.add(group);
+        if (now - keeper.guardedAt > GUARD - SECOND && (word != Word.WANT || keeper.askers.size() > 1)) {
+            keeper.guardedAt = now;
+            group.guardedUntil = now + GUARD;
+            tell(-1, Word.GUARD, group.number);
+        }
+    }
+
+    /** Gives the turns that are due: tests while a destination fails, then as many as it bears. */
+    private void giveTurns(Group group) {
+        Keeper keeper = group.keeper;
+        while (!keeper.askers.isEmpty() && now >= keeper.nextAt) {
+            int relay = keeper.askers.iterator().next();
+            keeper.askers.remove(relay);
+            boolean down = keeper.failures >= FAILURES_TO_OPEN;
+            keeper.nextAt = Math.max(keeper.nextAt, now - SECOND / 2)
+                    + (down ? TEST_SPACING : interval(turnRate(group, keeper)));
+            tell(relay, down ? Word.TEST : Word.TURN, group.number);
+        }
+    }
+
+    private double turnRate(Group group, Keeper keeper) {
+        double limit = limit(group) == 0 ? LEAST_PACE : limit(group);
+        keeper.factor = Math.min(MOST_FACTOR, keeper.factor * growth(keeper.grownAt));
+        keeper.grownAt = now;
+        boolean warm = now - keeper.upAt >= settings.rules().warmUp();
+        return limit * (warm ? keeper.factor : Math.min(keeper.factor, bearable(keeper.upAt)));
+    }
+
+    private boolean waits(Group group) {
+        return group.asked && now < group.askedAt + PATIENCE;
+    }
+
+    private void wantTurns(Destination destination) {
+        for (Route route : destination.routes.values()) {
+            Group group = route.group;
+            if (route.listed && now < group.guardedUntil && !waits(group) && now >= group.turnUntil) {
+                report(group, Word.WANT);
+            }
+        }
+    }
+
+    private boolean testable(Circuit circuit) {
+        if (circuit.state == CircuitState.OPEN && now >= circuit.until) {
+            circuit.state = CircuitState.HALF_OPEN;
+        }
+        return circuit.state == CircuitState.HALF_OPEN && !circuit.testing;
+    }
+
+    private void test(Destination destination) {
+        for (Route route : destination.routes.values()) {
+            boolean whole = route.group.circuit.state != CircuitState.CLOSED;
+            Circuit circuit = whole ? route.group.circuit : route.circuit;
+            if (route.listed && testable(circuit) && now >= route.group.waitUntil
+                    && out.size() < settings.limits().callSlots()) {
+                sendTest(destination, route, circuit);
+            }
+        }
+    }
+
+    private void sendTest(Destination destination, Route route, Circuit circuit) {
+        Request chosen = destination.waiting.stream().filter(r -> hasTurn(r) && allowed(r, route))
+                .min(Comparator.comparingInt(Logic::testCost)).orElse(null);
+        if (chosen == null) {
+            return;
+        }
+        circuit.testing = true;
+        // Guards against a test in vain that leaves a request with nowhere to go.
+        boolean free = chosen.type.repeat() == Repeat.REPEATABLE
+                || chosen.type.repeat() == Repeat.BY_KEY && chosen.type.keyScope() == KeyScope.ALL;
+        if (!free && settings.limits().probes()) {
+            count(route.group.sent);
+            actions.probe(route.name);
+        } else {
+            call(chosen, route, true);
+        }
+    }
+
+    /** Tests go by the request that loses least by an attempt in vain. */
+    private static int testCost(Request request) {
+        int cost = request.type.repeat().ordinal() * 100 + request.attempts.size();
+        return cost + (firstThatMayHaveRun(request) == null ? 0 : 50);
+    }
+
+    private void call(Request request, Route route, boolean test) {
+        Call call = new Call(route, now, test);
+        out.add(call);
+        route.group.calls++;
+        route.out.add(call);
+        count(route.group.sent);
+        route.group.turnUntil = now;
+        route.group.nextAt = Math.max(route.group.nextAt, now) + interval(paceOf(route.group));
+        send(request, call);
+        Kind kind = kinds.get(route.kind);
+        int room = test || kind == null ? 0 : kind.batch() - 1;
+        if (room > 0) {
+            for (Request other : List.copyOf(request.destination.waiting)) {
+                if (call.pending <= room && hasTurn(other) && allowed(other, route)) {
+                    send(other, call);
+                }
+            }
+        }
+    }
+
+    private void send(Request request, Call call) {
+        unhold(request);
+        request.attempts.add(new Attempt(call));
+        request.out++;
+        call.pending++;
+        call.requests.add(request);
+        actions.send(request.id, call.route.name, timeout(request, call));
+    }
+
+    private long timeout(Request request, Call call) {
+        boolean last = request.type.repeat() == Repeat.ONCE
+                || request.attempts.size() >= settings.limits().maxAttempts();
+        if (last) {
+            return 0;
+        }
+        return call.test ? Math.max(TEST_TIMEOUT, (long) (TEST_RATIO * response(call.route)))
+                : Math.max(TIMEOUT_FLOOR, (long) (OVERDUE_RATIO * response(call.route)));
+    }
+
+    private void list(RouteList e) {
+        if (e.kind() == ListKind.FAILED) {
+            actions.remind(ASK, spread(ASK_AGAIN));
+            return;
+        }
+        if (e.kind() != ListKind.CHANGES) {
+            routes.values().forEach(route -> route.listed = false);
+        }
+        for (Listed entry : e.entries()) {
+            Route route = routes.computeIfAbsent(entry.route(), name -> newRoute(entry));
+            route.listed = entry.availability() == Availability.LISTED;
+            route.rate = entry.rate();
+        }
+    }
+
+    private Route newRoute(Listed entry) {
+        Destination destination = destination(entry.destination());
+        Kind kind = kinds.get(entry.kind());
+        boolean apart = kind != null && kind.routesApart();
+        int number = apart ? entry.route().hashCode() : entry.destination();
+        Group group = groups.computeIfAbsent(number, Group::new);
+        Route route = new Route(entry, destination, group, apart);
+        route.placeBonus = placeBonus(route.zone);
+        group.routes.add(route);
+        destination.routes.put(route.name, route);
+        return route;
+    }
+
+    private void askForList() {
+        if (settings.mustSubscribe() && !asked) {
+            asked = true;
+            actions.subscribe(true);
+        }
+    }
+
+    private void timer(long name) {
+        if (name == WAKE) {
+            wakeAt = now >= wakeAt ? Long.MAX_VALUE : wakeAt;
+        } else if (name == ASK) {
+            asked = !settings.mustSubscribe();
+            askForList();
+        }
+    }
+
+    private void arm() {
+        long wake = ends.isEmpty() ? Long.MAX_VALUE : ends.first().deadline;
+        wake = Math.min(wake, kept.stream().mapToLong(group -> group.keeper.nextAt).min().orElse(wake));
+        for (Destination destination : busy) {
+            for (Route route : destination.routes.values()) {
+                wake = Math.min(wake, route.listed ? dueAt(route) : Long.MAX_VALUE);
+            }
+        }
+        for (Call call : busy.isEmpty() ? List.<Call>of() : out) {
+            long overdue = overdueAt(call);
+            wake = overdue > now ? Math.min(wake, overdue) : wake;
+        }
+        if (wake < wakeAt) {
+            wakeAt = Math.max(wake, now + 1);
+            actions.remind(WAKE, wakeAt - now);
+        }
+    }
+
+    /** When the route may be used or tested next, if only time stands in the way. */
+    private long dueAt(Route route) {
+        Group group = route.group;
+        long guarded = Math.min(group.guardedUntil, group.asked ? group.askedAt + PATIENCE : Long.MAX_VALUE);
+        long at = Math.max(Math.max(group.nextAt, group.waitUntil), guarded);
+        if (route.circuit.state == CircuitState.OPEN) {
+            at = Math.max(group.waitUntil, route.circuit.until);
+        }
+        if (group.circuit.state == CircuitState.OPEN) {
+            at = Math.max(group.waitUntil, group.circuit.until);
+        }
+        return at > now ? at : Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/SimHost.java
@@ -0,0 +1,148 @@
+package pipitstage;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStreamWriter;
+import java.io.Reader;
+import java.io.StringWriter;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/** Hosts one decision module for each simulated relay and speaks the simulator's wire. */
+public final class SimHost {
+    private final JsonFactory factory = new JsonFactory();
+    private final WireCodec codec = new WireCodec();
+    private final Function<Policy.Settings, Policy> start;
+    private final Map<Long, Policy> instances = new HashMap<>();
+    private final Map<Long, List<Policy.Event>> pending = new LinkedHashMap<>();
+
+    /** A host that makes each instance's module by {@code start}. */
+    SimHost(Function<Policy.Settings, Policy> start) {
+        this.start = start;
+    }
+
+    /** Runs on standard input and output until the input ends. */
+    public static void main(String[] args) throws IOException {
+        if (args.length != 1 || !args[0].equals("simhost")) {
+            System.err.println("usage: java -jar pipitstage.jar simhost");
+            System.exit(2);
+        }
+        try {
+            new SimHost(Logic::new).run(new InputStreamReader(System.in, StandardCharsets.UTF_8),
+                    new OutputStreamWriter(System.out, StandardCharsets.UTF_8));
+        } catch (WireException e) {
+            System.err.println("pipitstage: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    /** Answers each line of {@code in} by one line on {@code out}. */
+    void run(Reader in, Writer out) throws IOException {
+        BufferedReader lines = new BufferedReader(in);
+        BufferedWriter replies = new BufferedWriter(out);
+        long number = 0;
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            number++;
+            try {
+                replies.write(answer(line));
+            } catch (JsonProcessingException e) {
+                throw new WireException("line " + number + ": not JSON: " + e.getOriginalMessage());
+            } catch (WireException e) {
+                throw new WireException("line " + number + ": " + e.getMessage());
+            }
+            replies.write('\n');
+            replies.flush();
+        }
+    }
+
+    private String answer(String line) throws IOException {
+        Fields batch;
+        try (JsonParser parser = factory.createParser(line)) {
+            parser.nextToken();
+            batch = Fields.ofObject("batch", Fields.read(parser));
+            if (parser.nextToken() != null) {
+                throw new WireException("batch: more than one value");
+            }
+        }
+        long now = batch.micros("t-s");
+        long number = batch.whole("n");
+        pending.clear();
+        for (Object json : batch.list("groups")) {
+            Fields group = Fields.ofObject("group", json);
+            long instance = group.whole("i");
+            for (Object message : group.list("in")) {
+                take(instance, Fields.ofMessage(message));
+            }
+        }
+        return reply(number, now);
+    }
+
+    private void take(long instance, Fields message) {
+        String name = message.text(0);
+        switch (name) {
+            case "directory" -> codec.directory(message);
+            case "launch" -> {
+                instances.put(instance, launch(message));
+                pending.put(instance, new ArrayList<>());
+            }
+            case "detach" -> {
+                instances.remove(instance);
+                pending.remove(instance);
+            }
+            default -> {
+                Policy.Event event = codec.event(name, message);
+                if (instances.containsKey(instance)) {
+                    pending.computeIfAbsent(instance, i -> new ArrayList<>()).add(event);
+                }
+            }
+        }
+    }
+
+    private Policy launch(Fields message) {
+        try {
+            return start.apply(WireCodec.settings(message));
+        } catch (IllegalArgumentException e) {
+            throw new WireException("launch: " + e.getMessage());
+        }
+    }
+
+    private String reply(long number, long now) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = factory.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeNumberField("n", number);
+            json.writeArrayFieldStart("groups");
+            for (Map.Entry<Long, List<Policy.Event>> entry : pending.entrySet()) {
+                json.writeStartObject();
+                json.writeNumberField("i", entry.getKey());
+                json.writeArrayFieldStart("cmds");
+                decide(instances.get(entry.getKey()), now, entry.getValue(), new WireCodec.Commands(json));
+                json.writeEndArray();
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        }
+        return text.toString();
+    }
+
+    private static void decide(Policy policy, long now, List<Policy.Event> events, WireCodec.Commands commands) {
+        try {
+            policy.onRound(now, events, commands);
+        } catch (RuntimeException e) {
+            commands.internalError(String.valueOf(e));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -0,0 +1,410 @@
+package pipitstage;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.Relay.MS;
+import static pipitstage.Relay.S;
+import static pipitstage.Relay.route;
+
+import java.nio.ByteBuffer;
+import java.util.HexFormat;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pipitstage.Policy.Availability;
+import pipitstage.Policy.Listed;
+import pipitstage.Policy.Result;
+import pipitstage.State.Word;
+
+class LogicTest {
+    private final Relay relay = new Relay(Relay.settings())
+            .list(route("a", 1, "plain", "east"), route("b", 1, "plain", "west"),
+                    route("c", 2, "apart", "east"), route("d", 3, "bulk", "east"));
+
+    @Test
+    void sendsAtOnceWhenAllIsWell() {
+        relay.accept(1, "safe", 1);
+        assertEquals(1, relay.sends(1));
+    }
+
+    @Test
+    void firstSendsSpreadOverRoutesNearTheTop() {
+        for (int id = 0; id < 200; id++) {
+            relay.accept(id, "safe", 1).pass(100 * MS).answer(id, Result.OK);
+        }
+        long onA = relay.sent.stream().filter(s -> s.route().equals("a")).count();
+        assertTrue(onA > 60 && onA < 160, "on one route: " + onA);
+    }
+
+    @Test
+    void failedRequestFallsThroughToTheOtherRoute() {
+        relay.accept(1, "safe", 1).pass(MS).answer(1, Result.CONNECT_FAILED).pass(MS);
+        assertEquals(2, relay.sent.size());
+        assertFalse(relay.sent.get(0).route().equals(relay.sent.get(1).route()));
+    }
+
+    @Test
+    void requestWithoutARouteIsHeldForAListChangeAndEndsInTime() {
+        relay.accept(1, "safe", 9).accept(2, "safe", 8).pass(S);
+        assertEquals(0, relay.sent.size());
+        relay.changes(route("z", 9, "plain", "east"));
+        assertEquals(1, relay.sends(1));
+        relay.pass(20 * S);
+        assertEquals(List.of(2L), relay.refused);
+    }
+
+    @Test
+    void threeFailuresOpenAndOneTestCloses() {
+        openC();
+        relay.accept(10, "safe", 2).accept(11, "safe", 2).pass(500 * MS);
+        assertEquals(0, relay.sends(10) + relay.sends(11));
+        relay.pass(6 * S);
+        assertEquals(1, relay.sends(10) + relay.sends(11), "one test only");
+        relay.answer(relay.unanswered.get(0).id(), Result.OK).pass(5 * S);
+        assertEquals(2, relay.sends(10) + relay.sends(11));
+    }
+
+    @Test
+    void oneFailureOpensWhereCallsAreRare() {
+        relay.accept(1, "safe", 2).pass(MS).answer(1, Result.CONNECT_FAILED).accept(2, "safe", 2).pass(S);
+        assertEquals(List.of("out: c"), relay.logged);
+        assertEquals(1, relay.sent.size());
+    }
+
+    @Test
+    void oneErrorAmongManyServesOpensNothing() {
+        callOften();
+        relay.accept(1, "safe", 2).pass(MS).answer(1, Result.ERROR).pass(MS);
+        assertTrue(relay.logged.isEmpty());
+        assertEquals(2, relay.sends(1));
+    }
+
+    @Test
+    void testsOfAFleetStayFarUnderWhatItsCallsWouldBe() {
+        int tests = 0;
+        for (int seed = 0; seed < 100; seed++) {
+            Relay one = new Relay(Relay.fleet(100, seed)).list(route("c", 2, "apart", "east"));
+            one.accept(1, "safe", 2).pass(MS).answer(1, Result.CONNECT_FAILED).pass(10 * S);
+            tests += one.sent.size() - 1;
+        }
+        assertTrue(tests < 50, "tests of 100 relays in ten seconds: " + tests);
+    }
+
+    @Test
+    void refusedMessagesOfAFleetComeBackSpread() {
+        int soon = 0;
+        for (int seed = 0; seed < 100; seed++) {
+            Relay one = new Relay(Relay.fleet(100, seed)).list(route("c", 2, "apart", "east"));
+            one.accept(1, "safe", 2).pass(MS).answer(1, Result.FULL).pass(4 * S);
+            soon += one.sent.size() - 1;
+        }
+        assertTrue(soon > 20 && soon < 80, "back within four seconds: " + soon);
+    }
+
+    @Test
+    void paceIsCutByRefusalsAndRegrowsWhileServed() {
+        for (int i = 0; i < 4; i++) {
+            relay.accept(i, "safe", 2).pass(MS).answer(i, Result.FULL).pass(8 * S).answer(i, Result.OK);
+        }
+        long cut = spacing(5);
+        for (int id = 10; id < 40; id++) {
+            relay.accept(id, "safe", 2).pass(3 * S).answer(id, Result.OK);
+        }
+        long regrown = spacing(50);
+        assertTrue(cut > 100 * MS && regrown < cut / 2, "cut " + cut + ", regrown " + regrown);
+    }
+
+    /** How far two messages accepted at once leave from one another. */
+    private long spacing(int id) {
+        relay.sent.clear();
+        relay.accept(id, "safe", 2).accept(id + 1, "safe", 2).pass(10 * S);
+        relay.answer(id, Result.OK).answer(id + 1, Result.OK);
+        return relay.sent.get(1).at() - relay.sent.get(0).at();
+    }
+
+    @Test
+    void failedTestReopens() {
+        openC();
+        relay.accept(10, "safe", 2).pass(6 * S).answer(10, Result.CONNECT_FAILED).pass(S);
+        assertEquals(1, relay.sends(10));
+    }
+
+    @Test
+    void releaseStaysWithinTheBudgetOfTheRule() {
+        openC();
+        for (int id = 10; id < 60; id++) {
+            relay.accept(id, "safe", 2);
+        }
+        relay.pass(6 * S).answer(relay.unanswered.get(0).id(), Result.OK);
+        int before = relay.sent.size();
+        for (int i = 0; i < 20; i++) {
+            relay.pass(100 * MS);
+            List.copyOf(relay.unanswered).forEach(s -> relay.answer(s.id(), Result.OK));
+        }
+        assertTrue(relay.sent.size() - before <= 2, "sent on release: " + (relay.sent.size() - before));
+    }
+
+    @Test
+    void testsPreferWhatLosesLeast() {
+        openC();
+        relay.accept(10, "once", 2).accept(11, "safe", 2).pass(6 * S);
+        assertEquals(0, relay.sends(10));
+        assertEquals(1, relay.sends(11));
+        assertTrue(relay.probes.isEmpty());
+    }
+
+    @Test
+    void onceAloneIsTestedByProbe() {
+        openC();
+        relay.accept(10, "once", 2).pass(6 * S);
+        assertEquals(List.of("c"), relay.probes);
+        assertEquals(0, relay.sends(10));
+    }
+
+    @Test
+    void silenceOpensBeforeThreeTimeouts() {
+        for (int id = 0; id < 4; id++) {
+            relay.accept(id, "once", 2).pass(100 * MS);
+        }
+        relay.pass(3 * S).accept(9, "safe", 2).pass(900 * MS);
+        assertEquals(0, relay.sends(9));
+        assertEquals(List.of("out: c, silent"), relay.logged);
+    }
+
+    @Test
+    void refusalsWithoutAServeOpenAsShut() {
+        relay.accept(1, "safe", 2);
+        for (int i = 0; i < 3; i++) {
+            relay.answer(1, Result.FULL).pass(1500 * MS);
+        }
+        assertEquals(List.of("out: c"), relay.logged);
+    }
+
+    @Test
+    void refusalCutsThePaceNotTheCircuit() {
+        relay.accept(1, "safe", 2).pass(MS).answer(1, Result.FULL);
+        relay.accept(2, "safe", 2).pass(300 * MS);
+        assertEquals(1, relay.sent.size());
+        relay.pass(S);
+        assertTrue(relay.sent.size() >= 2);
+        assertTrue(relay.logged.isEmpty());
+    }
+
+    @Test
+    void toldWaitHoldsTheWholeSharedGroup() {
+        relay.accept(1, "safe", 1).pass(MS).answer(1, Result.FULL, 2 * S).accept(2, "safe", 1).pass(1999 * MS);
+        assertEquals(1, relay.sent.size());
+    }
+
+    @Test
+    void waitToldToALaterRequestOfOneCallIsHeeded() {
+        relay.accept(1, "safe", 3).pass(MS).answer(1, Result.FULL);
+        relay.accept(2, "safe", 3).accept(3, "safe", 3).pass(1100 * MS);
+        assertEquals(4, relay.sent.size(), "three in one call");
+        relay.answer(1, Result.FULL).answer(2, Result.FULL, 2 * S).pass(1990 * MS);
+        assertEquals(4, relay.sent.size());
+    }
+
+    @Test
+    void onceThatMayHaveRunFails() {
+        relay.accept(1, "once", 1).pass(MS).answer(1, Result.ERROR);
+        assertEquals(List.of(1L), relay.failed);
+        assertEquals(1, relay.sends(1));
+    }
+
+    @Test
+    void keyedRepeatStaysInItsZoneAndWindow() {
+        for (int id = 1_000; id < 1_016; id++) {
+            relay.accept(id, "safe", 1).pass(MS).answer(id, Result.OK);
+        }
+        relay.sent.clear();
+        relay.accept(1, "keyed", 1).pass(MS);
+        String first = relay.sent.get(0).route();
+        relay.answer(1, Result.RESET).pass(100 * MS);
+        assertEquals(2, relay.sends(1));
+        assertEquals(first, relay.sent.get(1).route());
+        relay.pass(7 * S).answer(1, Result.RESET).pass(S);
+        assertEquals(2, relay.sends(1));
+    }
+
+    @Test
+    void nothingGoesToDrainingRemovedOrMissingRoutes() {
+        relay.changes(new Listed("a", 1, "plain", "east", Availability.DRAINING, 0),
+                new Listed("b", 1, "plain", "west", Availability.REMOVED, 0));
+        relay.list(route("a2", 5, "plain", "east"));
+        relay.accept(1, "safe", 1).accept(2, "safe", 2).pass(S);
+        assertEquals(0, relay.sent.size());
+    }
+
+    @Test
+    void keysGoOneByOneAndRestAfterATimeout() {
+        relay.accept(1, "ordered", 1, "k").accept(2, "ordered", 1, "k").pass(S);
+        assertEquals(0, relay.sends(2));
+        relay.answer(1, Result.TIMEOUT).pass(10 * MS).answer(1, Result.OK).pass(2900 * MS);
+        assertEquals(0, relay.sends(2), "the key rests");
+        relay.pass(200 * MS);
+        assertEquals(1, relay.sends(2));
+    }
+
+    @Test
+    void fullBufferRefusesTheLeastWorthThatMayBeRefused() {
+        Relay small = new Relay(Relay.settings(4, 3)).list(route("c", 2, "apart", "east"));
+        small.accept(1, "safe", 7).accept(2, "safe", 7).accept(3, "safe", 7);
+        assertEquals(1, small.refused.size());
+    }
+
+    @Test
+    void noDestinationTakesEverySlot() {
+        for (int id = 0; id < 10; id++) {
+            relay.accept(id, "safe", 1);
+        }
+        relay.accept(50, "safe", 2);
+        assertEquals(5, relay.sent.stream().filter(s -> s.id() < 10).count());
+        assertEquals(1, relay.sends(50));
+    }
+
+    @Test
+    void mostCallsFailingOpensThoughNoneInARowDo() {
+        callOften();
+        for (int id = 1; id < 30 && relay.logged.isEmpty(); id++) {
+            relay.accept(id, "safe", 2).pass(MS);
+            relay.answer(id, id % 3 == 0 ? Result.OK : Result.ERROR);
+        }
+        assertEquals(List.of("out: c"), relay.logged);
+    }
+
+    @Test
+    void nearRoutesAreTakenMoreOftenButNotAlone() {
+        for (int id = 0; id < 400; id++) {
+            relay.accept(id, "safe", 1).pass(10 * MS).answer(id, Result.OK);
+        }
+        long near = relay.sent.stream().filter(s -> s.route().equals("a")).count();
+        assertTrue(near > 200 && near < 260, "near: " + near);
+    }
+
+    @Test
+    void whatLosesMostByWaitingGoesFirst() {
+        Relay one = new Relay(Relay.settings(1, 100)).list(route("a", 1, "plain", "east"));
+        one.accept(1, "safe", 1).accept(2, "safe", 1).pass(S).accept(3, "quick", 1).answer(1, Result.OK);
+        assertEquals(3, one.sent.get(1).id());
+    }
+
+    @Test
+    void refusalIsToldToTheKeeperOfTheDestination() {
+        Relay peer = peer();
+        peer.accept(1, "safe", 1).pass(MS).answer(1, Result.FULL);
+        assertEquals(List.of("1:" + note(Word.REFUSED)), peer.told);
+    }
+
+    @Test
+    void guardedDestinationIsCalledByTurns() {
+        Relay peer = peer();
+        peer.round(heard(Word.GUARD)).accept(1, "safe", 1).accept(2, "safe", 1).pass(S);
+        assertEquals(0, peer.sent.size());
+        peer.round(heard(Word.TURN));
+        assertEquals(1, peer.sent.size());
+        assertEquals(List.of("1:" + note(Word.WANT), "1:" + note(Word.WANT)), peer.told);
+    }
+
+    @Test
+    void lostTurnCostsAFewSecondsOnly() {
+        Relay peer = peer();
+        peer.round(heard(Word.GUARD)).accept(1, "safe", 1).pass(9 * S);
+        assertEquals(1, peer.sent.size());
+    }
+
+    @Test
+    void keeperGivesTurnsOneAtATime() {
+        Relay keeper = peer();
+        for (int from = 1; from <= 60; from++) {
+            keeper.round(new Policy.PeerNote(from, bytes(Word.REFUSED, 2)));
+        }
+        keeper.pass(5 * S);
+        long turns = keeper.told.stream().filter(t -> t.endsWith(HexFormat.of().formatHex(bytes(Word.TURN, 2)))).count();
+        assertTrue(turns >= 5 && turns <= 20, "turns in five seconds: " + turns);
+    }
+
+    @Test
+    void garbageInNotesDoesNoHarm() {
+        Relay peer = peer();
+        peer.round(new Policy.PeerNote(1, new byte[0]), new Policy.PeerNote(1, new byte[] {9, 0, 0, 0, 1}),
+                new Policy.PeerNote(1, new byte[] {-1, 0, 0, 0, 1}), new Policy.PeerNote(1, new byte[256]));
+        peer.accept(1, "safe", 1);
+        assertEquals(1, peer.sends(1));
+    }
+
+    @Test
+    void reportedLimitOfNothingIsNoLimit() {
+        relay.accept(1, "safe", 2).pass(MS);
+        relay.round(new Policy.Outcome(1, 0, "c", Result.FULL, false, 0, MS, new Policy.LimitReport(0, 0)));
+        relay.pass(3 * S);
+        assertEquals(2, relay.sends(1));
+    }
+
+    @Test
+    void routeListedAndRemovedInOneRoundIsNotUsed() {
+        relay.round(new Policy.RouteList(Policy.ListKind.CHANGES, 2, List.of(route("n", 9, "plain", "east"))),
+                new Policy.RouteList(Policy.ListKind.CHANGES, 3, List.of(
+                        new Listed("n", 9, "plain", "east", Availability.REMOVED, 0))),
+                new Policy.Accepted(1, "safe", null, null, 20 * S, 9));
+        assertEquals(0, relay.sent.size());
+    }
+
+    @Test
+    void aRelayAloneAndOneOfFourHundredServe() {
+        for (int size : new int[] {1, 400}) {
+            Relay one = new Relay(Relay.fleet(size, 3)).list(route("c", 2, "apart", "east"));
+            one.accept(1, "safe", 2).pass(MS).answer(1, Result.OK);
+            assertEquals(1, one.sends(1));
+        }
+    }
+
+    private static Relay peer() {
+        return new Relay(Relay.peers(2)).list(route("a", 1, "plain", "east"), route("b", 2, "plain", "east"));
+    }
+
+    private static Policy.PeerNote heard(Word word) {
+        return new Policy.PeerNote(1, bytes(word, 1));
+    }
+
+    private static String note(Word word) {
+        return HexFormat.of().formatHex(bytes(word, 1));
+    }
+
+    private static byte[] bytes(Word word, int number) {
+        return ByteBuffer.allocate(5).put((byte) word.ordinal()).putInt(number).array();
+    }
+
+    @Test
+    void asksForTheListAtOnceAndAgainAfterEachFailureInTime() {
+        Relay asking = new Relay(Relay.settings(4, 10, true)).list();
+        assertEquals(List.of(0L), asking.subscribed);
+        for (int failure = 1; failure <= 5; failure++) {
+            asking.round(new Policy.RouteList(Policy.ListKind.FAILED, 0, List.of())).pass(10 * S);
+            assertEquals(failure + 1, asking.subscribed.size(), "asked within the rule's span");
+        }
+    }
+
+    @Test
+    void settingsWithoutSenseNameTheField() {
+        var thrown = assertThrows(IllegalArgumentException.class, () -> Relay.settings(0, 5));
+        assertTrue(thrown.getMessage().contains("callSlots"));
+    }
+
+    /** So many served calls to route c that it is called often. */
+    private void callOften() {
+        for (int id = 1_000; id < 1_008; id++) {
+            relay.accept(id, "safe", 2).pass(MS).answer(id, Result.OK);
+        }
+        relay.sent.clear();
+    }
+
+    private void openC() {
+        callOften();
+        for (int id = 1; id <= 3; id++) {
+            relay.accept(id, "once", 2).pass(MS).answer(id, Result.ERROR);
+        }
+        assertEquals(List.of("out: c"), relay.logged);
+    }
+}
