--- a/src/main/java/pipitstage/Fields.java
+++ b/src/main/java/pipitstage/Fields.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 /** Named access to a JSON object or to an array of values in a known order. */
-final class Fields {
+public final class Fields {
     private final String where;
     private final Map<?, ?> members;
     private final List<?> values;
@@ -20,14 +20,14 @@
         this.values = values;
     }
 
-    static Fields ofObject(String where, Object json) {
+    public static Fields ofObject(String where, Object json) {
         if (json instanceof Map<?, ?> members) {
             return new Fields(where, members, List.of());
         }
         throw new WireException(where + ": an object is needed");
     }
 
-    static Fields ofArray(String where, Object json) {
+    public static Fields ofArray(String where, Object json) {
         if (json instanceof List<?> values) {
             return new Fields(where, Map.of(), values);
         }
@@ -41,7 +41,7 @@
     }
 
     /** Reads the value at the parser's current token into maps, lists, text, numbers and booleans. */
-    static Object read(JsonParser parser) throws IOException {
+    public static Object read(JsonParser parser) throws IOException {
         JsonToken token = parser.currentToken();
         if (token == null) {
             throw new WireException("the line ends early");
@@ -76,18 +76,18 @@
         return members;
     }
 
-    Object value(Object at) {
+    public Object value(Object at) {
         if (at instanceof Integer index) {
             return index < values.size() ? values.get(index) : null;
         }
         return members.get(at);
     }
 
-    Fields object(Object at) {
+    public Fields object(Object at) {
         return ofObject(where + "." + at, value(at));
     }
 
-    List<?> list(Object at) {
+    public List<?> list(Object at) {
         Object value = value(at);
         if (value == null) {
             return List.of();
@@ -98,40 +98,40 @@
         throw missing(at, "an array");
     }
 
-    String text(Object at) {
+    public String text(Object at) {
         if (value(at) instanceof String text) {
             return text;
         }
         throw missing(at, "text");
     }
 
-    String textOrNull(Object at) {
+    public String textOrNull(Object at) {
         return value(at) instanceof String text ? text : null;
     }
 
-    double number(Object at) {
+    public double number(Object at) {
         if (value(at) instanceof Number number) {
             return number.doubleValue();
         }
         throw missing(at, "a number");
     }
 
-    double number(Object at, double absent) {
+    public double number(Object at, double absent) {
         return value(at) == null ? absent : number(at);
     }
 
-    long whole(Object at) {
+    public long whole(Object at) {
         if (value(at) instanceof Number number) {
             return number.longValue();
         }
         throw missing(at, "a whole number");
     }
 
-    long whole(Object at, long absent) {
+    public long whole(Object at, long absent) {
         return value(at) == null ? absent : whole(at);
     }
 
-    boolean flag(Object at) {
+    public boolean flag(Object at) {
         Object value = value(at);
         if (value == null) {
             return false;
@@ -143,11 +143,11 @@
     }
 
     /** Seconds on the wire as microseconds. */
-    long micros(Object at) {
+    public long micros(Object at) {
         return Math.round(number(at) * 1e6);
     }
 
-    long micros(Object at, long absent) {
+    public long micros(Object at, long absent) {
         return value(at) == null ? absent : micros(at);
     }
 
--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -117,6 +117,8 @@
     private void absorb(Event event) {
         if (event instanceof Accepted e) {
             accept(e);
+        } else if (event instanceof Resumed e) {
+            resume(e);
         } else if (event instanceof Outcome e) {
             outcome(e);
         } else if (event instanceof Withdrawn e) {
@@ -134,6 +136,26 @@
     }
 
     private void accept(Accepted e) {
+        add(e);
+        if (held >= settings.limits().maxOpen()) {
+            makeRoom();
+        }
+    }
+
+    /** Past attempts count on; one without a known result may have run and can't be answered any more. */
+    private void resume(Resumed e) {
+        Request request = add(e.request());
+        for (PastAttempt past : e.attempts()) {
+            Attempt attempt = new Attempt(new Call(routes.get(past.route()), past.sentAt(), false));
+            attempt.result = past.result() == null ? Result.RESET : past.result();
+            request.attempts.add(attempt);
+            rest(request, attempt.result);
+        }
+        unhold(request);
+        tryAgain(request);
+    }
+
+    private Request add(Accepted e) {
         RequestClass type = classes.get(e.requestClass());
         if (type == null) {
             throw new IllegalArgumentException("unknown request class " + e.requestClass());
@@ -146,9 +168,7 @@
         if (request.key != null) {
             lines.computeIfAbsent(request.key, k -> new OrderLine()).requests.add(request);
         }
-        if (held >= settings.limits().maxOpen()) {
-            makeRoom();
-        }
+        return request;
     }
 
     private void hold(Request request) {
@@ -592,7 +612,7 @@
         }
         return switch (request.type.keyScope()) {
             case ALL -> true;
-            case ZONE -> first.call.route.zone.equals(route.zone);
+            case ZONE -> first.call.route != null && first.call.route.zone.equals(route.zone);
             case CELL -> first.call.route == route;
         };
     }
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -103,6 +103,12 @@
     record Accepted(long id, String requestClass, String tenant, String key, long deadline, int destination)
             implements Event { }
 
+    /** An attempt made before a restart; {@code result} is null where nothing is known of it. */
+    record PastAttempt(String route, long sentAt, Result result) { }
+
+    /** A request that was accepted before a restart is owed its answer still. */
+    record Resumed(Accepted request, List<PastAttempt> attempts) implements Event { }
+
     /** The answer of an attempt has begun to arrive; its time-out no longer applies. */
     record AnswerStarted(long id, int attempt, String route) implements Event { }
 
--- a/src/main/java/pipitstage/SimHost.java
+++ b/src/main/java/pipitstage/SimHost.java
@@ -33,19 +33,10 @@
         this.start = start;
     }
 
-    /** Runs on standard input and output until the input ends. */
-    public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar pipitstage.jar simhost");
-            System.exit(2);
-        }
-        try {
-            new SimHost(Logic::new).run(new InputStreamReader(System.in, StandardCharsets.UTF_8),
-                    new OutputStreamWriter(System.out, StandardCharsets.UTF_8));
-        } catch (WireException e) {
-            System.err.println("pipitstage: " + e.getMessage());
-            System.exit(1);
-        }
+    /** Runs the decision module on standard input and output until the input ends. */
+    public static void runOnStandardStreams() throws IOException {
+        new SimHost(Logic::new).run(new InputStreamReader(System.in, StandardCharsets.UTF_8),
+                new OutputStreamWriter(System.out, StandardCharsets.UTF_8));
     }
 
     /** Answers each line of {@code in} by one line on {@code out}. */
@@ -112,7 +103,7 @@
 
     private Policy launch(Fields message) {
         try {
-            return start.apply(WireCodec.settings(message));
+            return start.apply(WireCodec.settings(message.whole(1), message.object(2)));
         } catch (IllegalArgumentException e) {
             throw new WireException("launch: " + e.getMessage());
         }
--- a/src/main/java/pipitstage/WireCodec.java
+++ b/src/main/java/pipitstage/WireCodec.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 
 /** Translates the simulator's messages into events and settings, and actions into its commands. */
-final class WireCodec {
+public final class WireCodec {
     private static final String EVERY_PEER = "*";
 
     /** Lists named by number; they belong to the process and are replaced as they come. */
@@ -108,11 +108,10 @@
         }
     }
 
-    /** Reads the settings of a {@code launch}. */
-    static Policy.Settings settings(Fields launch) {
-        Fields params = launch.object(2);
+    /** Reads the settings of a {@code launch}, which a relay on sockets finds in its configuration. */
+    public static Policy.Settings settings(long seed, Fields params) {
         Fields info = params.object("family-info");
-        return new Policy.Settings(launch.whole(1), (int) params.whole("me"), (int) params.whole("fleet-size"),
+        return new Policy.Settings(seed, (int) params.whole("me"), (int) params.whole("fleet-size"),
                 params.text("zone"), classes(params), tenants(params), kinds(params, info), zones(params, info),
                 limits(params.object("limits"), info), rules(params.object("contract")),
                 params.number("over-share-worth", 1), "by_half".equals(info.textOrNull("fades")),
--- /dev/null
+++ b/src/main/java/pipitstage/relay/AgentClient.java
@@ -0,0 +1,123 @@
+package pipitstage.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/** One kept connection to discovery's agent that carries one request at a time. */
+final class AgentClient {
+    private static final int LARGEST_ANSWER = 2 << 20;
+    private static final int CONNECT_TIMEOUT_MS = 1000;
+
+    /** What became of a request; {@code status} is 0 where no answer came. */
+    interface Answer {
+        void come(int status, String body);
+    }
+
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final InetSocketAddress agent;
+    private Channel channel;
+    private Answer waiting;
+    private Future<?> timeout;
+
+    AgentClient(EventLoop loop, InetSocketAddress agent) {
+        this.loop = loop;
+        this.agent = agent;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER),
+                                new Answers());
+                    }
+                });
+    }
+
+    /** Sends a request; the answer, or the lack of one within the span, is told once and later. */
+    void request(HttpMethod method, String path, String body, long timeoutMs, Answer answer) {
+        if (waiting != null) {
+            throw new IllegalStateException("a request is out");
+        }
+        waiting = answer;
+        timeout = loop.schedule(this::giveUp, timeoutMs, TimeUnit.MILLISECONDS);
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        request.headers().set(HttpHeaderNames.HOST, agent.getHostString() + ":" + agent.getPort());
+        HttpUtil.setContentLength(request, request.content().readableBytes());
+        if (channel != null && channel.isActive()) {
+            channel.writeAndFlush(request);
+            return;
+        }
+        channel = bootstrap.connect(agent).addListener(connected -> {
+            if (connected.isSuccess()) {
+                channel.writeAndFlush(request);
+            } else {
+                request.release();
+                finish(0, "");
+            }
+        }).channel();
+    }
+
+    /** Guards against an agent that fell silent: its late answer must not be taken for the next one's. */
+    private void giveUp() {
+        channel.close();
+        finish(0, "");
+    }
+
+    private void finish(int status, String body) {
+        if (waiting != null) {
+            Answer answer = waiting;
+            waiting = null;
+            timeout.cancel(false);
+            answer.come(status, body);
+        }
+    }
+
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (ctx.channel() != channel) {
+                return;
+            }
+            if (!HttpUtil.isKeepAlive(response)) {
+                ctx.close();
+                channel = null;
+            }
+            finish(response.status().code(), response.content().toString(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                channel = null;
+                finish(0, "");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/relay/Config.java
@@ -0,0 +1,92 @@
+package pipitstage.relay;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import pipitstage.Fields;
+import pipitstage.Policy;
+import pipitstage.WireCodec;
+import pipitstage.WireException;
+
+/**
+ * Everything that a relay is told at its start. Spans are in microseconds; {@code knownVersion} is -1 and
+ * {@code known} empty where no earlier list is known.
+ */
+record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets, long diskBytes,
+        Policy.Settings settings, long period, long idleSpan, boolean reports, long knownVersion,
+        List<Target> known) {
+
+    private static final long MIB = 1 << 20;
+    private static final int LEAST_SOCKETS = 64;
+
+    /** A setting that is missing or makes no sense; the message is for staff. */
+    static final class BadConfigException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadConfigException(String message) {
+            super(message);
+        }
+    }
+
+    /** Reads the configuration that the environment names. */
+    static Config read(Map<String, String> environment) throws BadConfigException {
+        Path file = Path.of(variable(environment, "EDGE_CONFIG"));
+        Path state = Path.of(variable(environment, "EDGE_STATE"));
+        try (JsonParser parser = new JsonFactory().createParser(Files.readString(file))) {
+            parser.nextToken();
+            return of(Fields.ofObject("config", Fields.read(parser)), state);
+        } catch (IOException e) {
+            throw new BadConfigException("EDGE_CONFIG: can't be read: " + e.getMessage());
+        } catch (WireException | IllegalArgumentException e) {
+            throw new BadConfigException("EDGE_CONFIG: " + e.getMessage());
+        }
+    }
+
+    private static Config of(Fields json, Path state) {
+        Fields params = json.object("settings");
+        Fields limits = json.object("limits");
+        Policy.Settings settings = WireCodec.settings(Long.parseUnsignedLong(json.text("seed"), 16), params);
+        long version = -1;
+        List<Target> known = List.of();
+        if (json.value("known") != null) {
+            Fields list = json.object("known");
+            version = list.whole("rev");
+            known = Target.readAll(list);
+        }
+        String how = params.value("stats") == null ? null : params.object("stats").textOrNull("how");
+        return new Config(address(json.text("listen")), address(json.text("discovery")), state,
+                (int) Math.max(LEAST_SOCKETS, limits.whole("sockets")),
+                (long) (limits.number("disk_mb") * MIB), settings, params.micros("period-s", 0),
+                params.object("limits").micros("conn-idle-s"), how != null && !how.equals("off"), version, known);
+    }
+
+    private static String variable(Map<String, String> environment, String name) throws BadConfigException {
+        String value = environment.get(name);
+        if (value == null || value.isEmpty()) {
+            throw new BadConfigException(name + " is not set");
+        }
+        return value;
+    }
+
+    /** An address in digits with its port: there is no DNS. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:]+]")) {
+            throw new IllegalArgumentException("no address with a port: " + text);
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return new InetSocketAddress(InetAddress.getByName(host), port);
+        } catch (NumberFormatException | UnknownHostException e) {
+            throw new IllegalArgumentException("no address with a port: " + text, e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -0,0 +1,82 @@
+package pipitstage.relay;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import pipitstage.Fields;
+import pipitstage.Policy.ListKind;
+import pipitstage.WireException;
+
+/** Fetches the list of hosts once and then watches it for changes. */
+final class Discovery {
+    /**
+     * Guards against a discovery that falls silent: a watch that waits long would learn only after its end
+     * of what was told meanwhile. Every answer is followed by the next call at once.
+     */
+    private static final long WAIT_MS = 1000;
+    private static final long PATIENCE_MS = 400;
+    private static final long PAUSE_MS = 100;
+
+    /** Takes in what discovery tells. */
+    interface Listener {
+        void list(ListKind kind, long version, List<Target> targets);
+    }
+
+    private final EventLoop loop;
+    private final AgentClient agent;
+    private final Listener listener;
+    private final JsonFactory json = new JsonFactory();
+    private long version = -1;
+
+    Discovery(EventLoop loop, InetSocketAddress address, Listener listener) {
+        this.loop = loop;
+        this.listener = listener;
+        agent = new AgentClient(loop, address);
+    }
+
+    void start() {
+        ask();
+    }
+
+    private void ask() {
+        if (version < 0) {
+            agent.request(HttpMethod.GET, "/api/targets", "", PATIENCE_MS, this::answered);
+        } else {
+            agent.request(HttpMethod.GET, "/api/targets?after=" + version + "&wait_ms=" + WAIT_MS, "",
+                    WAIT_MS + PATIENCE_MS, this::answered);
+        }
+    }
+
+    private void answered(int status, String body) {
+        boolean taken = status == 200 && take(body);
+        if (taken) {
+            ask();
+        } else {
+            loop.schedule(this::ask, PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean take(String body) {
+        try (JsonParser parser = json.createParser(body)) {
+            parser.nextToken();
+            Fields list = Fields.ofObject("list", Fields.read(parser));
+            long rev = list.whole("rev");
+            boolean whole = list.flag("all");
+            List<Target> targets = Target.readAll(list);
+            version = rev;
+            if (whole || !targets.isEmpty()) {
+                listener.list(whole ? ListKind.FULL : ListKind.CHANGES, rev, targets);
+            }
+            return true;
+        } catch (IOException | WireException e) {
+            Log.line("discovery: an answer is passed over: " + e.getMessage());
+            version = -1;
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -0,0 +1,332 @@
+package pipitstage.relay;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pipitstage.Fields;
+import pipitstage.Policy.LimitReport;
+import pipitstage.Policy.Result;
+import pipitstage.WireException;
+
+/** One call to a host, for one message, for several, or a probe; it knows the table of outcomes. */
+final class HostCall {
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int MOST_ANSWER = 64 << 10;
+    private static final int ITEM_OVERHEAD = 40;
+    private static final long LONGEST_WAIT_MS = 3_600_000;
+
+    private record Part(Message.Attempt attempt, long until, Future<?> timeout) { }
+
+    private final HostClient client;
+    private final HostClient.Host host;
+    private final long startedAt;
+    private final String probePath;
+    /** Attempts that nothing is known of yet. */
+    private final Map<Message.Attempt, Part> parts = new LinkedHashMap<>();
+    private final boolean several;
+    private final Future<?> probeTimeout;
+    private HostConnection connection;
+    private boolean sent;
+    private boolean ended;
+    private int status;
+    private LimitReport report = LimitReport.NONE;
+    private long wait;
+    private boolean slotsTaken;
+    private final ByteBuf body = Unpooled.buffer(0, MOST_ANSWER);
+
+    /** A call for one or more attempts. */
+    HostCall(HostClient client, HostClient.Host host, List<HostClient.Outgoing> outgoing) {
+        this.client = client;
+        this.host = host;
+        startedAt = client.now();
+        probePath = null;
+        probeTimeout = null;
+        several = outgoing.size() > 1;
+        for (HostClient.Outgoing o : outgoing) {
+            Future<?> timeout = client.after(o.timeout(), () -> giveUp(o.attempt(), Result.TIMEOUT));
+            parts.put(o.attempt(), new Part(o.attempt(), startedAt + o.timeout(), timeout));
+        }
+    }
+
+    /** A probe. */
+    HostCall(HostClient client, HostClient.Host host, String path, long timeout) {
+        this.client = client;
+        this.host = host;
+        startedAt = client.now();
+        probePath = path;
+        several = false;
+        probeTimeout = client.after(timeout, () -> abandon(Result.TIMEOUT));
+    }
+
+    /** About how many bytes a message takes in a call for several. */
+    static int encodedSize(Message message) {
+        Message.Content content = message.content;
+        int key = content.key() == null ? 0 : content.key().length();
+        return (content.body().length + 2) / 3 * 4 + content.callId().length() + key + ITEM_OVERHEAD;
+    }
+
+    HostClient.Host host() {
+        return host;
+    }
+
+    long startedAt() {
+        return startedAt;
+    }
+
+    boolean isSent() {
+        return sent;
+    }
+
+    void begin(HostConnection carrier) {
+        connection = carrier;
+    }
+
+    void sent() {
+        sent = true;
+    }
+
+    FullHttpRequest request() {
+        if (probePath != null) {
+            return request(HttpMethod.GET, probePath, new byte[0]);
+        }
+        FullHttpRequest request;
+        if (several) {
+            request = request(HttpMethod.POST, "/receive-many", manyBody());
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        } else {
+            Message.Content content = parts.keySet().iterator().next().message.content;
+            request = request(HttpMethod.POST, "/receive", content.body());
+            request.headers().set(ClientServer.CALL_ID, content.callId());
+            if (content.key() != null) {
+                request.headers().set(ClientServer.KEY, content.key());
+            }
+        }
+        long until = parts.values().stream().mapToLong(Part::until).max().orElse(0);
+        request.headers().set(ClientServer.BUDGET, Math.max(0, until - client.now()) / 1000);
+        return request;
+    }
+
+    private FullHttpRequest request(HttpMethod method, String path, byte[] content) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
+                Unpooled.wrappedBuffer(content));
+        request.headers().set(HttpHeaderNames.HOST, host.authority());
+        if (method == HttpMethod.POST) {
+            HttpUtil.setContentLength(request, content.length);
+        }
+        return request;
+    }
+
+    private byte[] manyBody() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator json = JSON.createGenerator(bytes)) {
+            json.writeStartArray();
+            for (Message.Attempt attempt : parts.keySet()) {
+                Message.Content content = attempt.message.content;
+                json.writeStartObject();
+                json.writeStringField("id", content.callId());
+                if (content.key() != null) {
+                    json.writeStringField("key", content.key());
+                }
+                json.writeBinaryField("body", content.body());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** The head of an answer: for one message, and where all fare alike, it tells the outcome already. */
+    void head(HttpResponse response) {
+        status = response.status().code();
+        report = report(response.headers().get(ClientServer.LOAD_REPORT));
+        wait = waitOf(response.headers().get("X-Come-Back-Ms"));
+        slotsTaken = "1".equals(response.headers().get("X-Line-Busy"));
+        if (wait > 0) {
+            client.toldToWait(host, wait);
+        }
+        if (probePath == null && !(several && status == 200)) {
+            outcome(status);
+        }
+    }
+
+    /** Takes in a piece of the answer's body; false where it is larger than any answer may be. */
+    boolean body(ByteBuf piece) {
+        if (body.readableBytes() + piece.readableBytes() > MOST_ANSWER) {
+            return false;
+        }
+        body.writeBytes(piece);
+        return true;
+    }
+
+    /** The answer is whole. */
+    void complete() {
+        if (probePath != null) {
+            if (status == 200 && report.equals(LimitReport.NONE)) {
+                report = report(body.toString(StandardCharsets.UTF_8));
+            }
+            probeEnd(status == 200 ? Result.OK : status == 503 || status == 429 ? Result.FULL : Result.ERROR);
+        } else if (several && status == 200) {
+            eachOutcome();
+            // Guards against an answer that leaves a message out: it may have run.
+            end(Result.ERROR);
+        }
+    }
+
+    private void outcome(int code) {
+        switch (code) {
+            case 200 -> end(Result.OK, true);
+            case 410 -> end(Result.NOT_SENT, true);
+            case 429 -> end(Result.FULL);
+            case 503 -> end(slotsTaken ? Result.NOT_SENT : Result.FULL);
+            case 400, 404, 413, 504 -> end(Result.NOT_SENT);
+            default -> end(Result.ERROR);
+        }
+    }
+
+    private void eachOutcome() {
+        Map<String, Message.Attempt> byId = new HashMap<>();
+        parts.keySet().forEach(attempt -> byId.put(attempt.message.content.callId(), attempt));
+        try (JsonParser parser = JSON.createParser(body.toString(StandardCharsets.UTF_8))) {
+            parser.nextToken();
+            if (!(Fields.read(parser) instanceof List<?> entries)) {
+                throw new WireException("no array");
+            }
+            for (Object json : entries) {
+                Fields entry = Fields.ofObject("answer", json);
+                Message.Attempt attempt = byId.remove(entry.text("id"));
+                if (attempt != null) {
+                    outcome(attempt, entry.text("state"));
+                }
+            }
+        } catch (IOException | WireException e) {
+            Log.line("host " + host.listed.route() + ": an answer can't be read: " + e.getMessage());
+        }
+    }
+
+    private void outcome(Message.Attempt attempt, String state) {
+        switch (state) {
+            case "done" -> end(attempt, Result.OK, true);
+            case "busy" -> end(attempt, Result.FULL, false);
+            case "void" -> end(attempt, Result.NOT_SENT, true);
+            case "used_up" -> end(attempt, Result.NOT_SENT, false);
+            default -> end(attempt, Result.ERROR, false);
+        }
+    }
+
+    /** The connection broke, or ended, before the answer was whole. */
+    void broken() {
+        end(sent ? Result.RESET : Result.CONNECT_FAILED);
+    }
+
+    /** Every attempt that is still open ends alike. */
+    void end(Result result) {
+        end(result, false);
+    }
+
+    private void end(Result result, boolean over) {
+        if (probePath != null) {
+            probeEnd(result);
+        }
+        for (Message.Attempt attempt : new ArrayList<>(parts.keySet())) {
+            end(attempt, result, over);
+        }
+    }
+
+    private void end(Message.Attempt attempt, Result result, boolean over) {
+        Part part = parts.remove(attempt);
+        if (part != null) {
+            part.timeout().cancel(false);
+            client.ended(attempt, result, over, result == Result.FULL ? wait : 0, report);
+        }
+    }
+
+    private void probeEnd(Result result) {
+        if (!ended) {
+            ended = true;
+            probeTimeout.cancel(false);
+            client.probed(this, result, report);
+        }
+    }
+
+    /**
+     * Stops waiting for one attempt. With the last one the connection closes too: the host must not take a
+     * call for out that nobody waits for.
+     */
+    void giveUp(Message.Attempt attempt, Result result) {
+        if (!parts.containsKey(attempt)) {
+            return;
+        }
+        if (parts.size() == 1) {
+            abandon(result);
+        } else {
+            end(attempt, sent ? result : Result.CONNECT_FAILED, false);
+        }
+    }
+
+    /** Gives the whole call up. What has not left whole never ran. */
+    private void abandon(Result result) {
+        end(sent ? result : Result.CONNECT_FAILED);
+        if (connection != null) {
+            connection.close();
+        } else {
+            client.unqueue(this);
+        }
+    }
+
+    private static long waitOf(String text) {
+        if (text == null || !text.matches("\\d{1,9}")) {
+            return 0;
+        }
+        return Math.min(LONGEST_WAIT_MS, Long.parseLong(text)) * 1000;
+    }
+
+    /** Reads a load report such as {@code TEXT x0=0.4, x1=25}; what can't be read counts as not told. */
+    static LimitReport report(String text) {
+        if (text == null) {
+            return LimitReport.NONE;
+        }
+        double left = Double.NaN;
+        double rate = Double.NaN;
+        for (String pair : text.strip().replaceFirst("^TEXT\\s", "").split(",")) {
+            String[] halves = pair.strip().split("=", 2);
+            double value = halves.length < 2 ? Double.NaN : number(halves[1]);
+            if (halves[0].equals("x0")) {
+                left = value;
+            } else if (halves[0].equals("x1")) {
+                rate = value;
+            }
+        }
+        return new LimitReport(left, rate);
+    }
+
+    private static double number(String text) {
+        try {
+            double value = Double.parseDouble(text.strip());
+            return Double.isFinite(value) && value >= 0 ? value : Double.NaN;
+        } catch (NumberFormatException e) {
+            Log.line("a load report can't be read: " + text);
+            return Double.NaN;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -0,0 +1,294 @@
+package pipitstage.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import pipitstage.Policy;
+import pipitstage.Policy.LimitReport;
+import pipitstage.Policy.ListKind;
+import pipitstage.Policy.Result;
+
+/**
+ * Calls hosts over kept connections and tells what became of each attempt. It resends nothing: a call goes
+ * out once, on one connection.
+ */
+final class HostClient {
+    private static final long PROBE_TIMEOUT = 1_500_000;
+    private static final long SECOND = 1_000_000;
+    private static final int MOST_BODY = 64 << 10;
+
+    /** Takes in what became of attempts and probes. */
+    interface Results {
+        /** An attempt ended; {@code over} means that nothing more is owed for its message. */
+        void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report);
+
+        void probed(String route, Result result, long elapsed, LimitReport report);
+    }
+
+    /** An attempt to send and how long its answer is waited for. */
+    record Outgoing(Message.Attempt attempt, long timeout) { }
+
+    /** Until when a destination, or a route apart, has told this relay to wait. */
+    private static final class Wait {
+        long until;
+    }
+
+    /** A listed host with its connections. */
+    static final class Host {
+        final Policy.Listed listed;
+        private final Target target;
+        private final Wait wait;
+        private final int batch;
+        private final boolean listedNow;
+        private final ArrayDeque<HostConnection> idle = new ArrayDeque<>();
+        /** Calls that wait for a connection, oldest first. */
+        private final Set<HostCall> queue = new LinkedHashSet<>();
+        private int connecting;
+
+        private Host(Target target, Wait wait, int batch) {
+            this.target = target;
+            this.wait = wait;
+            this.batch = batch;
+            listed = target.listed();
+            listedNow = listed.availability() == Policy.Availability.LISTED;
+        }
+
+        String authority() {
+            return target.address().getHostString() + ":" + target.address().getPort();
+        }
+    }
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Results results;
+    private final Bootstrap bootstrap;
+    private final boolean reports;
+    private final long idleSpan;
+    private final int mostConnections;
+    private final Map<String, Policy.Kind> kinds = new HashMap<>();
+    private final Map<String, Host> hosts = new HashMap<>();
+    private final Map<Integer, Wait> waits = new HashMap<>();
+    /** Idle connections of all hosts, the one that has stood longest first. */
+    private final Set<HostConnection> idle = new LinkedHashSet<>();
+    private final Map<Message.Attempt, HostCall> calls = new HashMap<>();
+    private int connections;
+
+    HostClient(EventLoop loop, Clock clock, Config config, Results results) {
+        this.loop = loop;
+        this.clock = clock;
+        this.results = results;
+        reports = config.reports();
+        // Guards against a call on a connection that the host is just closing: it would end as a reset.
+        idleSpan = Math.max(config.idleSpan() / 2, config.idleSpan() - SECOND);
+        mostConnections = config.sockets() / 3;
+        config.settings().kinds().forEach(kind -> kinds.put(kind.name(), kind));
+        long connectTimeout = config.settings().limits().connectTimeout();
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1000));
+    }
+
+    /** Takes in a list of hosts; what drains or is gone is sent nothing new from now on. */
+    void list(ListKind kind, List<Target> targets) {
+        Set<String> named = new HashSet<>();
+        for (Target target : targets) {
+            named.add(target.listed().route());
+            replace(target);
+        }
+        if (kind != ListKind.CHANGES) {
+            hosts.values().stream().filter(host -> !named.contains(host.listed.route())).toList()
+                    .forEach(this::remove);
+        }
+    }
+
+    private void replace(Target target) {
+        Host old = hosts.get(target.listed().route());
+        if (old != null && old.target.equals(target)) {
+            return;
+        }
+        if (old != null) {
+            remove(old);
+        }
+        if (target.listed().availability() != Policy.Availability.REMOVED) {
+            Policy.Kind kind = kinds.get(target.listed().kind());
+            boolean apart = kind != null && kind.routesApart();
+            Wait wait = apart ? old == null ? new Wait() : old.wait
+                    : waits.computeIfAbsent(target.listed().destination(), d -> new Wait());
+            hosts.put(target.listed().route(), new Host(target, wait, kind == null ? 1 : kind.batch()));
+        }
+    }
+
+    /** Guards against a first byte after the grace: what still waits for a connection never leaves. */
+    private void remove(Host host) {
+        hosts.remove(host.listed.route());
+        List.copyOf(host.queue).forEach(call -> {
+            host.queue.remove(call);
+            call.end(Result.NOT_SENT);
+        });
+        List.copyOf(host.idle).forEach(HostConnection::close);
+    }
+
+    /** Sends what one round has for one route, in as few calls as its kind allows. */
+    void send(String route, List<Outgoing> outgoing) {
+        Host host = hosts.get(route);
+        if (host == null || !host.listedNow) {
+            outgoing.forEach(o -> results.ended(o.attempt(), Result.NOT_SENT, false, 0, LimitReport.NONE));
+            return;
+        }
+        List<Outgoing> batch = new ArrayList<>();
+        int bytes = 0;
+        for (Outgoing next : outgoing) {
+            int size = HostCall.encodedSize(next.attempt().message);
+            // Guards against a call with a larger body than a host takes.
+            if (!batch.isEmpty() && (batch.size() >= host.batch || bytes + size > MOST_BODY)) {
+                startBatch(host, batch);
+                batch = new ArrayList<>();
+                bytes = 0;
+            }
+            batch.add(next);
+            bytes += size;
+        }
+        startBatch(host, batch);
+    }
+
+    private void startBatch(Host host, List<Outgoing> batch) {
+        HostCall call = new HostCall(this, host, batch);
+        batch.forEach(o -> calls.put(o.attempt(), call));
+        start(call);
+    }
+
+    void probe(String route) {
+        Host host = hosts.get(route);
+        if (host == null || !host.listedNow) {
+            results.probed(route, Result.NOT_SENT, 0, LimitReport.NONE);
+            return;
+        }
+        start(new HostCall(this, host, reports ? "/-/load" : "/-/healthy", PROBE_TIMEOUT));
+    }
+
+    void closeIdle(String route) {
+        Host host = hosts.get(route);
+        if (host != null) {
+            List.copyOf(host.idle).forEach(HostConnection::close);
+        }
+    }
+
+    private void start(HostCall call) {
+        Host host = call.host();
+        HostConnection connection = host.idle.pollLast();
+        if (connection != null) {
+            idle.remove(connection);
+            begin(connection, call);
+            return;
+        }
+        host.queue.add(call);
+        connect(host);
+    }
+
+    private void connect(Host host) {
+        if (connections >= mostConnections && !idle.isEmpty()) {
+            idle.iterator().next().close();
+        }
+        host.connecting++;
+        connections++;
+        HostConnection connection = new HostConnection(this, host);
+        ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new HttpClientCodec(), connection);
+            }
+        }).connect(host.target.address());
+        future.channel().closeFuture().addListener(closed -> connections--);
+        future.addListener(connected -> {
+            host.connecting--;
+            if (connected.isSuccess()) {
+                free(connection);
+            } else if (host.queue.size() > host.connecting) {
+                HostCall oldest = host.queue.iterator().next();
+                host.queue.remove(oldest);
+                oldest.end(Result.CONNECT_FAILED);
+            }
+        });
+    }
+
+    /** A connection can carry a call: one that waits for it, or a later one. */
+    void free(HostConnection connection) {
+        Host host = connection.host();
+        if (!host.queue.isEmpty()) {
+            HostCall call = host.queue.iterator().next();
+            host.queue.remove(call);
+            begin(connection, call);
+        } else if (hosts.get(host.listed.route()) != host) {
+            connection.close();
+        } else {
+            host.idle.addLast(connection);
+            idle.add(connection);
+            connection.retireAfter(idleSpan);
+        }
+    }
+
+    /** Forgets a connection that has closed. */
+    void closed(HostConnection connection) {
+        connection.host().idle.remove(connection);
+        idle.remove(connection);
+    }
+
+    private void begin(HostConnection connection, HostCall call) {
+        // Guards against a call that was connecting while its destination told this relay to wait.
+        if (clock.micros() < call.host().wait.until) {
+            call.end(Result.NOT_SENT);
+            free(connection);
+        } else {
+            connection.carry(call);
+        }
+    }
+
+    /** Drops a call that was given up before it had a connection. */
+    void unqueue(HostCall call) {
+        call.host().queue.remove(call);
+    }
+
+    void toldToWait(Host host, long span) {
+        host.wait.until = Math.max(host.wait.until, clock.micros() + span);
+    }
+
+    /** Gives up one attempt. */
+    void cancel(Message.Attempt attempt) {
+        HostCall call = calls.get(attempt);
+        if (call != null) {
+            call.giveUp(attempt, Result.CANCELLED);
+        }
+    }
+
+    void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report) {
+        calls.remove(attempt);
+        results.ended(attempt, result, over, wait, report);
+    }
+
+    void probed(HostCall call, Result result, LimitReport report) {
+        results.probed(call.host().listed.route(), result, clock.micros() - call.startedAt(), report);
+    }
+
+    long now() {
+        return clock.micros();
+    }
+
+    Future<?> after(long micros, Runnable task) {
+        return loop.schedule(task, micros, TimeUnit.MICROSECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/relay/Journal.java
@@ -0,0 +1,398 @@
+package pipitstage.relay;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32;
+import pipitstage.Policy;
+
+/**
+ * The write-ahead journal of accepted work: one segment of records, each with its length and checksum.
+ * When enough of the segment speaks of finished messages, what is still open is written to a new segment,
+ * which then takes its place.
+ *
+ * <p>Appending needs no sync: what was written outlasts the process, and nothing outlasts the machine.
+ */
+final class Journal implements AutoCloseable {
+    // Shares of the disk. Both segments are there during rewriting: 0.45 + 0.4 at the most.
+    private static final double LARGEST_OPEN = 0.3; // what is open when a message is taken on
+    private static final double LARGEST_FINISHED = 0.1; // then the segment is rewritten
+    private static final double LARGEST_SEGMENT = 0.45;
+
+    private static final String SEGMENT = "journal-%010d.log";
+    private static final String UNFINISHED = "journal.new";
+    private static final int HEAD = Integer.BYTES * 2;
+
+    private static final int ACCEPTED = 1;
+    private static final int ATTEMPT = 2;
+    private static final int RESULT = 3;
+    private static final int DECIDED = 4;
+    private static final int DONE = 5;
+
+    private interface Payload {
+        void write(DataOutputStream out) throws IOException;
+    }
+
+    private static final class Open {
+        final Message message;
+        long bytes;
+
+        Open(Message message) {
+            this.message = message;
+        }
+    }
+
+    private final Path folder;
+    private final long disk;
+    private final Map<Long, Open> open = new LinkedHashMap<>();
+    private FileChannel segment;
+    private Path path;
+    private long segmentNumber;
+    private long size;
+    private long openBytes;
+    private long lastNumber;
+    private boolean broken;
+
+    /** Opens the journal of a folder and replays it; a torn tail is cut off. */
+    Journal(Path folder, long disk) throws IOException {
+        this.folder = folder;
+        this.disk = disk;
+        Files.createDirectories(folder);
+        Files.deleteIfExists(folder.resolve(UNFINISHED));
+        List<Path> segments;
+        try (var files = Files.list(folder)) {
+            segments = files.filter(f -> f.getFileName().toString().matches("journal-\\d{10}\\.log")).sorted()
+                    .toList();
+        }
+        path = folder.resolve(SEGMENT.formatted(0));
+        if (!segments.isEmpty()) {
+            // Guards against a kill between a rewrite and the removal of what it replaces: the newest is whole.
+            path = segments.get(segments.size() - 1);
+            segmentNumber = Long.parseLong(path.getFileName().toString().replaceAll("\\D", ""));
+            for (Path old : segments.subList(0, segments.size() - 1)) {
+                Files.delete(old);
+            }
+        }
+        segment = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ,
+                StandardOpenOption.WRITE);
+        replay();
+    }
+
+    long nextNumber() {
+        return lastNumber + 1;
+    }
+
+    /** Every message that is not done, in the order accepted. */
+    List<Message> open() {
+        return open.values().stream().map(o -> o.message).toList();
+    }
+
+    /** Records that a message is taken on; false where there is no room or the disk fails. */
+    boolean accept(Message message) {
+        byte[] record = record(accepted(message));
+        if (openBytes + record.length > LARGEST_OPEN * disk || !append(record)) {
+            return false;
+        }
+        add(message, record.length);
+        return true;
+    }
+
+    /** Records an attempt before its first byte leaves; false where it can't be recorded. */
+    boolean attempt(Message.Attempt attempt) {
+        return note(attempt.message, attempt(attempt.message, attempt));
+    }
+
+    /** Records what is known of an attempt that has ended, above all the proof that it never ran. */
+    void result(Message.Attempt attempt) {
+        note(attempt.message, result(attempt.message, attempt));
+    }
+
+    /** Records the end that the platform is still to be told of. */
+    void decided(Message message) {
+        note(message, decision(message));
+    }
+
+    /** Records that nothing more is owed for a message. */
+    void done(Message message) {
+        if (note(message, out -> {
+            out.writeByte(DONE);
+            out.writeLong(message.number);
+        })) {
+            forget(message.number);
+        }
+        if (size - openBytes > LARGEST_FINISHED * disk) {
+            rewrite();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        segment.close();
+    }
+
+    private boolean note(Message message, Payload payload) {
+        Open entry = open.get(message.number);
+        byte[] record = record(payload);
+        if (entry == null || !append(record)) {
+            return false;
+        }
+        entry.bytes += record.length;
+        openBytes += record.length;
+        return true;
+    }
+
+    private void add(Message message, long bytes) {
+        Open entry = new Open(message);
+        entry.bytes = bytes;
+        openBytes += bytes;
+        open.put(message.number, entry);
+        lastNumber = Math.max(lastNumber, message.number);
+    }
+
+    private void forget(long number) {
+        Open entry = open.remove(number);
+        if (entry != null) {
+            openBytes -= entry.bytes;
+        }
+    }
+
+    /** Appends a record whole or, where the disk is full or fails, not at all. */
+    private boolean append(byte[] record) {
+        if (broken || size + record.length > LARGEST_SEGMENT * disk) {
+            return false;
+        }
+        try {
+            write(segment, record, size);
+            size += record.length;
+            return true;
+        } catch (IOException e) {
+            Log.line("journal: can't write: " + e.getMessage());
+            cutOff();
+            return false;
+        }
+    }
+
+    /** Guards against half a record that later ones would follow: none of them could be replayed. */
+    private void cutOff() {
+        try {
+            segment.truncate(size);
+        } catch (IOException e) {
+            Log.line("journal: can't be mended, nothing more is taken on: " + e.getMessage());
+            broken = true;
+        }
+    }
+
+    private static void write(FileChannel channel, byte[] record, long at) throws IOException {
+        ByteBuffer rest = ByteBuffer.wrap(record);
+        while (rest.hasRemaining()) {
+            channel.write(rest, at + rest.position());
+        }
+    }
+
+    private void rewrite() {
+        Path unfinished = folder.resolve(UNFINISHED);
+        Path next = folder.resolve(SEGMENT.formatted(segmentNumber + 1));
+        try {
+            FileChannel channel = FileChannel.open(unfinished, StandardOpenOption.CREATE,
+                    StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
+            long written = 0;
+            Map<Long, Long> sizes = new LinkedHashMap<>();
+            try {
+                for (Open entry : open.values()) {
+                    byte[] records = recordsOf(entry.message);
+                    write(channel, records, written);
+                    written += records.length;
+                    sizes.put(entry.message.number, (long) records.length);
+                }
+                Files.move(unfinished, next, StandardCopyOption.ATOMIC_MOVE);
+            } catch (IOException e) {
+                channel.close();
+                Files.deleteIfExists(unfinished);
+                throw e;
+            }
+            segment.close();
+            segment = channel;
+            Path old = path;
+            path = next;
+            segmentNumber++;
+            size = written;
+            openBytes = written;
+            sizes.forEach((number, bytes) -> open.get(number).bytes = bytes);
+            Files.deleteIfExists(old);
+        } catch (IOException e) {
+            Log.line("journal: can't be rewritten: " + e.getMessage());
+        }
+    }
+
+    private static byte[] recordsOf(Message message) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.write(record(accepted(message)));
+        for (Message.Attempt attempt : message.attempts) {
+            all.write(record(attempt(message, attempt)));
+            if (attempt.result != null) {
+                all.write(record(result(message, attempt)));
+            }
+        }
+        if (message.end != null) {
+            all.write(record(decision(message)));
+        }
+        return all.toByteArray();
+    }
+
+    private static Payload accepted(Message message) {
+        Message.Content content = message.content;
+        return out -> {
+            out.writeByte(ACCEPTED);
+            out.writeLong(message.number);
+            out.writeUTF(content.callId());
+            out.writeUTF(content.requestClass());
+            writeOptional(out, content.tenant());
+            writeOptional(out, content.key());
+            out.writeLong(content.deadline());
+            out.writeInt(content.destination());
+            out.writeInt(content.body().length);
+            out.write(content.body());
+        };
+    }
+
+    private static Payload attempt(Message message, Message.Attempt attempt) {
+        return out -> {
+            out.writeByte(ATTEMPT);
+            out.writeLong(message.number);
+            out.writeUTF(attempt.route);
+            out.writeLong(attempt.sentAt);
+        };
+    }
+
+    private static Payload result(Message message, Message.Attempt attempt) {
+        return out -> {
+            out.writeByte(RESULT);
+            out.writeLong(message.number);
+            out.writeInt(attempt.number);
+            out.writeUTF(attempt.result.name());
+        };
+    }
+
+    private static Payload decision(Message message) {
+        return out -> {
+            out.writeByte(DECIDED);
+            out.writeLong(message.number);
+            out.writeBoolean(message.end.refused());
+            out.writeLong(message.end.retryIn());
+        };
+    }
+
+    private static byte[] record(Payload payload) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeLong(0); // the head's place
+            payload.write(out);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        byte[] record = bytes.toByteArray();
+        CRC32 crc = new CRC32();
+        crc.update(record, HEAD, record.length - HEAD);
+        ByteBuffer.wrap(record).putInt(record.length - HEAD).putInt((int) crc.getValue());
+        return record;
+    }
+
+    private void replay() throws IOException {
+        ByteBuffer all = ByteBuffer.allocate((int) Math.min(segment.size(), Integer.MAX_VALUE - HEAD));
+        while (all.hasRemaining() && segment.read(all, all.position()) >= 0) {
+            continue;
+        }
+        all.flip();
+        byte[] payload = next(all);
+        while (payload != null && replay(payload)) {
+            size = all.position();
+            payload = next(all);
+        }
+        if (size < segment.size()) {
+            Log.line("journal: a torn tail of " + (segment.size() - size) + " bytes is cut off");
+            segment.truncate(size);
+        }
+    }
+
+    /** The next record's payload, or null at the end and where a record is not whole. */
+    private static byte[] next(ByteBuffer all) {
+        if (all.remaining() < HEAD) {
+            return null;
+        }
+        int length = all.getInt();
+        int expected = all.getInt();
+        if (length <= 0 || length > all.remaining()) {
+            return null;
+        }
+        byte[] payload = new byte[length];
+        all.get(payload);
+        CRC32 crc = new CRC32();
+        crc.update(payload);
+        return (int) crc.getValue() == expected ? payload : null;
+    }
+
+    private boolean replay(byte[] payload) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload))) {
+            int type = in.readByte();
+            long number = in.readLong();
+            if (type == ACCEPTED) {
+                add(new Message(number, readContent(in)), payload.length + HEAD);
+                return true;
+            }
+            lastNumber = Math.max(lastNumber, number);
+            Open entry = open.get(number);
+            if (entry == null) {
+                return true;
+            }
+            entry.bytes += payload.length + HEAD;
+            openBytes += payload.length + HEAD;
+            Message message = entry.message;
+            switch (type) {
+                case ATTEMPT -> message.addAttempt(in.readUTF(), in.readLong());
+                case RESULT -> message.attempts.get(in.readInt()).result = Policy.Result.valueOf(in.readUTF());
+                case DECIDED -> message.end = new Message.End(in.readBoolean(), in.readLong());
+                case DONE -> forget(number);
+                default -> throw new IOException("unknown record " + type);
+            }
+            return true;
+        } catch (IOException | IllegalArgumentException | IndexOutOfBoundsException e) {
+            Log.line("journal: a record can't be read: " + e.getMessage());
+            return false;
+        }
+    }
+
+    private static Message.Content readContent(DataInputStream in) throws IOException {
+        String callId = in.readUTF();
+        String requestClass = in.readUTF();
+        String tenant = readOptional(in);
+        String key = readOptional(in);
+        long deadline = in.readLong();
+        int destination = in.readInt();
+        byte[] body = new byte[in.readInt()];
+        in.readFully(body);
+        return new Message.Content(callId, requestClass, tenant, key, deadline, destination, body);
+    }
+
+    private static void writeOptional(DataOutputStream out, String text) throws IOException {
+        out.writeBoolean(text != null);
+        if (text != null) {
+            out.writeUTF(text);
+        }
+    }
+
+    private static String readOptional(DataInputStream in) throws IOException {
+        return in.readBoolean() ? in.readUTF() : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/relay/Notices.java
@@ -0,0 +1,91 @@
+package pipitstage.relay;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Tells the platform of messages that ended undelivered, and again until it has heard. */
+final class Notices {
+    private static final int MOST_IN_ONE = 100;
+    private static final long PATIENCE_MS = 100;
+    private static final long PAUSE_MS = 20;
+
+    private final EventLoop loop;
+    private final AgentClient agent;
+    private final Consumer<Message> heard;
+    private final JsonFactory factory = new JsonFactory();
+    private final ArrayDeque<Message> waiting = new ArrayDeque<>();
+    private boolean out;
+
+    /** Notices that are told to {@code heard} once the platform has taken them. */
+    Notices(EventLoop loop, InetSocketAddress address, Consumer<Message> heard) {
+        this.loop = loop;
+        this.heard = heard;
+        agent = new AgentClient(loop, address);
+    }
+
+    void send(Message message) {
+        waiting.add(message);
+        if (!out) {
+            out = true;
+            loop.execute(this::post);
+        }
+    }
+
+    private void post() {
+        List<Message> batch = new ArrayList<>();
+        StringBuilder lines = new StringBuilder();
+        for (Message message : waiting) {
+            if (batch.size() < MOST_IN_ONE) {
+                batch.add(message);
+                lines.append(line(message)).append('\n');
+            }
+        }
+        agent.request(HttpMethod.POST, "/status", lines.toString(), PATIENCE_MS,
+                (status, body) -> answered(batch, status));
+    }
+
+    private void answered(List<Message> batch, int status) {
+        if (status / 100 == 2 || status == 400) {
+            // Guards against a notice that the platform can't read: asking for ever would block the others.
+            if (status == 400) {
+                Log.line("notices: the platform can't read what was sent");
+            }
+            batch.forEach(message -> waiting.poll());
+            batch.forEach(heard);
+        }
+        if (waiting.isEmpty()) {
+            out = false;
+        } else if (status / 100 == 2) {
+            post();
+        } else {
+            loop.schedule(this::post, PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private String line(Message message) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = factory.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeStringField("ref", message.content.callId());
+            json.writeStringField("result", message.end.refused() ? "bounced" : "dead");
+            if (message.end.refused() && message.end.retryIn() > 0) {
+                json.writeNumberField("wait_ms", message.end.retryIn() / 1000);
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -0,0 +1,69 @@
+package pipitstage.relay;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import pipitstage.Logic;
+
+/** The relay as a whole: puts its parts together, starts them and ends them. */
+final class Relay {
+    // After the signal to end; the kill comes no sooner than 3.7 s after it.
+    private static final long SERVE_ON_MS = 500; // new connections still come
+    private static final long GIVE_UP_MS = 3200; // what is still open is left to the journal
+    private static final long LOOK_MS = 20;
+
+    private final EventLoop loop;
+    private final Config config;
+    private final Journal journal;
+    private final Engine engine;
+    private final Discovery discovery;
+    private final ClientServer clients;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private long stopAt;
+
+    Relay(EventLoop loop, Config config) throws IOException {
+        this.loop = loop;
+        this.config = config;
+        Clock clock = new Clock();
+        journal = new Journal(config.state(), config.diskBytes());
+        engine = new Engine(loop, clock, config, journal, Logic::new);
+        discovery = new Discovery(loop, config.discovery(), engine);
+        clients = new ClientServer(engine, clock, config.sockets());
+    }
+
+    /** Resumes what the journal holds and serves. */
+    void start() throws IOException {
+        try {
+            loop.submit(() -> {
+                engine.start();
+                discovery.start();
+            }).sync();
+            clients.listen(loop, config.listen()).sync();
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted while starting", e);
+        }
+    }
+
+    /** Ends service without breaking a promise; returns when the process may end. */
+    void stop() {
+        stopAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MS);
+        loop.schedule(clients::drain, SERVE_ON_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::endWhenDone, SERVE_ON_MS, TimeUnit.MILLISECONDS);
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void endWhenDone() {
+        boolean late = System.nanoTime() >= stopAt;
+        if (clients.isIdle() && (late || engine.isIdle())) {
+            clients.stopListening();
+            stopped.countDown();
+        } else {
+            loop.schedule(this::endWhenDone, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
