--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -287,9 +287,7 @@
             call.route.group.calls--;
         }
         // Guards against a wait told to only some of the requests of one call.
-        if (e.toldWait() > 0) {
-            call.route.group.waitUntil = Math.max(call.route.group.waitUntil, now + e.toldWait());
-        }
+        heed(call.route.group, e.toldWait());
         if (!call.judged) {
             call.judged = true;
             judge(call, e.result(), e.toldWait(), e.elapsed(), e.report());
@@ -304,6 +302,12 @@
         }
     }
 
+    private void heed(Group group, long toldWait) {
+        if (toldWait > 0) {
+            group.waitUntil = Math.max(group.waitUntil, now + toldWait);
+        }
+    }
+
     private void rest(Request request, Result result) {
         boolean answered = result == Result.OK || result == Result.ERROR;
         if (request.key != null && !answered && !neverRan(result)) {
@@ -491,7 +495,10 @@
     private void probed(ProbeDone e) {
         Route route = routes.get(e.route());
         if (route != null) {
-            judge(new Call(route, now - e.elapsed(), true), e.result(), 0, e.elapsed(), e.report());
+            // Guards against calls that follow a probe which was told to wait.
+            heed(route.group, e.toldWait());
+            Call probe = new Call(route, now - e.elapsed(), true);
+            judge(probe, e.result(), e.toldWait(), e.elapsed(), e.report());
         }
     }
 
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -125,8 +125,9 @@
     /** News of the route list. */
     record RouteList(ListKind kind, long version, List<Listed> entries) implements Event { }
 
-    /** A probe ended. */
-    record ProbeDone(String route, Result result, long elapsed, LimitReport report) implements Event { }
+    /** A probe ended; {@code toldWait} is 0 where none was told. */
+    record ProbeDone(String route, Result result, long toldWait, long elapsed, LimitReport report)
+            implements Event { }
 
     /** A note came from another relay. */
     record PeerNote(int from, byte[] bytes) implements Event { }
--- a/src/main/java/pipitstage/WireCodec.java
+++ b/src/main/java/pipitstage/WireCodec.java
@@ -37,7 +37,7 @@
             case "dropped" -> new Policy.Withdrawn(message.whole(1));
             case "reminder" -> new Policy.TimerFired(message.whole(1));
             case "discovery" -> routeList(message);
-            case "probe-done" -> new Policy.ProbeDone(message.text(1), result(message.text(2)),
+            case "probe-done" -> new Policy.ProbeDone(message.text(1), result(message.text(2)), 0,
                     message.micros(3, 0), report(message, 4));
             case "memo" -> new Policy.PeerNote((int) message.whole(1), bytes(message.text(2)));
             default -> throw new WireException("unknown event " + name);
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -1,6 +1,7 @@
 package pipitstage.relay;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -10,25 +11,29 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.ReferenceCountUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -41,6 +46,7 @@
     private static final int MOST_BODY = 64 << 10;
     private static final int BACKLOG = 256;
     private static final int MOST_PIPELINED = 8;
+    private static final int PATIENCE_S = 10;
     private static final Pattern TOKEN = Pattern.compile("[\\x21-\\x7e]{1,200}");
     private static final Pattern MILLIS = Pattern.compile("\\d{1,9}");
     private static final Pattern CONSIGNEE = Pattern.compile("(?:.*[;,\\s])?dest=(\\d{1,9})(?:[;,\\s].*)?");
@@ -48,7 +54,7 @@
     private final Engine engine;
     private final Clock clock;
     private final int mostConnections;
-    private final Set<Connection> connections = new HashSet<>();
+    private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean draining;
 
@@ -67,8 +73,7 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         Connection connection = new Connection();
-                        ch.pipeline().addLast(connection.watch(), new HttpServerCodec(),
-                                new HttpObjectAggregator(MOST_BODY), connection);
+                        ch.pipeline().addLast(connection.watch(), new HttpServerCodec(), connection);
                     }
                 }).bind(address);
         listener = bound.channel();
@@ -90,20 +95,44 @@
         listener.close();
     }
 
-    private final class Connection extends ChannelInboundHandlerAdapter implements Message.ClientReply {
-        private final ArrayDeque<FullHttpRequest> pipelined = new ArrayDeque<>();
+    /** A request as it comes in; {@code oversized} where its body is larger than any may be. */
+    private static final class Incoming {
+        final HttpRequest head;
+        final ByteBuf body = Unpooled.buffer();
+        boolean oversized;
+
+        Incoming(HttpRequest head) {
+            this.head = head;
+        }
+
+        void add(ByteBuf piece) {
+            oversized |= body.readableBytes() + piece.readableBytes() > MOST_BODY;
+            if (!oversized) {
+                body.writeBytes(piece);
+            }
+        }
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Message.ClientReply {
+        private final ArrayDeque<Incoming> pipelined = new ArrayDeque<>();
         private ChannelHandlerContext context;
         private boolean idle = true;
         private boolean keepAlive;
-        private FullHttpRequest current;
+        private Incoming reading;
+        private boolean answering;
         private Message message;
+        private Future<?> patience;
 
         /** Notices the first byte of a request. */
         private ChannelInboundHandlerAdapter watch() {
             return new ChannelInboundHandlerAdapter() {
                 @Override
                 public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-                    idle = false;
+                    if (idle) {
+                        idle = false;
+                        // Guards against clients that begin a request and never end it.
+                        patience = ctx.executor().schedule(() -> ctx.close(), PATIENCE_S, TimeUnit.SECONDS);
+                    }
                     ctx.fireChannelRead(bytes);
                 }
             };
@@ -118,18 +147,20 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             context = ctx;
-            connections.add(this);
             // Guards against clients that take every descriptor: hosts and discovery need some.
-            if (connections.size() > mostConnections) {
-                ctx.close();
+            if (connections.size() >= mostConnections) {
+                connections.stream().filter(c -> c.idle).findFirst().orElse(this).context.close();
             }
+            connections.add(this);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
-            pipelined.forEach(ReferenceCountUtil::release);
             pipelined.clear();
+            if (patience != null) {
+                patience.cancel(false);
+            }
             withdraw();
         }
 
@@ -147,31 +178,53 @@
         }
 
         @Override
-        public void channelRead(ChannelHandlerContext ctx, Object received) {
-            FullHttpRequest request = (FullHttpRequest) received;
-            if (current == null) {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+            if (part instanceof HttpRequest head) {
+                reading = new Incoming(head);
+                if (HttpUtil.is100ContinueExpected(head)) {
+                    ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+                }
+            }
+            if (part instanceof HttpContent content && reading != null) {
+                reading.add(content.content());
+                if (content.decoderResult().isFailure()) {
+                    reading.head.setDecoderResult(content.decoderResult());
+                }
+            }
+            if (part instanceof LastHttpContent && reading != null) {
+                Incoming whole = reading;
+                reading = null;
+                next(whole);
+            }
+        }
+
+        private void next(Incoming request) {
+            if (!answering) {
                 handle(request);
             } else if (pipelined.size() < MOST_PIPELINED) {
                 pipelined.add(request);
             } else {
-                request.release();
-                ctx.close();
+                context.close();
             }
         }
 
-        private void handle(FullHttpRequest request) {
-            current = request;
-            boolean sound = !request.decoderResult().isFailure();
-            keepAlive = sound && HttpUtil.isKeepAlive(request);
+        private void handle(Incoming request) {
+            answering = true;
+            HttpRequest head = request.head;
+            boolean sound = !head.decoderResult().isFailure();
+            keepAlive = sound && HttpUtil.isKeepAlive(head);
             if (!sound) {
                 answer(HttpResponseStatus.BAD_REQUEST, 0);
-            } else if (request.uri().equals("/api")) {
-                if (request.method().equals(HttpMethod.POST)) {
+            } else if (request.oversized) {
+                answer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0);
+            } else if (head.uri().equals("/api")) {
+                if (head.method().equals(HttpMethod.POST)) {
                     takeOn(request);
                 } else {
                     answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
                 }
-            } else if (request.uri().equals("/-/ready")) {
+            } else if (head.uri().equals("/-/ready")) {
                 answer(engine.isReady() && !draining ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             } else {
@@ -179,21 +232,23 @@
             }
         }
 
-        private void takeOn(FullHttpRequest request) {
+        private void takeOn(Incoming request) {
             Message.Content content = read(request);
             if (content == null || !engine.knows(content)) {
                 answer(HttpResponseStatus.BAD_REQUEST, 0);
                 return;
             }
-            message = engine.takeOn(content, this);
-            if (message == null) {
+            Message taken = engine.takeOn(content, this);
+            if (taken == null) {
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+            } else if (taken.client == this) {
+                message = taken;
             }
         }
 
         /** What a request holds, or null where a header is missing or makes no sense. */
-        private Message.Content read(FullHttpRequest request) {
-            HttpHeaders headers = request.headers();
+        private Message.Content read(Incoming request) {
+            HttpHeaders headers = request.head.headers();
             String callId = headers.get(CALL_ID, "");
             String requestClass = headers.get("X-Call-Class", "");
             String tenant = headers.get("X-Caller");
@@ -206,7 +261,7 @@
             }
             long deadline = clock.micros() + Long.parseLong(budget) * 1000;
             return new Message.Content(callId, requestClass, tenant, key, deadline,
-                    Integer.parseInt(consignee.group(1)), ByteBufUtil.getBytes(request.content()));
+                    Integer.parseInt(consignee.group(1)), ByteBufUtil.getBytes(request.body));
         }
 
         @Override
@@ -237,9 +292,11 @@
             }
             Message answered = message;
             message = null;
-            current.release();
-            current = null;
-            idle = pipelined.isEmpty();
+            answering = false;
+            idle = pipelined.isEmpty() && reading == null;
+            if (idle) {
+                patience.cancel(false);
+            }
             context.writeAndFlush(response).addListener(written -> {
                 if (!written.isSuccess() && answered != null) {
                     engine.withdraw(answered);
--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -16,11 +16,13 @@
 final class Discovery {
     /**
      * Guards against a discovery that falls silent: a watch that waits long would learn only after its end
-     * of what was told meanwhile. Every answer is followed by the next call at once.
+     * of what was told meanwhile. Every answer is followed by the next call within a moment.
      */
     private static final long WAIT_MS = 1000;
     private static final long PATIENCE_MS = 400;
     private static final long PAUSE_MS = 100;
+    /** Guards against an agent that answers at once again and again; far below what ends a watch. */
+    private static final long BREATH_MS = 10;
 
     /** Takes in what discovery tells. */
     interface Listener {
@@ -54,11 +56,7 @@
 
     private void answered(int status, String body) {
         boolean taken = status == 200 && take(body);
-        if (taken) {
-            ask();
-        } else {
-            loop.schedule(this::ask, PAUSE_MS, TimeUnit.MILLISECONDS);
-        }
+        loop.schedule(this::ask, taken ? BREATH_MS : PAUSE_MS, TimeUnit.MILLISECONDS);
     }
 
     private boolean take(String body) {
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -35,13 +35,16 @@
     private final Set<String> tenants = new HashSet<>();
     private final Set<Integer> destinations = new HashSet<>();
     private final Map<Long, Message> messages = new LinkedHashMap<>();
+    private final Map<String, Message> byCallId = new HashMap<>();
     private final Map<String, List<HostClient.Outgoing>> outgoing = new LinkedHashMap<>();
     private List<Event> events = new ArrayList<>();
     private List<Message> arrivals = new ArrayList<>();
     private long nextNumber;
     private int held;
     private long lastRound;
+    private int attemptsOut;
     private boolean roundDue;
+    private boolean frozen;
     private boolean ready;
 
     Engine(EventLoop loop, Clock clock, Config config, Journal journal, Function<Policy.Settings, Policy> module) {
@@ -63,7 +66,7 @@
             list(Policy.ListKind.CACHED, config.knownVersion(), config.known());
         }
         for (Message message : journal.open()) {
-            messages.put(message.number, message);
+            remember(message);
             if (message.end != null) {
                 notices.send(message);
             } else {
@@ -84,6 +87,23 @@
         return messages.isEmpty();
     }
 
+    /**
+     * Begins nothing new from now on: an attempt that the end of the process cuts off may have run, so a
+     * message that may take effect only once would be lost by it. What is held waits in the journal.
+     */
+    void freeze() {
+        frozen = true;
+    }
+
+    boolean isFrozen() {
+        return frozen;
+    }
+
+    /** True where no attempt is out and no client waits for an answer. */
+    boolean isQuiet() {
+        return attemptsOut == 0 && arrivals.isEmpty();
+    }
+
     /** True where the class, the tenant and the destination are known, and a key is there if one is needed. */
     boolean knows(Message.Content content) {
         RequestClass type = classes.get(content.requestClass());
@@ -97,6 +117,12 @@
      * so that one who leaves meanwhile is noticed and one whose message ends at once hears that instead.
      */
     Message takeOn(Message.Content content, Message.ClientReply client) {
+        Message same = byCallId.get(content.callId());
+        if (same != null) {
+            // Guards against a client that sends a request once more since its connection closed on it.
+            loop.execute(client::taken);
+            return same;
+        }
         if (!ready || held >= config.settings().limits().maxOpen()) {
             return null;
         }
@@ -107,13 +133,18 @@
         nextNumber++;
         held++;
         message.client = client;
-        messages.put(message.number, message);
+        remember(message);
         arrivals.add(message);
         watchEnd(message);
         add(acceptance(message));
         return message;
     }
 
+    private void remember(Message message) {
+        messages.put(message.number, message);
+        byCallId.put(message.content.callId(), message);
+    }
+
     private static Policy.Accepted acceptance(Message message) {
         Message.Content content = message.content;
         return new Policy.Accepted(message.number, content.requestClass(), content.tenant(), content.key(),
@@ -161,7 +192,9 @@
         List<Message> arrived = arrivals;
         arrivals = new ArrayList<>();
         try {
-            policy.onRound(lastRound, came, this);
+            if (!frozen) {
+                policy.onRound(lastRound, came, this);
+            }
         } catch (RuntimeException e) {
             // Guards against one bad event that would end the relay and all that it holds.
             Log.line("a round failed: " + e + " at " + List.of(e.getStackTrace()).stream().findFirst().orElse(null));
@@ -191,6 +224,7 @@
         long now = clock.micros();
         Message.Attempt attempt = message.addAttempt(route, now);
         message.attemptStarted();
+        attemptsOut++;
         long left = message.content.deadline() - now;
         if (left <= 0 || !journal.attempt(attempt)) {
             // Guards against an attempt that a restart would know nothing of.
@@ -206,6 +240,7 @@
         Message message = attempt.message;
         attempt.result = result;
         message.attemptEnded();
+        attemptsOut--;
         if (over && message.end == null && !message.over) {
             close(message);
         } else if (!message.over) {
@@ -218,8 +253,8 @@
     }
 
     @Override
-    public void probed(String route, Result result, long elapsed, LimitReport report) {
-        add(new Policy.ProbeDone(route, result, elapsed, report));
+    public void probed(String route, Result result, long wait, long elapsed, LimitReport report) {
+        add(new Policy.ProbeDone(route, result, wait, elapsed, report));
     }
 
     /** Nothing more is owed for a message, and no notice either. */
@@ -233,6 +268,7 @@
     private void forgetIfSettled(Message message) {
         if (message.over && !message.hasAttemptsOut()) {
             messages.remove(message.number);
+            byCallId.remove(message.content.callId(), message);
         }
     }
 
--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -236,6 +236,7 @@
 
     /** The connection broke, or ended, before the answer was whole. */
     void broken() {
+        client.closeIdle(host);
         end(sent ? Result.RESET : Result.CONNECT_FAILED);
     }
 
@@ -257,7 +258,7 @@
         Part part = parts.remove(attempt);
         if (part != null) {
             part.timeout().cancel(false);
-            client.ended(attempt, result, over, result == Result.FULL ? wait : 0, report);
+            client.ended(attempt, result, over, wait, report);
         }
     }
 
@@ -265,7 +266,7 @@
         if (!ended) {
             ended = true;
             probeTimeout.cancel(false);
-            client.probed(this, result, report);
+            client.probed(this, result, wait, report);
         }
     }
 
@@ -288,6 +289,7 @@
     private void abandon(Result result) {
         end(sent ? result : Result.CONNECT_FAILED);
         if (connection != null) {
+            client.closeIdle(host);
             connection.close();
         } else {
             client.unqueue(this);
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -37,7 +37,7 @@
         /** An attempt ended; {@code over} means that nothing more is owed for its message. */
         void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report);
 
-        void probed(String route, Result result, long elapsed, LimitReport report);
+        void probed(String route, Result result, long wait, long elapsed, LimitReport report);
     }
 
     /** An attempt to send and how long its answer is waited for. */
@@ -140,7 +140,7 @@
             host.queue.remove(call);
             call.end(Result.NOT_SENT);
         });
-        List.copyOf(host.idle).forEach(HostConnection::close);
+        closeIdle(host);
     }
 
     /** Sends what one round has for one route, in as few calls as its kind allows. */
@@ -175,7 +175,7 @@
     void probe(String route) {
         Host host = hosts.get(route);
         if (host == null || !host.listedNow) {
-            results.probed(route, Result.NOT_SENT, 0, LimitReport.NONE);
+            results.probed(route, Result.NOT_SENT, 0, 0, LimitReport.NONE);
             return;
         }
         start(new HostCall(this, host, reports ? "/-/load" : "/-/healthy", PROBE_TIMEOUT));
@@ -184,10 +184,18 @@
     void closeIdle(String route) {
         Host host = hosts.get(route);
         if (host != null) {
-            List.copyOf(host.idle).forEach(HostConnection::close);
+            closeIdle(host);
         }
     }
 
+    /**
+     * Guards, after a call that broke or fell silent, against the next one on a connection that died with it:
+     * that call would end as a reset, where a new connection that fails proves that it never ran.
+     */
+    void closeIdle(Host host) {
+        List.copyOf(host.idle).forEach(HostConnection::close);
+    }
+
     private void start(HostCall call) {
         Host host = call.host();
         HostConnection connection = host.idle.pollLast();
@@ -280,8 +288,8 @@
         results.ended(attempt, result, over, wait, report);
     }
 
-    void probed(HostCall call, Result result, LimitReport report) {
-        results.probed(call.host().listed.route(), result, clock.micros() - call.startedAt(), report);
+    void probed(HostCall call, Result result, long wait, LimitReport report) {
+        results.probed(call.host().listed.route(), result, wait, clock.micros() - call.startedAt(), report);
     }
 
     long now() {
--- a/src/main/java/pipitstage/relay/Journal.java
+++ b/src/main/java/pipitstage/relay/Journal.java
@@ -35,6 +35,8 @@
     private static final String UNFINISHED = "journal.new";
     private static final int HEAD = Integer.BYTES * 2;
 
+    private static final int MOST_ATTEMPTS = 10_000;
+
     private static final int ACCEPTED = 1;
     private static final int ATTEMPT = 2;
     private static final int RESULT = 3;
@@ -126,13 +128,14 @@
 
     /** Records that nothing more is owed for a message. */
     void done(Message message) {
-        if (note(message, out -> {
+        boolean noted = note(message, out -> {
             out.writeByte(DONE);
             out.writeLong(message.number);
-        })) {
-            forget(message.number);
-        }
-        if (size - openBytes > LARGEST_FINISHED * disk) {
+        });
+        boolean known = open.containsKey(message.number);
+        forget(message.number);
+        // Guards against a full disk that would bring a finished message back: a rewrite leaves it out.
+        if (known && !noted || size - openBytes > LARGEST_FINISHED * disk) {
             rewrite();
         }
     }
@@ -271,6 +274,7 @@
         return out -> {
             out.writeByte(ATTEMPT);
             out.writeLong(message.number);
+            out.writeInt(attempt.number);
             out.writeUTF(attempt.route);
             out.writeLong(attempt.sentAt);
         };
@@ -360,7 +364,7 @@
             openBytes += payload.length + HEAD;
             Message message = entry.message;
             switch (type) {
-                case ATTEMPT -> message.addAttempt(in.readUTF(), in.readLong());
+                case ATTEMPT -> replayAttempt(message, in.readInt(), in.readUTF(), in.readLong());
                 case RESULT -> message.attempts.get(in.readInt()).result = Policy.Result.valueOf(in.readUTF());
                 case DECIDED -> message.end = new Message.End(in.readBoolean(), in.readLong());
                 case DONE -> forget(number);
@@ -373,6 +377,17 @@
         }
     }
 
+    /** Guards against attempts that a failing disk left out: they were not sent, but later ones keep their numbers. */
+    private static void replayAttempt(Message message, int number, String route, long sentAt) throws IOException {
+        if (number < message.attempts.size() || number > MOST_ATTEMPTS) {
+            throw new IOException("attempt " + number + " is out of order");
+        }
+        while (message.attempts.size() < number) {
+            message.addAttempt(route, sentAt).result = Policy.Result.NOT_SENT;
+        }
+        message.addAttempt(route, sentAt);
+    }
+
     private static Message.Content readContent(DataInputStream in) throws IOException {
         String callId = in.readUTF();
         String requestClass = in.readUTF();
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -10,6 +10,7 @@
 final class Relay {
     // After the signal to end; the kill comes no sooner than 3.7 s after it.
     private static final long SERVE_ON_MS = 500; // new connections still come
+    private static final long BEGIN_NOTHING_MS = 2200; // calls take about a second
     private static final long GIVE_UP_MS = 3200; // what is still open is left to the journal
     private static final long LOOK_MS = 20;
 
@@ -39,7 +40,7 @@
                 engine.start();
                 discovery.start();
             }).sync();
-            clients.listen(loop, config.listen()).sync();
+            Log.line("serving on " + clients.listen(loop, config.listen()).sync().channel().localAddress());
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
         }
@@ -48,6 +49,7 @@
     /** Ends service without breaking a promise; returns when the process may end. */
     void stop() {
         stopAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MS);
+        loop.schedule(engine::freeze, BEGIN_NOTHING_MS, TimeUnit.MILLISECONDS);
         loop.schedule(clients::drain, SERVE_ON_MS, TimeUnit.MILLISECONDS);
         loop.schedule(this::endWhenDone, SERVE_ON_MS, TimeUnit.MILLISECONDS);
         try {
@@ -59,7 +61,8 @@
 
     private void endWhenDone() {
         boolean late = System.nanoTime() >= stopAt;
-        if (clients.isIdle() && (late || engine.isIdle())) {
+        boolean done = engine.isIdle() || engine.isFrozen() && engine.isQuiet();
+        if (clients.isIdle() && done || late) {
             clients.stopListening();
             stopped.countDown();
         } else {
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -407,4 +407,52 @@
         }
         assertEquals(List.of("out: c"), relay.logged);
     }
+
+    private void resume(long id, String type, Policy.PastAttempt... past) {
+        relay.round(new Policy.Resumed(new Policy.Accepted(id, type, null, null, relay.now + 15 * S, 1),
+                List.of(past)));
+    }
+
+    @Test
+    void resumedOnceWithAnUnknownAttemptFailsAtOnce() {
+        resume(1, "once", new Policy.PastAttempt("a", relay.now - S, null));
+        assertEquals(List.of(1L), relay.failed);
+        assertEquals(0, relay.sends(1));
+    }
+
+    @Test
+    void resumedOnceWhoseAttemptsNeverRanIsSentAgain() {
+        resume(1, "once", new Policy.PastAttempt("a", relay.now - S, Result.FULL));
+        assertEquals(1, relay.sends(1));
+    }
+
+    @Test
+    void resumedKeyedKeepsToItsZoneAndWindow() {
+        for (int id = 0; id < 4; id++) {
+            resume(id, "keyed", new Policy.PastAttempt("b", relay.now - S, null));
+        }
+        assertEquals(4, relay.sent.size());
+        assertTrue(relay.sent.stream().allMatch(s -> s.route().equals("b")));
+        resume(30, "keyed", new Policy.PastAttempt("b", relay.now - 7 * S, null));
+        resume(31, "keyed", new Policy.PastAttempt("left the list", relay.now - S, null));
+        relay.pass(S);
+        assertEquals(0, relay.sends(30) + relay.sends(31));
+        relay.pass(15 * S);
+        assertTrue(relay.failed.containsAll(List.of(30L, 31L)));
+    }
+
+    @Test
+    void attemptsBeforeARestartCountOn() {
+        Policy.PastAttempt past = new Policy.PastAttempt("a", relay.now - S, Result.FULL);
+        resume(1, "safe", past, past, past, past, past, past);
+        assertEquals(0, relay.sends(1));
+        assertEquals(List.of(1L), relay.refused);
+    }
+
+    @Test
+    void waitToldToAProbeBindsCalls() {
+        relay.round(new Policy.ProbeDone("a", Result.FULL, S, MS, Policy.LimitReport.NONE)).accept(1, "safe", 1);
+        relay.pass(S - MS);
+        assertEquals(0, relay.sends(1));
+    }
 }
--- a/src/test/java/pipitstage/RandomEventsTest.java
+++ b/src/test/java/pipitstage/RandomEventsTest.java
@@ -272,7 +272,7 @@
         @Override
         public void probe(String route) {
             Result result = RESULTS[random.nextInt(RESULTS.length)];
-            events.add(new Policy.ProbeDone(route, result, MS, LimitReport.NONE));
+            events.add(new Policy.ProbeDone(route, result, 0, MS, LimitReport.NONE));
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -0,0 +1,174 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+import static pipitstage.relay.StubPeer.answer;
+import static pipitstage.relay.StubPeer.status;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Calls to hosts: what is sent, what the answers mean, and what must not be sent. */
+class DeliveryTest {
+    @TempDir
+    Path folder;
+    private StubPeer discovery;
+    private StubPeer host;
+    private RelayProcess relay;
+
+    @BeforeEach
+    void prepare() throws IOException {
+        discovery = RelayProcess.quietDiscovery();
+        host = StubPeer.always(status(200));
+        relay = new RelayProcess(folder, discovery).knows("h1", 7, "one", host).knows("m1", 8, "many", host);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        relay.close();
+        host.close();
+        discovery.close();
+    }
+
+    @Test
+    void messageGoesOnUnchanged() throws IOException {
+        String bytes = "\u0000\r\n\u00ff{}";
+        assertEquals(202, relay.start().handIn("abc1", "keyed", 7, 20_000, bytes));
+        await(() -> host.requests.size() == 1);
+        StubPeer.Request call = host.requests.get(0);
+        assertEquals("POST /receive HTTP/1.1", call.line());
+        assertEquals("abc1", call.id());
+        assertEquals("key-abc1", call.headers().get("idempotency-key"));
+        assertEquals(bytes, call.body());
+        assertTrue(Integer.parseInt(call.headers().get("x-budget-ms")) <= 20_000);
+    }
+
+    @Test
+    void connectionIsUsedAgain() throws IOException {
+        relay.start();
+        for (int i = 0; i < 5; i++) {
+            int before = i;
+            assertEquals(202, relay.handIn("id" + i, "safe", 7));
+            await(() -> host.requests.size() == before + 1);
+        }
+        assertEquals(1, host.connections.size());
+    }
+
+    @Test
+    void unsafeMessageThatMayHaveRunIsNotSentAgain() throws IOException {
+        host.answer(request -> StubPeer.CLOSE);
+        assertEquals(202, relay.start().handIn("u1", "unsafe", 7));
+        await(() -> relay.noticed("u1", "dead"));
+        assertEquals(1, host.count("POST /receive"));
+        assertFalse(relay.noticed("u1", "bounced"));
+    }
+
+    @Test
+    void unsafeMessageThatNeverRanIsSentAgain() throws IOException {
+        host.answer(request -> host.count("POST /receive") == 1 ? status(503) : status(200));
+        assertEquals(202, relay.start().handIn("u2", "unsafe", 7));
+        await(() -> host.count("POST /receive") == 2);
+        assertEquals("u2", host.requests.get(1).id());
+    }
+
+    @Test
+    void connectionThatIsRefusedProvesThatNothingRan() throws IOException {
+        host.close();
+        assertEquals(202, relay.start().handIn("u3", "unsafe", 7, 1500, "x"));
+        await(() -> relay.noticed("u3", "bounced"));
+    }
+
+    @Test
+    void callThatIsNotAnsweredEndsWithItsTime() throws IOException {
+        host.answer(request -> StubPeer.SILENCE);
+        assertEquals(202, relay.start().handIn("u4", "unsafe", 7, 700, "x"));
+        await(() -> relay.noticed("u4", "dead"));
+        assertEquals(1, host.count("POST /receive"));
+    }
+
+    @Test
+    void messageThatIsOverAtTheHostNeedsNoNotice() throws IOException {
+        host.answer(request -> status(410));
+        relay.start().handIn("g1", "safe", 7);
+        await(() -> host.requests.size() == 1);
+        host.answer(request -> StubPeer.SILENCE);
+        relay.handIn("g2", "unsafe", 7, 600, "x");
+        await(() -> relay.noticed("g2", "dead"));
+        assertFalse(relay.noticed("g1", "dead") || relay.noticed("g1", "bounced"));
+    }
+
+    @Test
+    void toldWaitIsObeyed() throws IOException {
+        host.answer(request -> host.requests.size() == 1 ? status(429, "X-Come-Back-Ms: 1200") : status(200));
+        relay.start().handIn("w1", "safe", 7);
+        await(() -> host.requests.size() == 1);
+        relay.handIn("w2", "safe", 7);
+        await(() -> host.requests.size() == 3);
+        long gap = host.requests.get(1).at() - host.requests.get(0).at();
+        assertTrue(gap >= TimeUnit.MILLISECONDS.toNanos(1200), "sent after ns: " + gap);
+    }
+
+    @Test
+    void messagesOfOneRoundTravelInOneCall() throws IOException {
+        // The destination refuses the first call, so that what comes meanwhile waits for its pace together.
+        host.answer(request -> request.line().contains("many")
+                ? answer(200, "[{\"id\":\"b1\",\"state\":\"done\"},{\"id\":\"b2\",\"state\":\"failed\"}]")
+                : host.requests.size() == 1 ? status(503, "X-Come-Back-Ms: 500") : StubPeer.SILENCE);
+        relay.start().handIn("b1", "unsafe", 8);
+        await(() -> host.requests.size() == 1);
+        relay.handIn("b2", "unsafe", 8);
+        await(() -> relay.noticed("b2", "dead"));
+        StubPeer.Request call = host.requests.get(1);
+        assertEquals("POST /receive-many HTTP/1.1", call.line());
+        assertTrue(call.body().contains("\"id\":\"b1\",\"key\":\"key-b1\",\"body\":\"aGVsbG8=\""), call.body());
+        assertFalse(relay.noticed("b1", "dead"));
+    }
+
+    @Test
+    void idleConnectionsAreNotTrustedAfterABreak() throws IOException {
+        host.answer(request -> request.id().startsWith("slow") ? StubPeer.SILENCE : status(200));
+        relay.start();
+        relay.handIn("slow", "safe", 7);
+        await(() -> host.requests.size() == 1);
+        relay.handIn("quick", "safe", 7);
+        await(() -> host.requests.size() == 2);
+        assertEquals(2, host.connections.size());
+        host.answer(request -> status(200));
+        host.connections.get(0).close();
+        await(() -> host.requests.size() == 3);
+        assertEquals("slow", host.requests.get(2).id());
+        assertEquals(3, host.connections.size());
+    }
+
+    @Test
+    void answerThatMakesNoSenseIsSurvived() throws IOException {
+        host.answer(request -> "\u0001\u0002 nonsense\r\n\r\n");
+        relay.start().handIn("n1", "unsafe", 7);
+        await(() -> relay.noticed("n1", "dead"));
+        host.answer(request -> status(200, "X-Load-Report: TEXT x0=?, =, x1=1e999"));
+        relay.handIn("n2", "safe", 7);
+        await(() -> host.requests.stream().anyMatch(r -> "n2".equals(r.id())));
+        assertTrue(relay.isAlive());
+    }
+
+    @Test
+    void clientThatLeavesBeforeItsAnswerIsForgotten() throws IOException {
+        relay.start();
+        Socket socket = relay.connect();
+        socket.setSoLinger(true, 0);
+        socket.getOutputStream().write(RelayProcess.message("half", "safe", 7, 20_000, "hello")
+                .replace("Content-Length: 5", "Content-Length: 9").getBytes());
+        socket.close();
+        assertEquals(202, relay.handIn("next", "safe", 7));
+        await(() -> host.requests.size() == 1);
+        assertEquals("next", host.requests.get(0).id());
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/relay/DoorTest.java
@@ -0,0 +1,153 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+import static pipitstage.relay.RelayProcess.list;
+import static pipitstage.relay.RelayProcess.target;
+import static pipitstage.relay.StubPeer.answer;
+import static pipitstage.relay.StubPeer.status;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What clients and discovery may send, and what of it is taken on. */
+class DoorTest {
+    @TempDir
+    Path folder;
+    /** What discovery's watch answers next; each news is told once. */
+    private final AtomicReference<String> news = new AtomicReference<>();
+    private StubPeer discovery;
+    private StubPeer host;
+    private RelayProcess relay;
+
+    @BeforeEach
+    void prepare() throws IOException {
+        discovery = new StubPeer(request -> {
+            if (request.line().startsWith("POST")) {
+                return status(204);
+            }
+            String told = news.getAndSet(null);
+            return told != null ? answer(200, told) : request.line().contains("after=")
+                    ? answer(200, list(1, false)) : StubPeer.SILENCE;
+        });
+        host = StubPeer.always(status(200));
+        relay = new RelayProcess(folder, discovery).knows("h1", 7, "one", host);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        relay.close();
+        host.close();
+        discovery.close();
+    }
+
+    @Test
+    void badRequestsAreNotTakenOn() throws IOException {
+        relay.start();
+        String good = RelayProcess.message("x1", "keyed", 7, 1000, "hello");
+        assertEquals(400, relay.handIn("x2", "nosuch", 7));
+        assertEquals(400, relay.handIn("x3", "safe", 99));
+        assertEquals(400, relay.exchange(good.replace("dest=7", "dest=")).status());
+        assertEquals(400, relay.exchange(good.replace("dest=7", "dest=99999999999")).status());
+        assertEquals(400, relay.exchange(good.replace("Idempotency-Key: key-x1\r\n", "")).status());
+        assertEquals(400, relay.exchange(good.replace("X-Call-Id: x1\r\n", "")).status());
+        assertEquals(400, relay.exchange(good.replace("Budget-Ms: 1000", "Budget-Ms: -1")).status());
+        assertEquals(400, relay.exchange(good.replace("acme", "nobody")).status());
+        assertEquals(413, relay.handIn("x4", "safe", 7, 1000, "x".repeat((64 << 10) + 1)));
+        assertEquals(404, relay.exchange("GET /nosuch HTTP/1.1\r\nHost: x\r\n\r\n").status());
+        assertEquals(405, relay.exchange("GET /api HTTP/1.1\r\nHost: x\r\n\r\n").status());
+        assertEquals(400, relay.exchange("\u0001\u0002\u0003\r\n\r\n").status());
+        assertEquals(202, relay.handIn("x5", "safe", 7, 20_000, "x".repeat(64 << 10)));
+        await(() -> !host.requests.isEmpty());
+        assertEquals("x5", host.requests.get(0).id());
+    }
+
+    @Test
+    void connectionServesOneRequestAfterAnother() throws IOException {
+        relay.start();
+        try (Socket socket = relay.connect()) {
+            assertEquals(400, RelayProcess.exchange(socket, RelayProcess.message("o1", "no", 7, 9, "x")).status());
+            String two = RelayProcess.message("o2", "safe", 7, 20_000, "x")
+                    + RelayProcess.message("o3", "safe", 7, 20_000, "x");
+            assertEquals(202, RelayProcess.exchange(socket, two).status());
+            assertEquals(202, RelayProcess.exchange(socket, "").status());
+        }
+        await(() -> host.requests.size() == 2);
+    }
+
+    @Test
+    void messageHandedInTwiceUnderOneIdIsTakenOnOnce() throws IOException {
+        host.answer(request -> StubPeer.SILENCE);
+        relay.start();
+        assertEquals(202, relay.handIn("same", "safe", 7));
+        await(() -> host.requests.size() == 1);
+        assertEquals(202, relay.handIn("same", "safe", 7));
+        assertEquals(202, relay.handIn("other", "safe", 7));
+        await(() -> host.requests.size() == 2);
+        assertEquals("other", host.requests.get(1).id());
+    }
+
+    @Test
+    void withNoRoomInTheJournalTheMessageIsRefused() throws IOException {
+        host.answer(request -> StubPeer.SILENCE);
+        relay.disk(0.1).start();
+        assertEquals(202, relay.handIn("r1", "safe", 7, 20_000, "x".repeat(20_000)));
+        assertEquals(503, relay.handIn("r2", "safe", 7, 20_000, "x".repeat(20_000)));
+    }
+
+    @Test
+    void drainingHostGetsNothingNew() throws IOException {
+        try (StubPeer other = StubPeer.always(status(200))) {
+            relay.start();
+            news.set(list(2, false, target("h1", 7, "one", "terminating", host.address()),
+                    target("h2", 7, "one", "in_service", other.address()),
+                    target("h3", 9, "one", "in_service", other.address())));
+            await(() -> discovery.requests.stream().anyMatch(r -> r.line().contains("after=2&")));
+            for (int i = 0; i < 10; i++) {
+                assertEquals(202, relay.handIn("d" + i, "safe", 7));
+            }
+            await(() -> other.count("POST /receive") == 10);
+            assertEquals(0, host.count("POST"));
+            assertEquals(202, relay.handIn("new", "safe", 9), "a destination that is new in the list");
+        }
+    }
+
+    @Test
+    void nonsenseFromDiscoveryIsSurvived() throws IOException {
+        relay.start();
+        news.set("{\"rev\":[");
+        await(() -> relay.log().contains("an answer is passed over"));
+        news.set(list(5, true, "{\"uid\":4}", "7", target("h1", 7, "one", "asleep", host.address()),
+                target("h1", 7, "one", "in_service", host.address()),
+                target("h9", 9, "one", "in_service", "nosuch.example:1")));
+        await(() -> discovery.requests.stream().anyMatch(r -> r.line().contains("after=5&")));
+        assertEquals(202, relay.handIn("m1", "safe", 7));
+        await(() -> host.requests.size() == 1);
+    }
+
+    @Test
+    void badConfigurationEndsWithOneLine() throws IOException, InterruptedException {
+        Path config = Files.writeString(folder.resolve("bad.json"), "{\"seed\":\"zz\",\"settings\":{},\"limits\":{}}");
+        for (String mode : new String[] {"serve", "nosuch"}) {
+            ProcessBuilder builder = new ProcessBuilder(
+                    Path.of(System.getProperty("java.home"), "bin/java").toString(), "-cp",
+                    System.getProperty("java.class.path"), Main.class.getName(), mode).redirectErrorStream(true);
+            builder.environment().put("EDGE_CONFIG", config.toString());
+            builder.environment().put("EDGE_STATE", folder.toString());
+            Process process = builder.start();
+            String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(2, process.waitFor());
+            assertTrue(output.startsWith("loftflow: "), output);
+            assertEquals(1, output.lines().count(), output);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/relay/JournalTest.java
@@ -0,0 +1,158 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pipitstage.Policy.Result;
+
+class JournalTest {
+    private static final long DISK = 3 << 20;
+
+    @TempDir
+    Path folder;
+
+    private static Message message(long number, int bytes) {
+        return new Message(number, new Message.Content("id" + number, "safe", "acme", null, 123, 7, new byte[bytes]));
+    }
+
+    private List<Message> reopened() throws IOException {
+        try (Journal journal = new Journal(folder, DISK)) {
+            return journal.open();
+        }
+    }
+
+    private long used() throws IOException {
+        try (var files = Files.list(folder)) {
+            return files.mapToLong(file -> (file.toFile().length() + 511) / 512 * 512).sum();
+        }
+    }
+
+    private Path segment() throws IOException {
+        try (var files = Files.list(folder)) {
+            return files.findFirst().orElseThrow();
+        }
+    }
+
+    @Test
+    void everythingRecordedComesBack() throws IOException {
+        try (Journal journal = new Journal(folder, DISK)) {
+            Message first = message(1, 10);
+            Message second = message(2, 0);
+            assertTrue(journal.accept(first) && journal.accept(second) && journal.accept(message(3, 0)));
+            Message.Attempt refused = first.addAttempt("r1", 50);
+            assertTrue(journal.attempt(refused));
+            refused.result = Result.FULL;
+            journal.result(refused);
+            assertTrue(journal.attempt(first.addAttempt("r2", 60)));
+            second.end = new Message.End(true, 5);
+            journal.decided(second);
+            journal.done(message(3, 0));
+        }
+        List<Message> open = reopened();
+        assertEquals(2, open.size());
+        Message first = open.get(0);
+        assertEquals("id1", first.content.callId());
+        assertEquals(123, first.content.deadline());
+        assertEquals(10, first.content.body().length);
+        assertEquals(Result.FULL, first.attempts.get(0).result);
+        assertEquals("r2", first.attempts.get(1).route);
+        assertNull(first.attempts.get(1).result);
+        assertEquals(new Message.End(true, 5), open.get(1).end);
+    }
+
+    @Test
+    void tornTailIsCutOffAndWritingGoesOn() throws IOException {
+        try (Journal journal = new Journal(folder, DISK)) {
+            journal.accept(message(1, 10));
+            journal.accept(message(2, 1000));
+        }
+        byte[] all = Files.readAllBytes(segment());
+        Files.write(segment(), Arrays.copyOf(all, all.length - 1));
+        try (Journal journal = new Journal(folder, DISK)) {
+            assertEquals(1, journal.open().size());
+            assertTrue(journal.accept(message(3, 10)));
+        }
+        assertEquals(List.of(1L, 3L), reopened().stream().map(m -> m.number).toList());
+    }
+
+    @Test
+    void recordWithAWrongChecksumIsCutOff() throws IOException {
+        try (Journal journal = new Journal(folder, DISK)) {
+            journal.accept(message(1, 10));
+        }
+        byte[] bytes = Files.readAllBytes(segment());
+        bytes[bytes.length - 1] ^= 1;
+        Files.write(segment(), bytes, StandardOpenOption.TRUNCATE_EXISTING);
+        assertTrue(reopened().isEmpty());
+    }
+
+    @Test
+    void folderStaysUnderItsLimitWithTheLargestBodies() throws IOException {
+        ArrayDeque<Message> held = new ArrayDeque<>();
+        int refused = 0;
+        long most = 0;
+        try (Journal journal = new Journal(folder, DISK)) {
+            for (int number = 1; number <= 500; number++) {
+                Message message = message(number, 64 << 10);
+                if (journal.accept(message)) {
+                    held.add(message);
+                    assertTrue(journal.attempt(message.addAttempt("r", 1)));
+                } else {
+                    refused++;
+                    journal.done(held.poll());
+                }
+                most = Math.max(most, used());
+            }
+        }
+        assertTrue(refused > 100, "refused: " + refused);
+        // During a rewrite the new segment, no larger than what is open, stands beside the old one.
+        assertTrue(most < 0.5 * DISK, "most on disk: " + most);
+        assertEquals(held.stream().map(m -> m.number).toList(), reopened().stream().map(m -> m.number).toList());
+    }
+
+    @Test
+    void attemptThatCouldNotBeRecordedLeavesTheOthersTheirNumbers() throws IOException {
+        try (Journal journal = new Journal(folder, DISK)) {
+            Message message = message(1, 10);
+            journal.accept(message);
+            message.addAttempt("lost", 1);
+            journal.attempt(message.addAttempt("r1", 2));
+        }
+        Message open = reopened().get(0);
+        assertEquals(Result.NOT_SENT, open.attempts.get(0).result);
+        assertEquals("r1", open.attempts.get(1).route);
+    }
+
+    @Test
+    void unfinishedRewriteIsPassedOver() throws IOException {
+        try (Journal journal = new Journal(folder, DISK)) {
+            journal.accept(message(1, 10));
+        }
+        Files.writeString(folder.resolve("journal.new"), "half");
+        assertEquals(1, reopened().size());
+        assertFalse(Files.exists(folder.resolve("journal.new")));
+    }
+
+    @Test
+    void messageIsNotTakenOnWhereTheDiskIsFull() throws IOException {
+        Path full = Path.of("/dev/full");
+        assumeTrue(Files.exists(full));
+        Files.createSymbolicLink(folder.resolve("journal-0000000000.log"), full);
+        try (Journal journal = new Journal(folder, DISK)) {
+            assertFalse(journal.accept(message(1, 10)));
+            assertTrue(journal.open().isEmpty());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -0,0 +1,211 @@
+package pipitstage.relay;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The real program, started as a process of its own with stub peers round it. */
+final class RelayProcess implements AutoCloseable {
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+    private static final int PATIENCE_S = 30;
+
+    /** An answer of the relay: its status, or 0 where the connection ended without one. */
+    record Answer(int status, String head) { }
+
+    private final Path folder;
+    private final StubPeer discovery;
+    private final List<String> targets = new ArrayList<>();
+    private double diskMb = 3;
+    private Process process;
+    private Path log;
+    private int starts;
+
+    RelayProcess(Path folder, StubPeer discovery) {
+        this.folder = folder;
+        this.discovery = discovery;
+    }
+
+    /** An entry of discovery's list. Kind {@code one} takes one message a call, {@code many} takes four. */
+    static String target(String uid, int destination, String kind, String state, String address) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + address + "\",\"az\":\"a\",\"model\":\"" + kind
+                + "\",\"pod_group\":" + destination + ",\"state\":\"" + state
+                + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+
+    static String list(int rev, boolean all, String... targets) {
+        return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
+    }
+
+    /** Discovery that tells no news and takes every notice. */
+    static StubPeer quietDiscovery() throws IOException {
+        return new StubPeer(request -> request.line().startsWith("POST /status") ? StubPeer.status(204)
+                : StubPeer.SILENCE);
+    }
+
+    RelayProcess knows(String uid, int destination, String kind, StubPeer host) {
+        targets.add(target(uid, destination, kind, "in_service", host.address()));
+        return this;
+    }
+
+    RelayProcess disk(double mb) {
+        diskMb = mb;
+        return this;
+    }
+
+    Path state() {
+        return folder.resolve("state");
+    }
+
+    RelayProcess start() throws IOException {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
+                + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
+                + "\"memory_mb\":192,\"sockets\":256,\"disk_mb\":" + diskMb + "},\"known\":"
+                + list(1, true, targets.toArray(String[]::new)) + ",\"settings\":" + SETTINGS + "}");
+        log = folder.resolve("log" + starts++);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
+                "serve").redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        builder.environment().put("EDGE_STATE", state().toString());
+        process = builder.start();
+        await(() -> SERVING.matcher(log()).find());
+        return this;
+    }
+
+    private static final String SETTINGS = """
+            {"me":0,"fleet-size":1,"zone":"a","zones":["a"],"kinds":["one","many"],"period-s":0.005,
+             "accounts":[{"name":"acme","quota-rps":5}],
+             "classes":[
+              {"name":"safe","repeat":"repeatable","goal-time-s":2,"deadline-s":20,"worth":1},
+              {"name":"keyed","repeat":"by_key","key-scope":"zone","dedup-window-s":5,"goal-time-s":2,
+               "deadline-s":20,"worth":1},
+              {"name":"unsafe","repeat":"once","goal-time-s":2,"deadline-s":20,"worth":1}],
+             "family-info":{"call-slots":8,"batch-by-kind":[1,4],"routes-apart":[false,false]},
+             "limits":{"max-open":50,"send-cap":12,"may-cancel":true,"probes":true,"second-copies":true,
+              "connect-timeout-s":1.5,"conn-idle-s":10},
+             "contract":{"drain-grace-s":0.5,"fall-s":2.0,"fall-multiple":2.5,"cold-from":0.2,"warm-up-s":9},
+             "stats":{"how":"inline","fields":["x0","x1"]},"fees":{}}""";
+
+    String log() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** SIGKILL. */
+    void kill() {
+        process.destroyForcibly();
+        process.onExit().join();
+    }
+
+    /** SIGTERM. */
+    void terminate() {
+        process.destroy();
+    }
+
+    boolean hasEnded() throws InterruptedException {
+        return process.waitFor(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    Socket connect() throws IOException {
+        Matcher at = SERVING.matcher(log());
+        if (!at.find()) {
+            throw new IOException("the relay does not serve: " + log());
+        }
+        Socket socket = new Socket(at.group(1), Integer.parseInt(at.group(2)));
+        socket.setSoTimeout(PATIENCE_S * 1000);
+        return socket;
+    }
+
+    /** Hands a message in and returns the status of the answer. */
+    int handIn(String id, String type, int destination) throws IOException {
+        return handIn(id, type, destination, 20_000, "hello");
+    }
+
+    int handIn(String id, String type, int destination, int budgetMs, String body) throws IOException {
+        return exchange(message(id, type, destination, budgetMs, body)).status();
+    }
+
+    static String message(String id, String type, int destination, int budgetMs, String body) {
+        return "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: " + id + "\r\nX-Call-Class: " + type
+                + "\r\nX-Caller: acme\r\nX-Budget-Ms: " + budgetMs + "\r\nIdempotency-Key: key-" + id
+                + "\r\nContent-Length: " + body.length() + "\r\nX-Consignee: dest=" + destination
+                + "\r\n\r\n" + body;
+    }
+
+    Answer exchange(String request) throws IOException {
+        try (Socket socket = connect()) {
+            return exchange(socket, request);
+        }
+    }
+
+    static Answer exchange(Socket socket, String request) throws IOException {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        StringBuilder head = new StringBuilder();
+        for (int next = socket.getInputStream().read(); next >= 0; next = socket.getInputStream().read()) {
+            head.append((char) next);
+            if (head.toString().endsWith("\r\n\r\n")) {
+                return new Answer(Integer.parseInt(head.substring(9, 12)), head.toString());
+            }
+        }
+        return new Answer(0, head.toString());
+    }
+
+    /** What the running relay's journal holds open, read from a copy. */
+    List<Message> journaled() {
+        try (var files = Files.list(state())) {
+            Path copy = Files.createDirectories(folder.resolve("copy"));
+            for (Path file : files.toList()) {
+                Files.copy(file, copy.resolve(file.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+            }
+            try (Journal journal = new Journal(copy, 3 << 20)) {
+                return journal.open();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    boolean noticed(String id, String result) {
+        return discovery.requests.stream().anyMatch(r -> r.line().startsWith("POST /status")
+                && r.body().contains("{\"ref\":\"" + id + "\",\"result\":\"" + result + "\""));
+    }
+
+    static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("what was awaited did not come");
+            }
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            kill();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/relay/RestartTest.java
@@ -0,0 +1,143 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+import static pipitstage.relay.StubPeer.status;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pipitstage.Policy;
+
+/** What a relay owes across the end of its process. */
+class RestartTest {
+    @TempDir
+    Path folder;
+    private StubPeer discovery;
+    private StubPeer host;
+    private RelayProcess relay;
+
+    @BeforeEach
+    void prepare() throws IOException {
+        discovery = RelayProcess.quietDiscovery();
+        host = StubPeer.always(StubPeer.SILENCE);
+        relay = new RelayProcess(folder, discovery).knows("h1", 7, "one", host);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        relay.close();
+        host.close();
+        discovery.close();
+    }
+
+    private void killWith(String id, String type) throws IOException {
+        assertEquals(202, relay.start().handIn(id, type, 7));
+        await(() -> host.requests.size() == 1);
+        relay.kill();
+        host.answer(request -> status(200));
+        relay.start();
+    }
+
+    @Test
+    void messageThatMayBeRepeatedIsResumed() throws IOException {
+        killWith("s1", "safe");
+        await(() -> host.requests.size() == 2);
+        assertEquals("s1", host.requests.get(1).id());
+        assertEquals("hello", host.requests.get(1).body());
+    }
+
+    @Test
+    void keyedMessageIsSentAgainWithinItsWindow() throws IOException {
+        killWith("k1", "keyed");
+        await(() -> host.requests.size() == 2);
+        assertEquals("key-k1", host.requests.get(1).headers().get("idempotency-key"));
+    }
+
+    @Test
+    void unsafeMessageWhoseAttemptIsUnknownIsNeitherSentNorRefused() throws IOException {
+        killWith("u1", "unsafe");
+        await(() -> relay.noticed("u1", "dead"));
+        assertEquals(1, host.count("POST /receive"));
+        assertFalse(relay.noticed("u1", "bounced"));
+    }
+
+    @Test
+    void unsafeMessageThatNeverRanIsResumed() throws IOException {
+        host.answer(request -> status(503, "X-Come-Back-Ms: 60000"));
+        assertEquals(202, relay.start().handIn("u2", "unsafe", 7));
+        await(() -> relay.journaled().stream().flatMap(m -> m.attempts.stream())
+                .anyMatch(a -> a.result == Policy.Result.FULL));
+        relay.kill();
+        host.answer(request -> status(200));
+        relay.start();
+        await(() -> host.requests.size() == 2);
+        assertEquals("u2", host.requests.get(1).id());
+    }
+
+    @Test
+    void deliveredMessageIsOver() throws IOException {
+        host.answer(request -> status(200));
+        relay.start().handIn("d1", "unsafe", 7);
+        await(() -> host.requests.size() == 1 && relay.journaled().isEmpty());
+        host.answer(request -> StubPeer.SILENCE);
+        relay.handIn("d2", "safe", 7);
+        await(() -> host.requests.size() == 2);
+        relay.kill();
+        host.answer(request -> status(200));
+        relay.start();
+        await(() -> host.requests.size() == 3);
+        assertEquals("d2", host.requests.get(2).id());
+        assertFalse(relay.noticed("d1", "dead"));
+    }
+
+    @Test
+    void timeSpentDownCounts() throws IOException {
+        relay.start().handIn("t1", "safe", 7, 400, "x");
+        relay.kill();
+        relay.start();
+        await(() -> relay.noticed("t1", "bounced") || relay.noticed("t1", "dead"));
+    }
+
+    @Test
+    void noticeThatWasNotHeardIsSentAgain() throws IOException {
+        discovery.answer(request -> StubPeer.SILENCE);
+        host.answer(request -> StubPeer.CLOSE);
+        relay.start().handIn("n1", "unsafe", 7);
+        await(() -> relay.noticed("n1", "dead"));
+        relay.kill();
+        discovery.requests.clear();
+        discovery.answer(request -> request.line().startsWith("POST") ? status(204) : StubPeer.SILENCE);
+        relay.start();
+        await(() -> relay.noticed("n1", "dead"));
+        assertEquals(1, host.requests.size());
+    }
+
+    @Test
+    void plannedEndAnswersWhatComesAndLeavesTheRestToTheJournal() throws IOException, InterruptedException {
+        relay.start();
+        try (Socket idle = relay.connect(); Socket busy = relay.connect()) {
+            String ready = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+            assertEquals(200, RelayProcess.exchange(idle, ready).status());
+            String message = RelayProcess.message("p1", "safe", 7, 20_000, "hello");
+            busy.getOutputStream().write(message.substring(0, message.length() - 2).getBytes());
+            relay.terminate();
+            assertEquals(202, relay.handIn("p2", "safe", 7), "new connections are served");
+            assertEquals(-1, idle.getInputStream().read(), "the idle connection closes");
+            RelayProcess.Answer answer = RelayProcess.exchange(busy, message.substring(message.length() - 2));
+            assertEquals(202, answer.status(), "a request that was begun is answered");
+            assertTrue(answer.head().toLowerCase().contains("connection: close"), answer.head());
+        }
+        assertTrue(relay.hasEnded());
+        host.answer(request -> status(200));
+        int before = host.requests.size();
+        relay.start();
+        await(() -> host.requests.stream().skip(before).map(StubPeer.Request::id).distinct().count() == 2);
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/relay/StubPeer.java
@@ -0,0 +1,137 @@
+package pipitstage.relay;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
+
+/** A peer of tests on an ephemeral port: a host, or discovery. It answers each request as it is told. */
+final class StubPeer implements AutoCloseable {
+    /** In place of an answer: the connection closes, or nothing comes at all. */
+    static final String CLOSE = "close";
+    static final String SILENCE = "silence";
+
+    /** A request as it came; the names of headers are in lower case. */
+    record Request(String line, Map<String, String> headers, String body, long at) {
+        String id() {
+            return headers.get("x-call-id");
+        }
+    }
+
+    final List<Request> requests = new CopyOnWriteArrayList<>();
+    final List<Socket> connections = new CopyOnWriteArrayList<>();
+    private final ServerSocket listener;
+    private volatile Function<Request, String> answers;
+
+    StubPeer(Function<Request, String> answers) throws IOException {
+        this.answers = answers;
+        listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        daemon(this::accept);
+    }
+
+    /** A peer that gives one answer to everything. */
+    static StubPeer always(String answer) throws IOException {
+        return new StubPeer(request -> answer);
+    }
+
+    static String status(int code, String... headers) {
+        return answer(code, "", headers);
+    }
+
+    static String answer(int code, String body, String... headers) {
+        StringBuilder text = new StringBuilder("HTTP/1.1 " + code + " X\r\n");
+        for (String header : headers) {
+            text.append(header).append("\r\n");
+        }
+        return text + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    void answer(Function<Request, String> next) {
+        answers = next;
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    long count(String start) {
+        return requests.stream().filter(r -> r.line().startsWith(start)).count();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
+    private static void daemon(Runnable work) {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                connections.add(socket);
+                daemon(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The test has closed this peer.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            for (Request request = read(in); request != null; request = read(in)) {
+                requests.add(request);
+                String answer = answers.apply(request);
+                if (answer.equals(CLOSE)) {
+                    return;
+                }
+                if (!answer.equals(SILENCE)) {
+                    socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                }
+            }
+        } catch (IOException e) {
+            // The relay, or the test, has closed the connection.
+        }
+    }
+
+    private static Request read(InputStream in) throws IOException {
+        String line = line(in);
+        if (line.isEmpty()) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>();
+        for (String header = line(in); !header.isEmpty(); header = line(in)) {
+            String[] halves = header.split(": ?", 2);
+            headers.put(halves[0].toLowerCase(Locale.ROOT), halves[1]);
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+        return new Request(line, headers, body, System.nanoTime());
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        for (int next = in.read(); next >= 0 && next != '\n'; next = in.read()) {
+            bytes.write(next);
+        }
+        return bytes.toString(StandardCharsets.ISO_8859_1).strip();
+    }
+}
