Mend four gaps found by reading, each against the protocol

- Relay.endWhenDone: at its latest moment it left without a look at requests read but not answered yet.
- Engine.knows: after a restart the known list may be old, so an unknown destination was failed for good; until discovery has told its list it is now refused, which is harmless.
Test in RestartTest.
- Discovery.take: a run-time error in a listener would have ended the watch for good.
- AgentClient: a request was written to the field's channel, not to the one that had just connected.
- ClientServer: a short Retry-After came out in scientific notation.

--- a/src/main/java/pipitstage/relay/AgentClient.java
+++ b/src/main/java/pipitstage/relay/AgentClient.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -69,14 +70,16 @@
             channel.writeAndFlush(request);
             return;
         }
-        channel = bootstrap.connect(agent).addListener(connected -> {
+        ChannelFuture opening = bootstrap.connect(agent);
+        channel = opening.channel();
+        opening.addListener(connected -> {
             if (connected.isSuccess()) {
-                channel.writeAndFlush(request);
+                opening.channel().writeAndFlush(request);
             } else {
                 request.release();
                 finish(0, "");
             }
-        }).channel();
+        });
     }
 
     /** Guards against an agent that fell silent: its late answer must not be taken for the next one's. */
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/relay/ClientServer.java
@@ -32,6 +32,7 @@
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -91,6 +92,11 @@
         return connections.stream().allMatch(connection -> connection.idle);
     }
 
+    /** True while a request that was read whole has no answer yet. */
+    boolean isAnswering() {
+        return connections.stream().anyMatch(connection -> connection.answering);
+    }
+
     void stopListening() {
         listener.close();
     }
@@ -288,7 +294,7 @@
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             if (retryIn > 0) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER, String.valueOf(retryIn / 1e6));
+                response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryIn / 1e6));
             }
             Message answered = message;
             message = null;
--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 import pipitstage.Fields;
 import pipitstage.Policy.ListKind;
-import pipitstage.WireException;
 
 /** Fetches the list of hosts once and then watches it for changes. */
 final class Discovery {
@@ -71,7 +70,8 @@
                 listener.list(whole ? ListKind.FULL : ListKind.CHANGES, rev, targets);
             }
             return true;
-        } catch (IOException | WireException e) {
+        } catch (IOException | RuntimeException e) {
+            // Guards against an answer that would end the watch for good.
             Log.line("discovery: an answer is passed over: " + e.getMessage());
             version = -1;
             return false;
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -46,6 +46,7 @@
     private boolean roundDue;
     private boolean frozen;
     private boolean ready;
+    private boolean listTold;
 
     Engine(EventLoop loop, Clock clock, Config config, Journal journal, Function<Policy.Settings, Policy> module) {
         this.loop = loop;
@@ -104,12 +105,15 @@
         return attemptsOut == 0 && arrivals.isEmpty();
     }
 
-    /** True where the class, the tenant and the destination are known, and a key is there if one is needed. */
+    /**
+     * True where the class, the tenant and the destination are known, or may be once discovery has told its
+     * list, and a key is there if one is needed.
+     */
     boolean knows(Message.Content content) {
         RequestClass type = classes.get(content.requestClass());
         return type != null && (type.repeat() != Policy.Repeat.BY_KEY || content.key() != null)
                 && (tenants.isEmpty() || tenants.contains(content.tenant()))
-                && destinations.contains(content.destination());
+                && (destinations.contains(content.destination()) || !listTold);
     }
 
     /**
@@ -123,7 +127,9 @@
             loop.execute(client::taken);
             return same;
         }
-        if (!ready || held >= config.settings().limits().maxOpen()) {
+        // Guards against a list from before a restart: a destination may be new since, so this is no failure.
+        boolean reachable = destinations.contains(content.destination());
+        if (!ready || !reachable || held >= config.settings().limits().maxOpen()) {
             return null;
         }
         Message message = new Message(nextNumber, content);
@@ -305,6 +311,7 @@
         targets.forEach(target -> destinations.add(target.listed().destination()));
         hosts.list(kind, targets);
         ready = true;
+        listTold |= kind != Policy.ListKind.CACHED;
         add(new Policy.RouteList(kind, version, targets.stream().map(Target::listed).toList()));
     }
 
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -62,7 +62,7 @@
     private void endWhenDone() {
         boolean late = System.nanoTime() >= stopAt;
         boolean done = engine.isIdle() || engine.isFrozen() && engine.isQuiet();
-        if (clients.isIdle() && done || late) {
+        if (clients.isIdle() && done || late && !clients.isAnswering()) {
             clients.stopListening();
             stopped.countDown();
         } else {
--- a/src/test/java/pipitstage/relay/DoorTest.java
+++ b/src/test/java/pipitstage/relay/DoorTest.java
@@ -36,8 +36,8 @@
                 return status(204);
             }
             String told = news.getAndSet(null);
-            return told != null ? answer(200, told) : request.line().contains("after=")
-                    ? answer(200, list(1, false)) : StubPeer.SILENCE;
+            return told != null ? answer(200, told) : request.line().contains("after=") ? StubPeer.SILENCE
+                    : answer(200, list(1, true, target("h1", 7, "one", "in_service", host.address())));
         });
         host = StubPeer.always(status(200));
         relay = new RelayProcess(folder, discovery).knows("h1", 7, "one", host);
@@ -53,6 +53,7 @@
     @Test
     void badRequestsAreNotTakenOn() throws IOException {
         relay.start();
+        await(() -> discovery.requests.stream().anyMatch(r -> r.line().contains("after=1&")));
         String good = RelayProcess.message("x1", "keyed", 7, 1000, "hello");
         assertEquals(400, relay.handIn("x2", "nosuch", 7));
         assertEquals(400, relay.handIn("x3", "safe", 99));
@@ -108,6 +109,7 @@
     void drainingHostGetsNothingNew() throws IOException {
         try (StubPeer other = StubPeer.always(status(200))) {
             relay.start();
+            await(() -> discovery.requests.stream().anyMatch(r -> r.line().contains("after=1&")));
             news.set(list(2, false, target("h1", 7, "one", "terminating", host.address()),
                     target("h2", 7, "one", "in_service", other.address()),
                     target("h3", 9, "one", "in_service", other.address())));
@@ -124,6 +126,7 @@
     @Test
     void nonsenseFromDiscoveryIsSurvived() throws IOException {
         relay.start();
+        await(() -> discovery.requests.stream().anyMatch(r -> r.line().contains("after=1&")));
         news.set("{\"rev\":[");
         await(() -> relay.log().contains("an answer is passed over"));
         news.set(list(5, true, "{\"uid\":4}", "7", target("h1", 7, "one", "asleep", host.address()),
--- a/src/test/java/pipitstage/relay/RestartTest.java
+++ b/src/test/java/pipitstage/relay/RestartTest.java
@@ -105,6 +105,12 @@
         await(() -> relay.noticed("t1", "bounced") || relay.noticed("t1", "dead"));
     }
 
+    @Test
+    void destinationThatTheOldListLacksIsRefusedUntilDiscoveryHasToldItsList() throws IOException {
+        assertEquals(503, relay.start().handIn("x1", "safe", 99));
+        assertEquals(0, host.requests.size());
+    }
+
     @Test
     void noticeThatWasNotHeardIsSentAgain() throws IOException {
         discovery.answer(request -> StubPeer.SILENCE);
