Gather a whole period before a round; end answers that never end

Engine.add ran a round in the same pass of the event loop that had read a request, so a client's leaving that stood behind it in the socket was read only after its 202. Rounds now come one period (5 ms) after their first event, as in the simulator. HostConnection: an answer that told its outcome and never ended kept its connection for ever; it now has 5 s. Both have a test in DeliveryTest.

--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -41,7 +41,6 @@
     private List<Message> arrivals = new ArrayList<>();
     private long nextNumber;
     private int held;
-    private long lastRound;
     private int attemptsOut;
     private boolean roundDue;
     private boolean frozen;
@@ -181,25 +180,21 @@
         events.add(event);
         if (!roundDue) {
             roundDue = true;
-            long wait = lastRound + config.period() - clock.micros();
-            if (wait <= 0) {
-                loop.execute(this::round);
-            } else {
-                loop.schedule(this::round, wait, TimeUnit.MICROSECONDS);
-            }
+            // Guards, by a whole period, against answering a client whose leaving has come but is not read yet.
+            loop.schedule(this::round, config.period(), TimeUnit.MICROSECONDS);
         }
     }
 
     private void round() {
         roundDue = false;
-        lastRound = clock.micros();
+        long now = clock.micros();
         List<Event> came = events;
         events = new ArrayList<>();
         List<Message> arrived = arrivals;
         arrivals = new ArrayList<>();
         try {
             if (!frozen) {
-                policy.onRound(lastRound, came, this);
+                policy.onRound(now, came, this);
             }
         } catch (RuntimeException e) {
             // Guards against one bad event that would end the relay and all that it holds.
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -12,6 +12,8 @@
 
 /** One connection to a host; it carries one call at a time and is used again only after a whole answer. */
 final class HostConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private static final long LONGEST_BODY = 5_000_000;
+
     private final HostClient client;
     private final HostClient.Host host;
     private ChannelHandlerContext context;
@@ -36,9 +38,7 @@
 
     /** Writes a call; only its last byte's leaving decides whether it may have run. */
     void carry(HostCall next) {
-        if (retirement != null) {
-            retirement.cancel(false);
-        }
+        stopRetirement();
         call = next;
         reusable = false;
         next.begin(this);
@@ -52,9 +52,16 @@
     }
 
     void retireAfter(long micros) {
+        stopRetirement();
         retirement = client.after(micros, this::close);
     }
 
+    private void stopRetirement() {
+        if (retirement != null) {
+            retirement.cancel(false);
+        }
+    }
+
     void close() {
         context.close();
     }
@@ -70,6 +77,8 @@
             informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (!informational) {
                 reusable = HttpUtil.isKeepAlive(response);
+                // Guards against an answer that tells its outcome and then never ends.
+                retireAfter(LONGEST_BODY);
                 call.head(response);
             }
         }
@@ -96,9 +105,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        if (retirement != null) {
-            retirement.cancel(false);
-        }
+        stopRetirement();
         client.closed(this);
         if (call != null) {
             HostCall broken = call;
--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -161,6 +161,29 @@
 
     @Test
     void clientThatLeavesBeforeItsAnswerIsForgotten() throws IOException {
+        relay.period("0.5").start();
+        try (Socket socket = relay.connect()) {
+            socket.getOutputStream().write(RelayProcess.message("left", "safe", 7, 20_000, "hello").getBytes());
+        }
+        assertEquals(202, relay.handIn("stayed", "safe", 7));
+        await(() -> host.requests.size() == 1 && relay.journaled().isEmpty());
+        assertEquals("stayed", host.requests.get(0).id());
+    }
+
+    @Test
+    void answerThatNeverEndsDeliversAndHoldsUpNothing() throws IOException {
+        host.answer(request -> "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n");
+        relay.start().handIn("e1", "unsafe", 7);
+        await(() -> host.requests.size() == 1 && relay.journaled().isEmpty());
+        host.answer(request -> status(200));
+        relay.handIn("e2", "unsafe", 7);
+        await(() -> host.requests.size() == 2 && relay.journaled().isEmpty());
+        assertEquals(2, host.connections.size());
+        assertFalse(relay.noticed("e1", "dead"));
+    }
+
+    @Test
+    void requestThatIsCutOffIsNotTakenOn() throws IOException {
         relay.start();
         Socket socket = relay.connect();
         socket.setSoLinger(true, 0);
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -26,6 +26,7 @@
     private final StubPeer discovery;
     private final List<String> targets = new ArrayList<>();
     private double diskMb = 3;
+    private String period = "0.005";
     private Process process;
     private Path log;
     private int starts;
@@ -62,6 +63,12 @@
         return this;
     }
 
+    /** How long the relay gathers what comes in before it acts. */
+    RelayProcess period(String seconds) {
+        period = seconds;
+        return this;
+    }
+
     Path state() {
         return folder.resolve("state");
     }
@@ -71,7 +78,7 @@
         Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
                 + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":256,\"disk_mb\":" + diskMb + "},\"known\":"
-                + list(1, true, targets.toArray(String[]::new)) + ",\"settings\":" + SETTINGS + "}");
+                + list(1, true, targets.toArray(String[]::new)) + ",\"settings\":" + SETTINGS.replace("PERIOD", period) + "}");
         log = folder.resolve("log" + starts++);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
                 "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
@@ -84,7 +91,7 @@
     }
 
     private static final String SETTINGS = """
-            {"me":0,"fleet-size":1,"zone":"a","zones":["a"],"kinds":["one","many"],"period-s":0.005,
+            {"me":0,"fleet-size":1,"zone":"a","zones":["a"],"kinds":["one","many"],"period-s":PERIOD,
              "accounts":[{"name":"acme","quota-rps":5}],
              "classes":[
               {"name":"safe","repeat":"repeatable","goal-time-s":2,"deadline-s":20,"worth":1},
