--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -9,33 +9,16 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Calls to hosts: what is sent, what the answers mean, and what must not be sent. */
-class DeliveryTest {
-    @TempDir
-    Path folder;
-    private StubPeer discovery;
-    private StubPeer host;
-    private RelayProcess relay;
-
+class DeliveryTest extends RelayTestBase {
     @BeforeEach
     void prepare() throws IOException {
-        discovery = RelayProcess.quietDiscovery();
-        host = StubPeer.always(status(200));
-        relay = new RelayProcess(folder, discovery).knows("h1", 7, "one", host).knows("m1", 8, "many", host);
-    }
-
-    @AfterEach
-    void end() throws IOException {
-        relay.close();
-        host.close();
-        discovery.close();
+        prepare(RelayProcess.quietDiscovery(), StubPeer.always(status(200)));
+        relay.knows("m1", 8, "many", host);
     }
 
     @Test
--- a/src/test/java/pipitstage/relay/DoorTest.java
+++ b/src/test/java/pipitstage/relay/DoorTest.java
@@ -14,40 +14,25 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicReference;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 /** What clients and discovery may send, and what of it is taken on. */
-class DoorTest {
-    @TempDir
-    Path folder;
+class DoorTest extends RelayTestBase {
     /** What discovery's watch answers next; each news is told once. */
     private final AtomicReference<String> news = new AtomicReference<>();
-    private StubPeer discovery;
-    private StubPeer host;
-    private RelayProcess relay;
-
     @BeforeEach
     void prepare() throws IOException {
-        discovery = new StubPeer(request -> {
-            if (request.line().startsWith("POST")) {
-                return status(204);
-            }
-            String told = news.getAndSet(null);
-            return told != null ? answer(200, told) : request.line().contains("after=") ? StubPeer.SILENCE
-                    : answer(200, list(1, true, target("h1", 7, "one", "in_service", host.address())));
-        });
-        host = StubPeer.always(status(200));
-        relay = new RelayProcess(folder, discovery).knows("h1", 7, "one", host);
+        prepare(new StubPeer(this::discover), StubPeer.always(status(200)));
     }
 
-    @AfterEach
-    void end() throws IOException {
-        relay.close();
-        host.close();
-        discovery.close();
+    private String discover(StubPeer.Request request) {
+        if (request.line().startsWith("POST")) {
+            return status(204);
+        }
+        String told = news.getAndSet(null);
+        return told != null ? answer(200, told) : request.line().contains("after=") ? StubPeer.SILENCE
+                : answer(200, list(1, true, target("h1", 7, "one", "in_service", host.address())));
     }
 
     @Test
--- a/src/test/java/pipitstage/relay/RestartTest.java
+++ b/src/test/java/pipitstage/relay/RestartTest.java
@@ -8,33 +8,15 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.file.Path;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import pipitstage.Policy;
 
 /** What a relay owes across the end of its process. */
-class RestartTest {
-    @TempDir
-    Path folder;
-    private StubPeer discovery;
-    private StubPeer host;
-    private RelayProcess relay;
-
+class RestartTest extends RelayTestBase {
     @BeforeEach
     void prepare() throws IOException {
-        discovery = RelayProcess.quietDiscovery();
-        host = StubPeer.always(StubPeer.SILENCE);
-        relay = new RelayProcess(folder, discovery).knows("h1", 7, "one", host);
-    }
-
-    @AfterEach
-    void end() throws IOException {
-        relay.close();
-        host.close();
-        discovery.close();
+        prepare(RelayProcess.quietDiscovery(), StubPeer.always(StubPeer.SILENCE));
     }
 
     private void killWith(String id, String type) throws IOException {
