Let finished messages go: a timer held each, body and all, until its deadline

The new test in DeliveryTest hands in 500 messages of 64 KiB with a heap of 24 MB: before, the relay died of it (no answer); now it passes.

--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -168,11 +168,9 @@
     /** Guards against a message that an error in a round has left behind. */
     private void watchEnd(Message message) {
         long delay = message.content.deadline() + LATEST_END - clock.micros();
-        loop.schedule(() -> {
-            if (messages.containsKey(message.number) && message.end == null && !message.over) {
-                Log.line("message " + message.content.callId() + " is overdue");
-                end(message.number, new Message.End(false, 0));
-            }
+        message.endWatch = loop.schedule(() -> {
+            Log.line("message " + message.content.callId() + " is overdue");
+            end(message.number, new Message.End(false, 0));
         }, Math.max(LATEST_END, delay), TimeUnit.MICROSECONDS);
     }
 
@@ -260,6 +258,8 @@
 
     /** Nothing more is owed for a message, and no notice either. */
     private void close(Message message) {
+        // Guards against timers that hold every message, body and all, until its time is up.
+        message.endWatch.cancel(false);
         message.over = true;
         held--;
         journal.done(message);
@@ -280,6 +280,7 @@
         }
         message.end = end;
         if (message.client == null) {
+            message.endWatch.cancel(false);
             held--;
             journal.decided(message);
             notices.send(message);
--- a/src/main/java/pipitstage/relay/Message.java
+++ b/src/main/java/pipitstage/relay/Message.java
@@ -1,5 +1,6 @@
 package pipitstage.relay;
 
+import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
 import pipitstage.Policy;
@@ -36,6 +37,8 @@
     /** Where the client that handed the message in waits; null once it has its answer. */
     ClientReply client;
     End end;
+    /** The timer that ends the message should the module leave it open. */
+    Future<?> endWatch;
     /** Nothing more is owed. */
     boolean over;
     private int out;
--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -165,6 +165,22 @@
         assertFalse(relay.noticed("e1", "dead"));
     }
 
+    @Test
+    void deliveredMessagesAreNotHeldInMemory() throws IOException {
+        relay.start();
+        String body = "x".repeat(64 << 10);
+        try (Socket socket = relay.connect()) {
+            for (int i = 0; i < 500; i++) {
+                String message = RelayProcess.message("big" + i, "safe", 7, 999_999_999, body);
+                assertEquals(202, RelayProcess.exchange(socket, message).status());
+                String id = "big" + i;
+                await(() -> host.requests.stream().anyMatch(r -> id.equals(r.id())));
+                host.requests.clear();
+            }
+        }
+        assertTrue(relay.isAlive());
+    }
+
     @Test
     void requestThatIsCutOffIsNotTakenOn() throws IOException {
         relay.start();
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -81,7 +81,7 @@
                 + list(1, true, targets.toArray(String[]::new)) + ",\"settings\":" + SETTINGS.replace("PERIOD", period) + "}");
         log = folder.resolve("log" + starts++);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
+                "-XX:TieredStopAtLevel=1", "-Xmx24m", "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
                 "serve").redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("EDGE_CONFIG", config.toString());
         builder.environment().put("EDGE_STATE", state().toString());
