Take SIGHUP: discovery and notices move to the new address

At fault: Main.serve, which left the signal to the JVM; Discovery and Notices, which kept one address. Also: HostClient.replace dropped the connections of a host whose entry changed but not its address; a failed connection of AgentClient could end the request after it; Notices.post walked its queue.

--- a/src/main/java/pipitstage/relay/AgentClient.java
+++ b/src/main/java/pipitstage/relay/AgentClient.java
@@ -35,7 +35,7 @@
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final InetSocketAddress agent;
+    private InetSocketAddress agent;
     private Channel channel;
     private Answer waiting;
     private Future<?> timeout;
@@ -77,15 +77,34 @@
                 opening.channel().writeAndFlush(request);
             } else {
                 request.release();
-                finish(0, "");
+                lost(opening.channel());
             }
         });
     }
 
+    /** Goes to another address from now on; a request that has no answer yet gets none. */
+    void moveTo(InetSocketAddress next) {
+        agent = next;
+        Channel old = channel;
+        channel = null;
+        if (old != null) {
+            old.close();
+        }
+        finish(0, "");
+    }
+
+    /** Guards against the end of an earlier connection that would be taken for the end of this one. */
+    private void lost(Channel ended) {
+        if (ended == channel) {
+            channel = null;
+            finish(0, "");
+        }
+    }
+
     /** Guards against an agent that fell silent: its late answer must not be taken for the next one's. */
     private void giveUp() {
         channel.close();
-        finish(0, "");
+        lost(channel);
     }
 
     private void finish(int status, String body) {
@@ -112,10 +131,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (ctx.channel() == channel) {
-                channel = null;
-                finish(0, "");
-            }
+            lost(ctx.channel());
         }
 
         @Override
--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -44,6 +44,12 @@
         ask();
     }
 
+    /** Watches at another address from now on; its versions need not be those of the old one. */
+    void moveTo(InetSocketAddress address) {
+        version = -1;
+        agent.moveTo(address);
+    }
+
     private void ask() {
         if (version < 0) {
             agent.request(HttpMethod.GET, "/api/targets", "", PATIENCE_MS, this::answered);
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -1,6 +1,7 @@
 package pipitstage.relay;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -78,6 +79,11 @@
         }
     }
 
+    /** Notices go to another address from now on, also those that have no answer yet. */
+    void noticesTo(InetSocketAddress address) {
+        notices.moveTo(address);
+    }
+
     boolean isReady() {
         return ready;
     }
--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -220,7 +220,7 @@
                 }
             }
         } catch (IOException | WireException e) {
-            Log.line("host " + host.listed.route() + ": an answer can't be read: " + e.getMessage());
+            Log.line("host " + host.route() + ": an answer can't be read: " + e.getMessage());
         }
     }
 
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -50,11 +50,9 @@
 
     /** A listed host with its connections. */
     static final class Host {
-        final Policy.Listed listed;
-        private final Target target;
+        private Target target;
         private final Wait wait;
         private final int batch;
-        private final boolean listedNow;
         private final ArrayDeque<HostConnection> idle = new ArrayDeque<>();
         /** Calls that wait for a connection, oldest first. */
         private final Set<HostCall> queue = new LinkedHashSet<>();
@@ -64,8 +62,21 @@
             this.target = target;
             this.wait = wait;
             this.batch = batch;
-            listed = target.listed();
-            listedNow = listed.availability() == Policy.Availability.LISTED;
+        }
+
+        String route() {
+            return target.listed().route();
+        }
+
+        private boolean isListed() {
+            return target.listed().availability() == Policy.Availability.LISTED;
+        }
+
+        /** True where another entry speaks of the same place, so that connections and waits go on. */
+        private boolean isAt(Target other) {
+            return target.address().equals(other.address())
+                    && target.listed().destination() == other.listed().destination()
+                    && target.listed().kind().equals(other.listed().kind());
         }
 
         String authority() {
@@ -111,20 +122,25 @@
             replace(target);
         }
         if (kind != ListKind.CHANGES) {
-            hosts.values().stream().filter(host -> !named.contains(host.listed.route())).toList()
+            hosts.values().stream().filter(host -> !named.contains(host.route())).toList()
                     .forEach(this::remove);
         }
     }
 
     private void replace(Target target) {
         Host old = hosts.get(target.listed().route());
-        if (old != null && old.target.equals(target)) {
+        boolean removed = target.listed().availability() == Policy.Availability.REMOVED;
+        if (old != null && !removed && old.isAt(target)) {
+            old.target = target;
+            if (!old.isListed()) {
+                stopSending(old);
+            }
             return;
         }
         if (old != null) {
             remove(old);
         }
-        if (target.listed().availability() != Policy.Availability.REMOVED) {
+        if (!removed) {
             Policy.Kind kind = kinds.get(target.listed().kind());
             boolean apart = kind != null && kind.routesApart();
             Wait wait = apart ? old == null ? new Wait() : old.wait
@@ -133,9 +149,13 @@
         }
     }
 
-    /** Guards against a first byte after the grace: what still waits for a connection never leaves. */
     private void remove(Host host) {
-        hosts.remove(host.listed.route());
+        hosts.remove(host.route());
+        stopSending(host);
+    }
+
+    /** Guards against a first byte after the grace: what still waits for a connection never leaves. */
+    private void stopSending(Host host) {
         List.copyOf(host.queue).forEach(call -> {
             host.queue.remove(call);
             call.end(Result.NOT_SENT);
@@ -146,7 +166,7 @@
     /** Sends what one round has for one route, in as few calls as its kind allows. */
     void send(String route, List<Outgoing> outgoing) {
         Host host = hosts.get(route);
-        if (host == null || !host.listedNow) {
+        if (host == null || !host.isListed()) {
             outgoing.forEach(o -> results.ended(o.attempt(), Result.NOT_SENT, false, 0, LimitReport.NONE));
             return;
         }
@@ -174,7 +194,7 @@
 
     void probe(String route) {
         Host host = hosts.get(route);
-        if (host == null || !host.listedNow) {
+        if (host == null || !host.isListed()) {
             results.probed(route, Result.NOT_SENT, 0, 0, LimitReport.NONE);
             return;
         }
@@ -241,7 +261,7 @@
             HostCall call = host.queue.iterator().next();
             host.queue.remove(call);
             begin(connection, call);
-        } else if (hosts.get(host.listed.route()) != host) {
+        } else if (hosts.get(host.route()) != host || !host.isListed()) {
             connection.close();
         } else {
             host.idle.addLast(connection);
@@ -289,7 +309,7 @@
     }
 
     void probed(HostCall call, Result result, long wait, LimitReport report) {
-        results.probed(call.host().listed.route(), result, wait, clock.micros() - call.startedAt(), report);
+        results.probed(call.host().route(), result, wait, clock.micros() - call.startedAt(), report);
     }
 
     long now() {
--- a/src/main/java/pipitstage/relay/Main.java
+++ b/src/main/java/pipitstage/relay/Main.java
@@ -28,6 +28,7 @@
             Config config = Config.read(System.getenv());
             EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
             Relay relay = new Relay(loop, config);
+            Reload.onHangUp(System.getenv(), relay::reload);
             relay.start();
             Runtime.getRuntime().addShutdownHook(new Thread(relay::stop, "stop"));
         } catch (Config.BadConfigException e) {
--- a/src/main/java/pipitstage/relay/Notices.java
+++ b/src/main/java/pipitstage/relay/Notices.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -42,14 +43,17 @@
         }
     }
 
+    void moveTo(InetSocketAddress address) {
+        agent.moveTo(address);
+    }
+
     private void post() {
         List<Message> batch = new ArrayList<>();
         StringBuilder lines = new StringBuilder();
-        for (Message message : waiting) {
-            if (batch.size() < MOST_IN_ONE) {
-                batch.add(message);
-                lines.append(line(message)).append('\n');
-            }
+        for (Iterator<Message> next = waiting.iterator(); next.hasNext() && batch.size() < MOST_IN_ONE;) {
+            Message message = next.next();
+            batch.add(message);
+            lines.append(line(message)).append('\n');
         }
         agent.request(HttpMethod.POST, "/status", lines.toString(), PATIENCE_MS,
                 (status, body) -> answered(batch, status));
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -46,6 +46,15 @@
         }
     }
 
+    /** Takes over the address of discovery; everything else is read at the start alone. */
+    void reload(Config next) {
+        loop.execute(() -> {
+            Log.line("discovery is at " + next.discovery());
+            discovery.moveTo(next.discovery());
+            engine.noticesTo(next.discovery());
+        });
+    }
+
     /** Ends service without breaking a promise; returns when the process may end. */
     void stop() {
         stopAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MS);
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -23,7 +23,7 @@
     record Answer(int status, String head) { }
 
     private final Path folder;
-    private final StubPeer discovery;
+    private StubPeer discovery;
     private final List<String> targets = new ArrayList<>();
     private double diskMb = 3;
     private String period = "0.005";
@@ -73,17 +73,41 @@
         return folder.resolve("state");
     }
 
-    RelayProcess start() throws IOException {
-        Path config = folder.resolve("config.json");
-        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
+    private Path config() {
+        return folder.resolve("config.json");
+    }
+
+    private void configure() throws IOException {
+        Files.writeString(config(), "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
                 + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":256,\"disk_mb\":" + diskMb + "},\"known\":"
                 + list(1, true, targets.toArray(String[]::new)) + ",\"settings\":" + SETTINGS.replace("PERIOD", period) + "}");
+    }
+
+    /** Discovery is at another place from now on; the relay hears of it by SIGHUP. */
+    void moveDiscovery(StubPeer next) throws IOException {
+        discovery = next;
+        configure();
+        hangUp();
+    }
+
+    /** The configuration can't be read any more; the relay hears of it by SIGHUP. */
+    void spoilConfiguration() throws IOException {
+        Files.writeString(config(), "{");
+        hangUp();
+    }
+
+    private void hangUp() throws IOException {
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start();
+    }
+
+    RelayProcess start() throws IOException {
+        configure();
         log = folder.resolve("log" + starts++);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
                 "-XX:TieredStopAtLevel=1", "-Xmx24m", "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
                 "serve").redirectErrorStream(true).redirectOutput(log.toFile());
-        builder.environment().put("EDGE_CONFIG", config.toString());
+        builder.environment().put("EDGE_CONFIG", config().toString());
         builder.environment().put("EDGE_STATE", state().toString());
         process = builder.start();
         await(() -> SERVING.matcher(log()).find());
