Let an answer count only when it is whole, and rest a connection before its next call

Seen: a 503 that never ends let an unsafe message be sent again; a second copy behind an answer was taken for the next call's (both shown by tests against the code before). At fault: HostCall.head, which settled by the status line; HostConnection.answered, which handed the connection on inside the read that ended the last answer. Now: only 200 to a call with one message counts from its first line (AnswerDecoder looks at the bytes, as the codec shows an endless head late); all else, waits and reports too, when the answer is whole. An answer that began has 500 ms to end. A connection rests 2 ms, and is closed if anything lies behind the answer. Ruled out: 1xx ahead, which were skipped before too; unreadable load reports, which count as untold.

--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -156,20 +157,29 @@
         return bytes.toByteArray();
     }
 
-    /** The head of an answer: for one message, and where all fare alike, it tells the outcome already. */
+    /** The head of an answer; nothing of it counts before the answer is whole. */
     void head(HttpResponse response) {
         status = response.status().code();
         report = report(response.headers().get(ClientServer.LOAD_REPORT));
         wait = waitOf(response.headers().get("X-Come-Back-Ms"));
         slotsTaken = "1".equals(response.headers().get("X-Line-Busy"));
-        if (wait > 0) {
-            client.toldToWait(host, wait);
-        }
-        if (probePath == null && !(several && status == 200)) {
-            outcome(status);
+    }
+
+    /** The first line of an answer: that a single message is delivered holds, whatever follows. */
+    void firstLine(int code) {
+        if (probePath == null && !several && code == HttpResponseStatus.OK.code()) {
+            end(Result.OK, true);
         }
     }
 
+    /** The answer can't be read or doesn't end; the host has run the call. */
+    void spoilt(int code) {
+        report = LimitReport.NONE;
+        wait = 0;
+        firstLine(code);
+        end(Result.ERROR);
+    }
+
     /** Takes in a piece of the answer's body; false where it is larger than any answer may be. */
     boolean body(ByteBuf piece) {
         if (body.readableBytes() + piece.readableBytes() > MOST_ANSWER) {
@@ -181,6 +191,9 @@
 
     /** The answer is whole. */
     void complete() {
+        if (wait > 0) {
+            client.toldToWait(host, wait);
+        }
         if (probePath != null) {
             if (status == 200 && report.equals(LimitReport.NONE)) {
                 report = report(body.toString(StandardCharsets.UTF_8));
@@ -190,6 +203,8 @@
             eachOutcome();
             // Guards against an answer that leaves a message out: it may have run.
             end(Result.ERROR);
+        } else {
+            outcome(status);
         }
     }
 
@@ -205,8 +220,7 @@
     }
 
     private void eachOutcome() {
-        Map<String, Message.Attempt> byId = new HashMap<>();
-        parts.keySet().forEach(attempt -> byId.put(attempt.message.content.callId(), attempt));
+        Map<String, String> states = new HashMap<>();
         try (JsonParser parser = JSON.createParser(body.toString(StandardCharsets.UTF_8))) {
             parser.nextToken();
             if (!(Fields.read(parser) instanceof List<?> entries)) {
@@ -214,13 +228,19 @@
             }
             for (Object json : entries) {
                 Fields entry = Fields.ofObject("answer", json);
-                Message.Attempt attempt = byId.remove(entry.text("id"));
-                if (attempt != null) {
-                    outcome(attempt, entry.text("state"));
+                if (states.put(entry.text("id"), entry.text("state")) != null) {
+                    throw new WireException("a message is named twice");
                 }
             }
+            if (parser.nextToken() != null) {
+                throw new WireException("more than an array");
+            }
         } catch (IOException | WireException e) {
             Log.line("host " + host.route() + ": an answer can't be read: " + e.getMessage());
+            return;
+        }
+        for (Message.Attempt attempt : new ArrayList<>(parts.keySet())) {
+            outcome(attempt, states.getOrDefault(attempt.message.content.callId(), "failed"));
         }
     }
 
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -57,6 +56,8 @@
         /** Calls that wait for a connection, oldest first. */
         private final Set<HostCall> queue = new LinkedHashSet<>();
         private int connecting;
+        /** How often its kept connections were found not worth trusting. */
+        private int breaks;
 
         private Host(Target target, Wait wait, int batch) {
             this.target = target;
@@ -64,6 +65,10 @@
             this.batch = batch;
         }
 
+        int breaks() {
+            return breaks;
+        }
+
         String route() {
             return target.listed().route();
         }
@@ -213,6 +218,7 @@
      * that call would end as a reset, where a new connection that fails proves that it never ran.
      */
     void closeIdle(Host host) {
+        host.breaks++;
         List.copyOf(host.idle).forEach(HostConnection::close);
     }
 
@@ -238,7 +244,7 @@
         ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(new HttpClientCodec(), connection);
+                ch.pipeline().addLast(connection.handlers());
             }
         }).connect(host.target.address());
         future.channel().closeFuture().addListener(closed -> connections--);
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/relay/HostConnection.java
@@ -1,26 +1,39 @@
 package pipitstage.relay;
 
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.util.function.Consumer;
 
-/** One connection to a host; it carries one call at a time and is used again only after a whole answer. */
+/**
+ * One connection to a host; it carries one call at a time and is used again only after a whole answer with
+ * nothing behind it.
+ */
 final class HostConnection extends SimpleChannelInboundHandler<HttpObject> {
-    private static final long LONGEST_BODY = 5_000_000;
+    /** Guards against an answer that begins and never ends: hosts write theirs in one go. */
+    private static final long LONGEST_ANSWER = 500_000;
+    /** Guards against a second copy, or noise, right behind an answer: the next call's would be mixed up with it. */
+    private static final long REST = 2_000;
 
     private final HostClient client;
     private final HostClient.Host host;
+    private final AnswerDecoder decoder = new AnswerDecoder();
     private ChannelHandlerContext context;
     private HostCall call;
     private boolean reusable;
     private boolean informational;
-    private Future<?> retirement;
+    private boolean answered;
+    private Future<?> timer;
 
     HostConnection(HostClient client, HostClient.Host host) {
         this.client = client;
@@ -31,6 +44,11 @@
         return host;
     }
 
+    /** What the channel's pipeline is made of. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new HttpRequestEncoder(), decoder, this};
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
@@ -38,9 +56,10 @@
 
     /** Writes a call; only its last byte's leaving decides whether it may have run. */
     void carry(HostCall next) {
-        stopRetirement();
+        stopTimer();
         call = next;
         reusable = false;
+        decoder.await();
         next.begin(this);
         context.writeAndFlush(next.request()).addListener(sent -> {
             if (sent.isSuccess()) {
@@ -52,13 +71,18 @@
     }
 
     void retireAfter(long micros) {
-        stopRetirement();
-        retirement = client.after(micros, this::close);
+        startTimer(micros, this::close);
+    }
+
+    private void startTimer(long micros, Runnable task) {
+        stopTimer();
+        timer = client.after(micros, task);
     }
 
-    private void stopRetirement() {
-        if (retirement != null) {
-            retirement.cancel(false);
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
         }
     }
 
@@ -68,50 +92,99 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-        // Guards against an answer that nobody asked for, or that no one can read: the state is unknown.
-        if (call == null || message.decoderResult().isFailure()) {
+        // Guards against bytes that nobody asked for: what comes behind them can't be told apart any more.
+        if (call == null) {
             ctx.close();
             return;
         }
+        // Guards against an answer to a request that has not left whole: it has not run.
+        if (!call.isSent()) {
+            lose(HostCall::broken);
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            lose(this::spoil);
+            return;
+        }
         if (message instanceof HttpResponse response) {
             informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (!isSound(response)) {
+                lose(this::spoil);
+                return;
+            }
             if (!informational) {
                 reusable = HttpUtil.isKeepAlive(response);
-                // Guards against an answer that tells its outcome and then never ends.
-                retireAfter(LONGEST_BODY);
                 call.head(response);
             }
         }
         if (message instanceof HttpContent content && !informational) {
             if (!call.body(content.content())) {
-                ctx.close();
+                lose(this::spoil);
             } else if (content instanceof LastHttpContent) {
-                answered(ctx);
+                HostCall done = call;
+                call = null;
+                answered = true;
+                done.complete();
             }
         }
     }
 
-    private void answered(ChannelHandlerContext ctx) {
-        HostCall done = call;
+    /** Guards against an answer whose end can't be known, and against one that leaves HTTP. */
+    private static boolean isSound(HttpResponse response) {
+        return !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
+                && !(response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+                && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH));
+    }
+
+    private void spoil(HostCall broken) {
+        broken.spoilt(decoder.status());
+    }
+
+    /** The connection is of no further use, and its call ends as told. */
+    private void lose(Consumer<HostCall> how) {
+        HostCall lost = call;
         call = null;
-        done.complete();
-        // Guards against a connection whose last request has not left whole.
-        if (reusable && done.isSent()) {
+        if (lost != null) {
+            how.accept(lost);
+        }
+        context.close();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (answered) {
+            answered = false;
+            // Guards against what came with the answer and does not belong to it.
+            if (reusable && !decoder.hasLeftover()) {
+                int breaks = host.breaks();
+                startTimer(REST, () -> free(breaks));
+            } else {
+                ctx.close();
+            }
+        } else if (call != null && decoder.status() == AnswerDecoder.UNREADABLE) {
+            lose(this::spoil);
+        } else if (call != null && decoder.hasBegun()) {
+            if (timer == null) {
+                startTimer(LONGEST_ANSWER, () -> lose(this::spoil));
+            }
+            call.firstLine(decoder.status());
+        }
+    }
+
+    /** Guards also against a connection that died with another one while it rested. */
+    private void free(int breaks) {
+        if (breaks != host.breaks()) {
+            context.close();
+        } else if (context.channel().isActive()) {
             client.free(this);
-        } else {
-            ctx.close();
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        stopRetirement();
+        stopTimer();
         client.closed(this);
-        if (call != null) {
-            HostCall broken = call;
-            call = null;
-            broken.broken();
-        }
+        lose(HostCall::broken);
     }
 
     @Override
