Time every client, refuse at the head, and let connections fit the descriptors

At fault: ClientServer, which timed a connection only from its first byte and for 10 s, answered a too large body at its end, let Content-Length pass beside Transfer-Encoding, and closed on the ninth pipelined request; Engine.takeOn, which said 202 for a message that its own client may yet withdraw; HostClient.connect, which passed its cap when nothing was idle, and counted a socket that could not be opened for ever. Caps follow limits.sockets; calls without a connection wait for one. Ruled out: a spin when accept fails (the codec's acceptor pauses for a second).

--- /dev/null
+++ b/src/main/java/pipitstage/relay/ClientConnection.java
@@ -0,0 +1,325 @@
+package pipitstage.relay;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/** One client's connection: reads its requests, answers them in order, and gives up a client that stalls. */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Message.ClientReply {
+    private static final int MOST_PIPELINED = 8;
+    /** For a first request from connecting, for later ones from their first byte. */
+    private static final long REQUEST_MS = 2500;
+    private static final long IDLE_MS = 10_000;
+    private static final long LINGER_MS = 2000;
+
+    private final ClientServer server;
+    private final Engine engine;
+    private final Clock clock;
+    private final ArrayDeque<ClientRequest> pipelined = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private boolean idle = true;
+    private boolean served;
+    private boolean keepAlive;
+    private ClientRequest reading;
+    private boolean handling;
+    private boolean answering;
+    /** The last request that is heeded can't be read on; its refusal is the last answer. */
+    private HttpResponseStatus refusal;
+    private boolean ending;
+    private int buffered;
+    private Message message;
+    private Future<?> timer;
+
+    ClientConnection(ClientServer server, Engine engine, Clock clock) {
+        this.server = server;
+        this.engine = engine;
+        this.clock = clock;
+    }
+
+    /** What the channel's pipeline is made of. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new Watch(), new Decoder(), new HttpResponseEncoder(), this};
+    }
+
+    boolean isAnswering() {
+        return answering;
+    }
+
+    /** True where the last answer has been written. */
+    boolean isEnding() {
+        return ending;
+    }
+
+    void close() {
+        context.close();
+    }
+
+    /** Notices the first byte of a request, and lets go by what comes after the last one that is heeded. */
+    private final class Watch extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (refusal != null || ending) {
+                ReferenceCountUtil.release(bytes);
+                return;
+            }
+            if (idle) {
+                idle = false;
+                server.began(ClientConnection.this);
+                if (served) {
+                    startTimer(REQUEST_MS, ClientConnection.this::stalled);
+                }
+            }
+            ctx.fireChannelRead(bytes);
+        }
+    }
+
+    /** Guards against two lengths, of which only one can be true: both stay, for the reader to see. */
+    private static final class Decoder extends HttpRequestDecoder {
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage request) { }
+    }
+
+    private void startTimer(long millis, Runnable task) {
+        stopTimer();
+        timer = context.executor().schedule(task, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        context = ctx;
+        startTimer(REQUEST_MS, this::stalled);
+        server.opened(this);
+    }
+
+    /** Guards against clients that connect and say nothing, or begin a request and never end it. */
+    private void stalled() {
+        timer = null;
+        if (idle) {
+            close();
+        } else if (!answering) {
+            refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        stopTimer();
+        pipelined.clear();
+        reading = null;
+        server.closed(this);
+        server.unbuffer(buffered);
+        buffered = 0;
+        withdraw();
+    }
+
+    /** Guards against delivering what its client gave up and may hand in again under another id. */
+    private void withdraw() {
+        if (message != null) {
+            engine.withdraw(message);
+            message = null;
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+        if (refusal != null || ending) {
+            return;
+        }
+        if (part instanceof HttpRequest head) {
+            reading = new ClientRequest(head);
+            HttpResponseStatus why = reading.refusal();
+            if (why != null) {
+                refuse(why);
+                return;
+            }
+            if (HttpUtil.is100ContinueExpected(head) && !answering) {
+                ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+        }
+        if (part instanceof HttpContent content && reading != null) {
+            read(content);
+        }
+    }
+
+    private void read(HttpContent content) {
+        int bytes = content.content().readableBytes();
+        if (content.decoderResult().isFailure()) {
+            refuse(HttpResponseStatus.BAD_REQUEST);
+        } else if (!reading.add(content.content())) {
+            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        } else if (!server.buffer(bytes, reading.size())) {
+            // Guards against half-read bodies that together take all the memory.
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        } else {
+            buffered += bytes;
+            if (content instanceof LastHttpContent) {
+                pipelined.add(reading);
+                reading = null;
+                handleNext();
+                readMore();
+            }
+        }
+    }
+
+    /** Guards against hundreds of requests at once: what is not read yet waits with its client. */
+    private void readMore() {
+        context.channel().config().setAutoRead(pipelined.size() < MOST_PIPELINED);
+    }
+
+    /** Answers, after all that came before it, a request that can't be read on; nothing after it is heeded. */
+    private void refuse(HttpResponseStatus why) {
+        reading = null;
+        refusal = why;
+        handleNext();
+    }
+
+    private void handleNext() {
+        if (handling) {
+            return;
+        }
+        handling = true;
+        while (!answering && !pipelined.isEmpty()) {
+            ClientRequest next = pipelined.poll();
+            handle(next);
+            buffered -= next.size();
+            server.unbuffer(next.size());
+        }
+        handling = false;
+        if (refusal != null && !answering && !ending) {
+            keepAlive = false;
+            answer(refusal, 0);
+        }
+    }
+
+    private void handle(ClientRequest request) {
+        answering = true;
+        HttpRequest head = request.head();
+        keepAlive = HttpUtil.isKeepAlive(head);
+        if (head.uri().equals("/api")) {
+            if (head.method().equals(HttpMethod.POST)) {
+                takeOn(request);
+            } else {
+                answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
+            }
+        } else if (head.uri().equals("/-/ready")) {
+            answer(engine.isReady() && !server.isDraining() ? HttpResponseStatus.OK
+                    : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+        } else {
+            answer(HttpResponseStatus.NOT_FOUND, 0);
+        }
+    }
+
+    private void takeOn(ClientRequest request) {
+        Message.Content content = request.content(clock.micros());
+        if (content == null || !engine.knows(content)) {
+            answer(HttpResponseStatus.BAD_REQUEST, 0);
+        } else {
+            message = engine.takeOn(content, this);
+        }
+    }
+
+    @Override
+    public void taken() {
+        answer(HttpResponseStatus.ACCEPTED, 0);
+    }
+
+    @Override
+    public void refused(long retryIn) {
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryIn);
+    }
+
+    @Override
+    public void failed() {
+        answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, 0);
+    }
+
+    private void answer(HttpResponseStatus status, long retryIn) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        HttpUtil.setContentLength(response, 0);
+        ending = !keepAlive || server.isDraining() && pipelined.isEmpty();
+        boolean last = ending;
+        if (last) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        if (retryIn > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryIn / 1e6));
+        }
+        Message answered = message;
+        message = null;
+        answering = false;
+        context.writeAndFlush(response).addListener(written -> {
+            if (!written.isSuccess() && answered != null) {
+                engine.withdraw(answered);
+            }
+            if (!written.isSuccess()) {
+                context.close();
+            } else if (last) {
+                linger();
+            }
+        });
+        if (!last) {
+            afterAnswer();
+        }
+    }
+
+    private void afterAnswer() {
+        stopTimer();
+        served = true;
+        idle = pipelined.isEmpty() && reading == null && refusal == null;
+        if (idle) {
+            server.fellIdle(this);
+            startTimer(IDLE_MS, this::close);
+        } else if (reading != null) {
+            startTimer(REQUEST_MS, this::stalled);
+        }
+        readMore();
+        handleNext();
+    }
+
+    /** Guards against an answer that a reset takes with it, as what the client still sends is not read. */
+    private void linger() {
+        if (!context.channel().isActive()) {
+            return;
+        }
+        ((DuplexChannel) context.channel()).shutdownOutput();
+        context.channel().config().setAutoRead(true);
+        startTimer(LINGER_MS, this::close);
+    }
+}
--- a/src/main/java/pipitstage/relay/Config.java
+++ b/src/main/java/pipitstage/relay/Config.java
@@ -24,7 +24,9 @@
         List<Target> known) {
 
     private static final long MIB = 1 << 20;
-    private static final int LEAST_SOCKETS = 64;
+    /** Descriptors for all but connections: the JVM's own, the journal's, discovery's, and one just accepted. */
+    private static final int OTHER_DESCRIPTORS = 36;
+    private static final double CLIENT_SHARE = 0.55;
 
     /** A setting that is missing or makes no sense; the message is for staff. */
     static final class BadConfigException extends Exception {
@@ -62,11 +64,29 @@
         }
         String how = params.value("stats") == null ? null : params.object("stats").textOrNull("how");
         return new Config(address(json.text("listen")), address(json.text("discovery")), state,
-                (int) Math.max(LEAST_SOCKETS, limits.whole("sockets")),
+                sockets(limits),
                 (long) (limits.number("disk_mb") * MIB), settings, params.micros("period-s", 0),
                 params.object("limits").micros("conn-idle-s"), how != null && !how.equals("off"), version, known);
     }
 
+    private static int sockets(Fields limits) {
+        long sockets = limits.whole("sockets");
+        if (sockets <= OTHER_DESCRIPTORS) {
+            throw new IllegalArgumentException("limits.sockets: more than " + OTHER_DESCRIPTORS + " are needed");
+        }
+        return (int) Math.min(sockets, Integer.MAX_VALUE);
+    }
+
+    /** How many connections clients may hold. */
+    int clientConnections() {
+        return (int) Math.ceil(CLIENT_SHARE * (sockets - OTHER_DESCRIPTORS));
+    }
+
+    /** How many connections to hosts there may be. */
+    int hostConnections() {
+        return Math.max(1, sockets - OTHER_DESCRIPTORS - clientConnections());
+    }
+
     private static String variable(Map<String, String> environment, String name) throws BadConfigException {
         String value = environment.get(name);
         if (value == null || value.isEmpty()) {
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -122,23 +122,27 @@
     }
 
     /**
-     * Takes a message on; null where there is no room for it. The client is answered at the end of the round,
-     * so that one who leaves meanwhile is noticed and one whose message ends at once hears that instead.
+     * Takes a message on and returns it; its client is answered at the end of the round, so that one who leaves
+     * meanwhile is noticed and one whose message ends at once hears that instead. Null where the client has its
+     * answer already.
      */
     Message takeOn(Message.Content content, Message.ClientReply client) {
         Message same = byCallId.get(content.callId());
         if (same != null) {
-            // Guards against a client that sends a request once more since its connection closed on it.
-            loop.execute(client::taken);
-            return same;
+            // Guards against a client that sends a request once more since its connection closed on it. One
+            // whose own client may yet withdraw it, or that is over, is not taken on.
+            if (same.client == null && same.end == null && !same.over) {
+                client.taken();
+            } else {
+                client.failed();
+            }
+            return null;
         }
         // Guards against a list from before a restart: a destination may be new since, so this is no failure.
         boolean reachable = destinations.contains(content.destination());
-        if (!ready || !reachable || held >= config.settings().limits().maxOpen()) {
-            return null;
-        }
         Message message = new Message(nextNumber, content);
-        if (!journal.accept(message)) {
+        if (!ready || !reachable || held >= config.settings().limits().maxOpen() || !journal.accept(message)) {
+            client.refused(0);
             return null;
         }
         nextNumber++;
--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/relay/HostCall.java
@@ -307,13 +307,13 @@
 
     /** Gives the whole call up. What has not left whole never ran. */
     private void abandon(Result result) {
-        end(sent ? result : Result.CONNECT_FAILED);
-        if (connection != null) {
-            client.closeIdle(host);
-            connection.close();
-        } else {
-            client.unqueue(this);
+        if (connection == null) {
+            end(client.unqueue(this));
+            return;
         }
+        end(sent ? result : Result.CONNECT_FAILED);
+        client.closeIdle(host);
+        connection.close();
     }
 
     private static long waitOf(String text) {
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/relay/HostClient.java
@@ -102,7 +102,9 @@
     /** Idle connections of all hosts, the one that has stood longest first. */
     private final Set<HostConnection> idle = new LinkedHashSet<>();
     private final Map<Message.Attempt, HostCall> calls = new HashMap<>();
-    private int connections;
+    private final Set<HostConnection> connections = new HashSet<>();
+    /** Hosts whose calls wait until another connection has closed, as there may be no more. */
+    private final Set<Host> crowdedOut = new LinkedHashSet<>();
 
     HostClient(EventLoop loop, Clock clock, Config config, Results results) {
         this.loop = loop;
@@ -111,7 +113,7 @@
         reports = config.reports();
         // Guards against a call on a connection that the host is just closing: it would end as a reset.
         idleSpan = Math.max(config.idleSpan() / 2, config.idleSpan() - SECOND);
-        mostConnections = config.sockets() / 3;
+        mostConnections = config.hostConnections();
         config.settings().kinds().forEach(kind -> kinds.put(kind.name(), kind));
         long connectTimeout = config.settings().limits().connectTimeout();
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -235,11 +237,15 @@
     }
 
     private void connect(Host host) {
-        if (connections >= mostConnections && !idle.isEmpty()) {
+        if (connections.size() >= mostConnections && !idle.isEmpty()) {
             idle.iterator().next().close();
         }
+        // Guards against more descriptors than there are, where nothing is idle: the calls wait.
+        if (connections.size() >= mostConnections) {
+            crowdedOut.add(host);
+            return;
+        }
         host.connecting++;
-        connections++;
         HostConnection connection = new HostConnection(this, host);
         ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
@@ -247,19 +253,42 @@
                 ch.pipeline().addLast(connection.handlers());
             }
         }).connect(host.target.address());
-        future.channel().closeFuture().addListener(closed -> connections--);
+        connections.add(connection);
+        future.channel().closeFuture().addListener(closed -> gone(connection));
         future.addListener(connected -> {
-            host.connecting--;
             if (connected.isSuccess()) {
+                host.connecting--;
                 free(connection);
-            } else if (host.queue.size() > host.connecting) {
-                HostCall oldest = host.queue.iterator().next();
-                host.queue.remove(oldest);
-                oldest.end(Result.CONNECT_FAILED);
+            } else {
+                // Guards against a socket that could not even be opened: its failure is told on another thread.
+                loop.execute(() -> notConnected(connection));
             }
         });
     }
 
+    private void notConnected(HostConnection connection) {
+        Host host = connection.host();
+        host.connecting--;
+        if (host.queue.size() > host.connecting) {
+            HostCall oldest = host.queue.iterator().next();
+            host.queue.remove(oldest);
+            oldest.end(Result.CONNECT_FAILED);
+        }
+        gone(connection);
+    }
+
+    /** One connection less: those that wait for room come next. */
+    private void gone(HostConnection connection) {
+        if (connections.remove(connection)) {
+            for (Host host : List.copyOf(crowdedOut)) {
+                crowdedOut.remove(host);
+                for (int missing = host.queue.size() - host.connecting; missing > 0; missing--) {
+                    connect(host);
+                }
+            }
+        }
+    }
+
     /** A connection can carry a call: one that waits for it, or a later one. */
     void free(HostConnection connection) {
         Host host = connection.host();
@@ -267,7 +296,7 @@
             HostCall call = host.queue.iterator().next();
             host.queue.remove(call);
             begin(connection, call);
-        } else if (hosts.get(host.route()) != host || !host.isListed()) {
+        } else if (hosts.get(host.route()) != host || !host.isListed() || !crowdedOut.isEmpty()) {
             connection.close();
         } else {
             host.idle.addLast(connection);
@@ -292,9 +321,11 @@
         }
     }
 
-    /** Drops a call that was given up before it had a connection. */
-    void unqueue(HostCall call) {
-        call.host().queue.remove(call);
+    /** Drops a call that was given up before it had a connection; the result says whether the host is to blame. */
+    Result unqueue(HostCall call) {
+        Host host = call.host();
+        host.queue.remove(call);
+        return host.connecting > 0 ? Result.CONNECT_FAILED : Result.NOT_SENT;
     }
 
     void toldToWait(Host host, long span) {
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -30,7 +30,7 @@
         journal = new Journal(config.state(), config.diskBytes());
         engine = new Engine(loop, clock, config, journal, Logic::new);
         discovery = new Discovery(loop, config.discovery(), engine);
-        clients = new ClientServer(engine, clock, config.sockets());
+        clients = new ClientServer(engine, clock, config.clientConnections());
     }
 
     /** Resumes what the journal holds and serves. */
--- /dev/null
+++ b/src/test/java/pipitstage/relay/BadClientTest.java
@@ -0,0 +1,143 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+import static pipitstage.relay.StubPeer.status;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Clients that send what can't be used, too much, or nothing at all. */
+class BadClientTest extends RelayTestBase {
+    private final List<Socket> open = new ArrayList<>();
+
+    @BeforeEach
+    void prepare() throws IOException {
+        prepare(RelayProcess.quietDiscovery(), StubPeer.always(status(200)));
+    }
+
+    @AfterEach
+    void closeAll() throws IOException {
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = relay.connect();
+        open.add(socket);
+        return socket;
+    }
+
+    private static int read(Socket socket) throws IOException {
+        try {
+            return socket.getInputStream().read();
+        } catch (SocketException e) {
+            return -1;
+        }
+    }
+
+    @Test
+    void clientThatSaysNothingIsLetGo() throws IOException {
+        relay.start();
+        assertEquals(-1, read(connect()));
+    }
+
+    @Test
+    void clientThatStopsHalfwayIsToldAndLetGo() throws IOException {
+        relay.start();
+        for (String half : List.of("POST /api HT", RelayProcess.message("h1", "safe", 7, 1000, "hello").replace("hello", "h"))) {
+            Socket socket = connect();
+            assertEquals(408, RelayProcess.exchange(socket, half).status());
+            assertEquals(-1, read(socket));
+        }
+        Socket socket = connect();
+        assertEquals(202, RelayProcess.exchange(socket, RelayProcess.message("w1", "safe", 7, 20_000, "x")).status());
+        assertEquals(408, RelayProcess.exchange(socket, "POST").status(), "also in a later request");
+    }
+
+    @Test
+    void tooLargeBodyIsRefusedAtItsHeadAndReadOn() throws IOException {
+        relay.start();
+        String head = RelayProcess.message("l1", "safe", 7, 1000, "").replace("Length: 0", "Length: 60000000");
+        assertEquals(413, RelayProcess.exchange(connect(), head).status());
+        Socket socket = connect();
+        socket.getOutputStream().write(head.getBytes());
+        byte[] piece = new byte[1_000_000];
+        for (int i = 0; i < 60; i++) {
+            socket.getOutputStream().write(piece);
+        }
+        assertEquals(413, RelayProcess.exchange(socket, "").status());
+        assertEquals(-1, read(socket));
+    }
+
+    @Test
+    void requestWhoseLengthIsInDoubtIsRefused() throws IOException {
+        relay.start();
+        String good = RelayProcess.message("d1", "safe", 7, 1000, "0\r\n\r\nGET /-/ready HTTP/1.1\r\n\r\n");
+        String length = "Content-Length: 30\r\n";
+        assertTrue(good.contains(length), good);
+        for (String lengths : List.of(length + "Transfer-Encoding: chunked\r\n", length + length,
+                "Transfer-Encoding: chunked\r\n" + length, "Content-Length: -5\r\n", "Content-Length: 0x5\r\n",
+                length + "Content-Length: 5\r\n", length + "Transfer-Encoding: xchunked\r\n",
+                "Transfer-Encoding: identity\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n")) {
+            Socket socket = connect();
+            assertEquals(400, RelayProcess.exchange(socket, good.replace(length, lengths)).status(), lengths);
+            assertEquals(-1, read(socket), lengths);
+        }
+        assertEquals(505, RelayProcess.exchange(connect(), good.replace("HTTP/1.1", "HTTP/1.0")).status());
+        assertEquals(0, host.count("POST"));
+    }
+
+    @Test
+    void idOfAnotherClientsOpenRequestIsNotTakenOn() throws IOException {
+        relay.period("1").start();
+        Socket first = connect();
+        first.getOutputStream().write(RelayProcess.message("same", "safe", 7, 20_000, "x").getBytes());
+        await(() -> !relay.journaled().isEmpty());
+        assertEquals(500, relay.handIn("same", "safe", 7));
+        assertEquals(202, RelayProcess.exchange(first, "").status());
+        await(() -> host.count("POST") == 1);
+    }
+
+    @Test
+    void hundredsOfRequestsAtOnceAreAllAnswered() throws IOException {
+        relay.start();
+        Socket socket = connect();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 400; i++) {
+            all.append(RelayProcess.message("p" + i, i % 2 == 0 ? "safe" : "nosuch", 7, 20_000, "x"));
+        }
+        assertTrue(RelayProcess.exchange(socket, all.toString()).status() >= 202);
+        for (int i = 1; i < 400; i++) {
+            int status = RelayProcess.exchange(socket, "").status();
+            assertTrue(i % 2 == 0 ? status == 202 || status == 503 : status == 400, i + ": " + status);
+        }
+    }
+
+    @Test
+    void silentClientsAndHalfReadBodiesLeaveRoomForOthers() throws IOException {
+        relay.start();
+        for (int i = 0; i < 300; i++) {
+            connect();
+        }
+        assertEquals(202, relay.handIn("r1", "safe", 7));
+        String half = RelayProcess.message("b", "safe", 7, 1000, "x".repeat(65_000));
+        for (int i = 0; i < 300; i++) {
+            try {
+                connect().getOutputStream().write(half.substring(0, half.length() - 1).getBytes());
+            } catch (SocketException e) {
+                // The relay has no room for this one.
+            }
+        }
+        assertEquals(202, relay.handIn("r2", "safe", 7));
+        assertTrue(relay.isAlive());
+    }
+}
