Tell a route's time-outs from a message's own deadline; free slots that lost answers hold

At fault: Logic.judge, which took any time-out for the route's failure; sendTest, which took the cheapest message, not one with time left; crowded, which kept a destination to a fifth of the slots when half were out; loss, whose cliff at the deadline saves the oldest message each time, so that all come late. Now: a time-out sooner than a test's counts for nothing; tests have time left; calls that can't be answered in time are not sent; an overdue call gives its slot up when others want it; a group is tested by its best route; newest first where a tenth of a destination's messages run out of time. Ruled out: leaked slots, connections or calls (out, calls and sockets agreed), CPU, the relay's queues.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -39,7 +39,7 @@
     private static final double ROUGH_DIVISOR = 1.5; // a rough rate may be half too high
 
     // Time-outs and silence.
-    private static final long TIMEOUT_FLOOR = 6_000_000; // slow calls must not be sent twice
+    private static final long TIMEOUT_FLOOR = 4_000_000; // slow calls must not be sent twice
     private static final long OVERDUE_FLOOR = 2_500_000; // later than most goals
     private static final double OVERDUE_RATIO = 8; // times the usual response: work varies that much
     private static final long TEST_TIMEOUT = 1_500_000; // a longer test has told enough
@@ -47,9 +47,13 @@
     private static final long FIRST_GUESS = 400_000; // response before the first answer
     private static final long STALE = 5_000_000; // a response so old says nothing of now
 
+    // Overload.
+    private static final double OVERLOAD = 0.1; // of a destination's messages that run out of time
+
     // Slots.
     private static final double SLOT_SHARE = 0.5; // of one destination
-    private static final double SCARCE_SLOT_SHARE = 0.2; // of a slow one, and of any with half the slots out
+    private static final double SCARCE_SLOT_SHARE = 0.2; // of a slow one, and of any while few slots are left
+    private static final double SCARCE_FROM = 0.75; // of the slots out: those left are for other destinations
 
     // Notes.
     private static final long GUARD = 10_000_000; // how long trouble told of makes all ask for turns
@@ -163,6 +167,7 @@
         Request request = new Request(e, type, destination(e.destination()));
         requests.put(request.id, request);
         ends.add(request);
+        count(request.destination.came);
         held++;
         hold(request);
         if (request.key != null) {
@@ -247,6 +252,7 @@
         while (!ends.isEmpty() && ends.first().deadline <= now) {
             Request request = ends.pollFirst();
             if (request.out == 0) {
+                count(request.destination.lost);
                 end(request);
             }
         }
@@ -290,7 +296,9 @@
         heed(call.route.group, e.toldWait());
         if (!call.judged) {
             call.judged = true;
-            judge(call, e.result(), e.toldWait(), e.elapsed(), e.report());
+            // Guards against blaming a route for a message that was sent shortly before its time was up.
+            boolean early = e.result() == Result.TIMEOUT && e.elapsed() < testTimeout(call.route);
+            judge(call, early ? Result.NOT_SENT : e.result(), e.toldWait(), e.elapsed(), e.report());
         }
         rest(request, e.result());
         if (request.done) {
@@ -577,7 +585,8 @@
     /** Guards against one destination, above all a slow one, that holds every slot. */
     private boolean crowded(Group group, Route route) {
         int slots = settings.limits().callSlots();
-        boolean scarce = out.size() > slots / 2 || route.response > SLUGGISH / 2;
+        boolean slow = route.response > SLUGGISH / 2 || mute(route, 0.5);
+        boolean scarce = slow || out.size() > slots * SCARCE_FROM;
         double part = scarce ? SCARCE_SLOT_SHARE : SLOT_SHARE;
         return group.calls >= (int) Math.ceil(slots * part);
     }
@@ -665,9 +674,29 @@
             call(next.request, next.route, false);
             addCandidate(next.request.destination, candidates);
         }
+        dropOverdue(candidates.size());
         busy.forEach(this::wantTurns);
     }
 
+    /** Guards against calls whose answers are lost, which would hold every slot until their time is up. */
+    private void dropOverdue(int wanted) {
+        if (wanted == 0 || !settings.limits().cancel()) {
+            return;
+        }
+        List<Call> overdue = out.stream().filter(call -> !call.dropped && overdueAt(call) <= now).limit(wanted)
+                .toList();
+        for (Call call : overdue) {
+            call.dropped = true;
+            for (Request request : call.requests) {
+                for (int i = 0; i < request.attempts.size(); i++) {
+                    if (request.attempts.get(i).call == call && request.attempts.get(i).result == null) {
+                        actions.cancel(request.id, i);
+                    }
+                }
+            }
+        }
+    }
+
     private void addCandidate(Destination destination, PriorityQueue<Candidate> candidates) {
         if (destination.waiting.isEmpty()) {
             return;
@@ -681,7 +710,7 @@
         for (Request request : destination.waiting) {
             double loss = loss(request, usable.get(0));
             boolean earlier = best != null && loss == most && request.deadline < best.deadline;
-            if ((loss > most || earlier) && hasTurn(request)
+            if ((loss > most || earlier) && hasTurn(request) && inTime(request, usable.get(0))
                     && usable.stream().anyMatch(route -> allowed(request, route))) {
                 best = request;
                 most = loss;
@@ -692,10 +721,20 @@
         }
     }
 
-    /** What a request loses if others go first for a while. */
+    /**
+     * What a request loses if others go first for a while. Where messages run out of time, one that waits is
+     * lost: saving the oldest each time would deliver all of them late.
+     */
     private double loss(Request request, Route route) {
         long arrival = now + (long) response(route);
-        return value(request, arrival) - value(request, arrival + HORIZON);
+        Destination destination = request.destination;
+        boolean overloaded = rate(destination.lost) > OVERLOAD * rate(destination.came);
+        return value(request, arrival) - (overloaded ? 0 : value(request, arrival + HORIZON));
+    }
+
+    /** Guards against calls that can't be answered in time any more. */
+    private boolean inTime(Request request, Route route) {
+        return request.deadline - now > response(route) / 2;
     }
 
     /** Within pace; while all ask for turns, with a turn or after waiting for one in vain. */
@@ -817,7 +856,10 @@
         for (Route route : destination.routes.values()) {
             boolean whole = route.group.circuit.state != CircuitState.CLOSED;
             Circuit circuit = whole ? route.group.circuit : route.circuit;
-            if (route.listed && testable(circuit) && now >= route.group.waitUntil
+            // Guards against a group that is tested again and again by its one dead route.
+            boolean better = whole && route.group.routes.stream()
+                    .anyMatch(other -> other.listed && other.circuit.run < route.circuit.run);
+            if (route.listed && !better && testable(circuit) && now >= route.group.waitUntil
                     && out.size() < settings.limits().callSlots()) {
                 sendTest(destination, route, circuit);
             }
@@ -825,7 +867,9 @@
     }
 
     private void sendTest(Destination destination, Route route, Circuit circuit) {
-        Request chosen = destination.waiting.stream().filter(r -> hasTurn(r) && allowed(r, route))
+        // Guards against a test that only tells that its message's time was up.
+        Request chosen = destination.waiting.stream()
+                .filter(r -> hasTurn(r) && allowed(r, route) && r.deadline - now >= testTimeout(route))
                 .min(Comparator.comparingInt(Logic::testCost)).orElse(null);
         if (chosen == null) {
             return;
@@ -883,8 +927,11 @@
         if (last) {
             return 0;
         }
-        return call.test ? Math.max(TEST_TIMEOUT, (long) (TEST_RATIO * response(call.route)))
-                : Math.max(TIMEOUT_FLOOR, (long) (OVERDUE_RATIO * response(call.route)));
+        return call.test ? testTimeout(call.route) : Math.max(TIMEOUT_FLOOR, (long) (OVERDUE_RATIO * response(call.route)));
+    }
+
+    private long testTimeout(Route route) {
+        return Math.max(TEST_TIMEOUT, (long) (TEST_RATIO * response(route)));
     }
 
     private void list(RouteList e) {
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -113,6 +113,8 @@
     static final class Destination {
         final Map<String, Route> routes = new LinkedHashMap<>();
         final Set<Request> waiting = new LinkedHashSet<>();
+        final Rate came = new Rate();
+        final Rate lost = new Rate();
     }
 
     /** One call at a destination, which may carry several requests. */
@@ -123,6 +125,7 @@
         final List<Request> requests = new ArrayList<>(1);
         int pending;
         boolean judged;
+        boolean dropped;
 
         Call(Route route, long sentAt, boolean test) {
             this.route = route;
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -65,6 +65,48 @@
         assertEquals(2, relay.sends(10) + relay.sends(11));
     }
 
+    @Test
+    void timeoutThatComesFromTheDeadlineIsNotTheRoutesFailure() {
+        for (int id = 1; id <= 5; id++) {
+            relay.round(accepted(id, 300 * MS)).pass(300 * MS).answer(id, Result.TIMEOUT);
+        }
+        assertEquals(5, relay.sent.size());
+        assertTrue(relay.logged.isEmpty());
+    }
+
+    @Test
+    void testGoesByAMessageWithTimeLeft() {
+        openC();
+        relay.round(accepted(10, 2500 * MS)).accept(11, "safe", 2).pass(6 * S);
+        assertEquals(0, relay.sends(10));
+        assertEquals(1, relay.sends(11));
+    }
+
+    @Test
+    void overdueCallGivesWayWhereSlotsAreWanted() {
+        Relay narrow = new Relay(Relay.settings(1, 100)).list(route("c", 2, "apart", "east"), route("a", 1, "plain", "east"));
+        narrow.accept(1, "once", 2).pass(10 * S);
+        assertTrue(narrow.cancelled.isEmpty(), "nobody wants its slot");
+        narrow.accept(2, "safe", 1);
+        assertEquals(List.of(1L), narrow.cancelled);
+    }
+
+    @Test
+    void newestGoesFirstWhereMessagesRunOutOfTime() {
+        Relay narrow = new Relay(Relay.settings(1, 100)).list(route("a", 1, "plain", "east"));
+        for (int id = 1; id <= 9; id++) {
+            narrow.accept(id, "once", 1);
+        }
+        narrow.pass(15 * S).accept(10, "once", 1).pass(6 * S).accept(11, "once", 1).answer(1, Result.NOT_SENT);
+        assertEquals(9, narrow.refused.size());
+        assertEquals(1, narrow.sends(11));
+        assertEquals(0, narrow.sends(10));
+    }
+
+    private Policy.Accepted accepted(long id, long left) {
+        return new Policy.Accepted(id, "safe", null, null, relay.now + left, 2);
+    }
+
     @Test
     void oneFailureOpensWhereCallsAreRare() {
         relay.accept(1, "safe", 2).pass(MS).answer(1, Result.CONNECT_FAILED).accept(2, "safe", 2).pass(S);
