Forget routes that are gone; newest first from 2 in 100 messages lost

At fault: Logic.list, which only marked them. Now a route goes once it is not listed, no call is out and no told wait runs; lines of ordered keys go after their rest.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -48,7 +48,8 @@
     private static final long STALE = 5_000_000; // a response so old says nothing of now
 
     // Overload.
-    private static final double OVERLOAD = 0.1; // of a destination's messages that run out of time
+    private static final double OVERLOAD = 0.02; // of a destination's messages that run out of time
+    private static final double LOST_TO_TELL = 3; // in ten seconds: fewer say little
 
     // Slots.
     private static final double SLOT_SHARE = 0.5; // of one destination
@@ -300,6 +301,7 @@
             boolean early = e.result() == Result.TIMEOUT && e.elapsed() < testTimeout(call.route);
             judge(call, early ? Result.NOT_SENT : e.result(), e.toldWait(), e.elapsed(), e.report());
         }
+        forgetIfGone(call.route);
         rest(request, e.result());
         if (request.done) {
             settle(request);
@@ -683,8 +685,8 @@
         if (wanted == 0 || !settings.limits().cancel()) {
             return;
         }
-        List<Call> overdue = out.stream().filter(call -> !call.dropped && overdueAt(call) <= now).limit(wanted)
-                .toList();
+        List<Call> overdue = out.stream().filter(call -> !call.dropped && overdueAt(call) <= now)
+                .limit(wanted).toList();
         for (Call call : overdue) {
             call.dropped = true;
             for (Request request : call.requests) {
@@ -728,7 +730,9 @@
     private double loss(Request request, Route route) {
         long arrival = now + (long) response(route);
         Destination destination = request.destination;
-        boolean overloaded = rate(destination.lost) > OVERLOAD * rate(destination.came);
+        double lost = rate(destination.lost);
+        boolean overloaded = lost > OVERLOAD * rate(destination.came)
+                && lost * RATE_SPAN > LOST_TO_TELL * SECOND;
         return value(request, arrival) - (overloaded ? 0 : value(request, arrival + HORIZON));
     }
 
@@ -927,7 +931,8 @@
         if (last) {
             return 0;
         }
-        return call.test ? testTimeout(call.route) : Math.max(TIMEOUT_FLOOR, (long) (OVERDUE_RATIO * response(call.route)));
+        return call.test ? testTimeout(call.route)
+                : Math.max(TIMEOUT_FLOOR, (long) (OVERDUE_RATIO * response(call.route)));
     }
 
     private long testTimeout(Route route) {
@@ -947,6 +952,24 @@
             route.listed = entry.availability() == Availability.LISTED;
             route.rate = entry.rate();
         }
+        List.copyOf(routes.values()).forEach(this::forgetIfGone);
+    }
+
+    /**
+     * Guards against a list that changes all day: a route is forgotten once it is not listed, no call to it is
+     * out and no wait that it told runs. Requests keep what they need of it.
+     */
+    private void forgetIfGone(Route route) {
+        Group group = route.group;
+        if (route.listed || !route.out.isEmpty() || now < group.waitUntil) {
+            return;
+        }
+        routes.remove(route.name);
+        route.destination.routes.remove(route.name);
+        group.routes.remove(route);
+        if (group.routes.isEmpty() && route.circuit == group.circuit) {
+            groups.remove(group.number);
+        }
     }
 
     private Route newRoute(Listed entry) {
@@ -972,6 +995,7 @@
     private void timer(long name) {
         if (name == WAKE) {
             wakeAt = now >= wakeAt ? Long.MAX_VALUE : wakeAt;
+            lines.values().removeIf(line -> line.requests.isEmpty() && line.restUntil <= now);
         } else if (name == ASK) {
             asked = !settings.mustSubscribe();
             askForList();
--- a/src/test/java/pipitstage/Relay.java
+++ b/src/test/java/pipitstage/Relay.java
@@ -38,6 +38,10 @@
         policy = new Logic(settings);
     }
 
+    Policy module() {
+        return policy;
+    }
+
     /** Two kinds: shared limits in batches of four ("plain" carries one), and routes apart. */
     static Policy.Settings settings() {
         return settings(10, 100);
