--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -210,13 +210,20 @@
     /** Ends a request that has no attempt out, undelivered. */
     private void end(Request request) {
         if (refusable(request)) {
-            actions.refuse(request.id, 0);
+            actions.refuse(request.id, settings.limits().retryAdvice() ? comeBackIn(request) : 0);
         } else {
             actions.fail(request.id);
         }
         finish(request);
     }
 
+    /** When a route of the request's destination may be free again: what the client had better wait for. */
+    private long comeBackIn(Request request) {
+        long due = request.destination.routes.values().stream().filter(route -> route.listed)
+                .mapToLong(this::dueAt).min().orElse(Long.MAX_VALUE);
+        return due == Long.MAX_VALUE ? SECOND : Math.max(SECOND / 2, due - now);
+    }
+
     private void finish(Request request) {
         request.done = true;
         held--;
@@ -359,7 +366,9 @@
         }
         switch (result) {
             case OK -> served(call, elapsed);
-            case ERROR, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED -> failed(call);
+            case ERROR, TIMEOUT, CONNECT_FAILED, CANCELLED -> failed(call, 1);
+            // Guards against taking connections that break for a route that fails: that one refuses new ones.
+            case RESET -> failed(call, 0);
             case FULL -> refused(call, wait);
             case NOT_SENT -> { }
         }
@@ -413,17 +422,17 @@
         }
     }
 
-    private void failed(Call call) {
+    private void failed(Call call, int weight) {
         Route route = call.route;
         Group group = route.group;
         route.errorRate += WEIGHT * (1 - route.errorRate);
-        route.circuit.run++;
+        route.circuit.run += weight;
         boolean bad = route.circuit.run >= failuresToOpen(group) || route.errorRate > UNHEALTHY;
         if (bad || route.circuit.state != CircuitState.CLOSED && call.test) {
             open(route.circuit, group, false, 0);
         }
         if (group.circuit != route.circuit) {
-            group.circuit.run++;
+            group.circuit.run += weight;
             boolean noneLeft = group.routes.stream()
                     .noneMatch(r -> r.listed && r.circuit.state == CircuitState.CLOSED);
             if (group.circuit.run >= FAILURES_TO_OPEN || noneLeft) {
@@ -956,8 +965,8 @@
     }
 
     /**
-     * Guards against a list that changes all day: a route is forgotten once it is not listed, no call to it is
-     * out and no wait that it told runs. Requests keep what they need of it.
+     * Guards against a list that changes all day: a route is forgotten once it is not listed, no call to it
+     * is out and no wait that it told runs. Requests keep what they need of it.
      */
     private void forgetIfGone(Route route) {
         Group group = route.group;
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/relay/Engine.java
@@ -24,6 +24,11 @@
 final class Engine implements Policy.Actions, HostClient.Results, Discovery.Listener {
     /** When a message that the module has left open past its deadline is ended: in time for its notice. */
     private static final long LATEST_END = 200_000;
+    private static final long COME_BACK = 1_000_000;
+    /** How late a round may be while messages are still taken on; clients wait 400 ms for their answer. */
+    private static final long MOST_LAG = 150_000;
+    /** How long a request may have been on its way from its client, whose clock its deadline goes by. */
+    private static final long TOO_LATE = 50_000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -44,6 +49,7 @@
     private int held;
     private int attemptsOut;
     private boolean roundDue;
+    private long roundAt;
     private boolean frozen;
     private boolean ready;
     private boolean listTold;
@@ -140,9 +146,11 @@
         }
         // Guards against a list from before a restart: a destination may be new since, so this is no failure.
         boolean reachable = destinations.contains(content.destination());
+        // Guards against promises that a relay short of CPU can't keep: what comes then is refused at once.
+        boolean behind = roundDue && clock.micros() - roundAt > MOST_LAG;
         Message message = new Message(nextNumber, content);
-        if (!ready || !reachable || held >= config.settings().limits().maxOpen() || !journal.accept(message)) {
-            client.refused(0);
+        if (!ready || behind || !reachable || held >= config.settings().limits().maxOpen() || !journal.accept(message)) {
+            client.refused(COME_BACK);
             return null;
         }
         nextNumber++;
@@ -190,6 +198,7 @@
             roundDue = true;
             // Guards, by a whole period, against answering a client whose leaving has come but is not read yet.
             loop.schedule(this::round, config.period(), TimeUnit.MICROSECONDS);
+            roundAt = clock.micros() + config.period();
         }
     }
 
@@ -250,7 +259,12 @@
         attempt.result = result;
         message.attemptEnded();
         attemptsOut--;
-        if (over && message.end == null && !message.over) {
+        boolean late = result == Result.OK && clock.micros() > message.content.deadline() - TOO_LATE;
+        if (late) {
+            // Guards against a delivery that comes after the time that its client counts: that is none.
+            journal.result(attempt);
+            end(message.number, new Message.End(false, 0));
+        } else if (over && message.end == null && !message.over) {
             close(message);
         } else if (!message.over) {
             journal.result(attempt);
--- a/src/main/java/pipitstage/relay/Journal.java
+++ b/src/main/java/pipitstage/relay/Journal.java
@@ -26,10 +26,12 @@
  * <p>Appending needs no sync: what was written outlasts the process, and nothing outlasts the machine.
  */
 final class Journal implements AutoCloseable {
-    // Shares of the disk. Both segments are there during rewriting: 0.45 + 0.4 at the most.
+    // Shares of the disk. Both segments are there during rewriting: 0.5 + 0.4 at the most.
     private static final double LARGEST_OPEN = 0.3; // what is open when a message is taken on
     private static final double LARGEST_FINISHED = 0.1; // then the segment is rewritten
-    private static final double LARGEST_SEGMENT = 0.45;
+    private static final double LARGEST_SEGMENT = 0.45; // for what makes the relay owe more
+    private static final double LARGEST_WITH_ENDS = 0.5; // so that an end has room without a rewrite
+    private static final long REWRITE_PAUSE = 1_000_000_000; // after a rewrite that failed
 
     private static final String SEGMENT = "journal-%010d.log";
     private static final String UNFINISHED = "journal.new";
@@ -66,6 +68,7 @@
     private long openBytes;
     private long lastNumber;
     private boolean broken;
+    private long nextRewrite = System.nanoTime();
 
     /** Opens the journal of a folder and replays it; a torn tail is cut off. */
     Journal(Path folder, long disk) throws IOException {
@@ -104,7 +107,7 @@
     /** Records that a message is taken on; false where there is no room or the disk fails. */
     boolean accept(Message message) {
         byte[] record = record(accepted(message));
-        if (openBytes + record.length > LARGEST_OPEN * disk || !append(record)) {
+        if (openBytes + record.length > LARGEST_OPEN * disk || !append(record, LARGEST_SEGMENT)) {
             return false;
         }
         add(message, record.length);
@@ -113,17 +116,17 @@
 
     /** Records an attempt before its first byte leaves; false where it can't be recorded. */
     boolean attempt(Message.Attempt attempt) {
-        return note(attempt.message, attempt(attempt.message, attempt));
+        return note(attempt.message, attempt(attempt.message, attempt), LARGEST_SEGMENT);
     }
 
     /** Records what is known of an attempt that has ended, above all the proof that it never ran. */
     void result(Message.Attempt attempt) {
-        note(attempt.message, result(attempt.message, attempt));
+        note(attempt.message, result(attempt.message, attempt), LARGEST_WITH_ENDS);
     }
 
     /** Records the end that the platform is still to be told of. */
     void decided(Message message) {
-        note(message, decision(message));
+        note(message, decision(message), LARGEST_WITH_ENDS);
     }
 
     /** Records that nothing more is owed for a message. */
@@ -131,11 +134,12 @@
         boolean noted = note(message, out -> {
             out.writeByte(DONE);
             out.writeLong(message.number);
-        });
+        }, LARGEST_WITH_ENDS);
         boolean known = open.containsKey(message.number);
         forget(message.number);
         // Guards against a full disk that would bring a finished message back: a rewrite leaves it out.
-        if (known && !noted || size - openBytes > LARGEST_FINISHED * disk) {
+        boolean wanted = known && !noted || size - openBytes > LARGEST_FINISHED * disk;
+        if (wanted && System.nanoTime() - nextRewrite >= 0) {
             rewrite();
         }
     }
@@ -145,10 +149,10 @@
         segment.close();
     }
 
-    private boolean note(Message message, Payload payload) {
+    private boolean note(Message message, Payload payload, double share) {
         Open entry = open.get(message.number);
         byte[] record = record(payload);
-        if (entry == null || !append(record)) {
+        if (entry == null || !append(record, share)) {
             return false;
         }
         entry.bytes += record.length;
@@ -172,8 +176,8 @@
     }
 
     /** Appends a record whole or, where the disk is full or fails, not at all. */
-    private boolean append(byte[] record) {
-        if (broken || size + record.length > LARGEST_SEGMENT * disk) {
+    private boolean append(byte[] record, double share) {
+        if (broken || size + record.length > share * disk) {
             return false;
         }
         try {
@@ -236,6 +240,7 @@
             Files.deleteIfExists(old);
         } catch (IOException e) {
             Log.line("journal: can't be rewritten: " + e.getMessage());
+            nextRewrite = System.nanoTime() + REWRITE_PAUSE;
         }
     }
 
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -74,6 +74,15 @@
         assertTrue(relay.logged.isEmpty());
     }
 
+    @Test
+    void connectionsThatBreakNowAndThenOpenNothing() {
+        callOften();
+        for (int id = 1; id <= 3; id++) {
+            relay.accept(id, "once", 2).pass(MS).answer(id, Result.RESET);
+        }
+        assertTrue(relay.logged.isEmpty());
+    }
+
     @Test
     void testGoesByAMessageWithTimeLeft() {
         openC();
--- a/src/test/java/pipitstage/relay/JournalTest.java
+++ b/src/test/java/pipitstage/relay/JournalTest.java
@@ -45,6 +45,25 @@
         }
     }
 
+    @Test
+    void endsHaveRoomWhereAttemptsHaveNone() throws IOException {
+        try (Journal journal = new Journal(folder, DISK)) {
+            List<Message> messages = new java.util.ArrayList<>();
+            for (int i = 1; i <= 100; i++) {
+                messages.add(message(i, 8_000));
+                assertTrue(journal.accept(messages.get(i - 1)));
+            }
+            int tried = 0;
+            while (journal.attempt(messages.get(tried % 100).addAttempt("r", 50))) {
+                tried++;
+            }
+            messages.forEach(journal::done);
+            int rewrites = Integer.parseInt(segment().getFileName().toString().replaceAll("\\D", ""));
+            assertTrue(rewrites < 10, "written again so often: " + rewrites);
+        }
+        assertTrue(reopened().isEmpty());
+    }
+
     @Test
     void everythingRecordedComesBack() throws IOException {
         try (Journal journal = new Journal(folder, DISK)) {
--- /dev/null
+++ b/src/test/java/pipitstage/relay/LogTest.java
@@ -0,0 +1,24 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import org.junit.jupiter.api.Test;
+
+class LogTest {
+    @Test
+    void floodOfLinesIsCutShort() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PrintStream before = System.err;
+        System.setErr(new PrintStream(bytes, true));
+        try {
+            for (int i = 0; i < 10_000; i++) {
+                Log.line("line " + i);
+            }
+        } finally {
+            System.setErr(before);
+        }
+        assertTrue(bytes.toString().lines().count() < 1_000, bytes.toString());
+    }
+}
