Keep the newest configuration in force whatever fails once at SIGHUP

Ways found, from the code and by causing them: - a socket that can't be opened in the moment of a move: Netty gives a channel that is not registered, to close it throws ("channel not registered to an event loop"), the task ends, and the notices never move; its failure also came on a foreign thread; - a file that can't be read at the signal (half written, empty) left the old address in force for good; - one end that can't be carried out left the notices marked as under way for good; - a signal before the handler stands ends the process. Ruled out by tests that passed before: signals that come together, a signal under SIGSTOP, an old agent that answers after the move, a new agent that refuses at first.

Change: reads are tried again every 100 ms for 10 s; the file is compared with what is in force after each 2 s of silence; the handler stands before the file is read; closing is safe for sockets that never opened; failures are logged.

--- a/src/main/java/pipitstage/relay/AgentClient.java
+++ b/src/main/java/pipitstage/relay/AgentClient.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -41,9 +42,14 @@
     private Future<?> timeout;
 
     AgentClient(EventLoop loop, InetSocketAddress agent) {
+        this(loop, agent, NioSocketChannel::new);
+    }
+
+    /** A connection whose sockets are made by a factory, which may fail. */
+    AgentClient(EventLoop loop, InetSocketAddress agent, ChannelFactory<Channel> sockets) {
         this.loop = loop;
         this.agent = agent;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop).channelFactory(sockets)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
@@ -77,7 +83,8 @@
                 opening.channel().writeAndFlush(request);
             } else {
                 request.release();
-                lost(opening.channel());
+                // Guards against a socket that could not even be opened: its failure is told on another thread.
+                loop.execute(() -> lost(opening.channel()));
             }
         });
     }
@@ -85,12 +92,17 @@
     /** Goes to another address from now on; a request that has no answer yet gets none. */
     void moveTo(InetSocketAddress next) {
         agent = next;
+        drop();
+        finish(0, "");
+    }
+
+    /** Guards against a socket that could not be opened: to close it throws, and what follows would not be done. */
+    private void drop() {
         Channel old = channel;
         channel = null;
-        if (old != null) {
+        if (old != null && old.isOpen()) {
             old.close();
         }
-        finish(0, "");
     }
 
     /** Guards against the end of an earlier connection that would be taken for the end of this one. */
@@ -103,8 +115,8 @@
 
     /** Guards against an agent that fell silent: its late answer must not be taken for the next one's. */
     private void giveUp() {
-        channel.close();
-        lost(channel);
+        drop();
+        finish(0, "");
     }
 
     private void finish(int status, String body) {
--- a/src/main/java/pipitstage/relay/Config.java
+++ b/src/main/java/pipitstage/relay/Config.java
@@ -17,11 +17,11 @@
 
 /**
  * Everything that a relay is told at its start. Spans are in microseconds; {@code knownVersion} is -1 and
- * {@code known} empty where no earlier list is known.
+ * {@code known} empty where no earlier list is known; {@code source} is the file that all this was read from.
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets, long diskBytes,
         Policy.Settings settings, long period, long idleSpan, boolean reports, long knownVersion,
-        List<Target> known) {
+        List<Target> known, byte[] source) {
 
     private static final long MIB = 1 << 20;
     /** Descriptors for all but connections: the JVM's own, the journal's, discovery's, and one just accepted. */
@@ -39,11 +39,14 @@
 
     /** Reads the configuration that the environment names. */
     static Config read(Map<String, String> environment) throws BadConfigException {
-        Path file = Path.of(variable(environment, "EDGE_CONFIG"));
+        Path file = file(environment);
         Path state = Path.of(variable(environment, "EDGE_STATE"));
-        try (JsonParser parser = new JsonFactory().createParser(Files.readString(file))) {
-            parser.nextToken();
-            return of(Fields.ofObject("config", Fields.read(parser)), state);
+        try {
+            byte[] source = Files.readAllBytes(file);
+            try (JsonParser parser = new JsonFactory().createParser(source)) {
+                parser.nextToken();
+                return of(Fields.ofObject("config", Fields.read(parser)), state, source);
+            }
         } catch (IOException e) {
             throw new BadConfigException("EDGE_CONFIG: can't be read: " + e.getMessage());
         } catch (WireException | IllegalArgumentException e) {
@@ -51,7 +54,12 @@
         }
     }
 
-    private static Config of(Fields json, Path state) {
+    /** The file that holds the configuration. */
+    static Path file(Map<String, String> environment) throws BadConfigException {
+        return Path.of(variable(environment, "EDGE_CONFIG"));
+    }
+
+    private static Config of(Fields json, Path state, byte[] source) {
         Fields params = json.object("settings");
         Fields limits = json.object("limits");
         Policy.Settings settings = WireCodec.settings(Long.parseUnsignedLong(json.text("seed"), 16), params);
@@ -66,7 +74,8 @@
         return new Config(address(json.text("listen")), address(json.text("discovery")), state,
                 sockets(limits),
                 (long) (limits.number("disk_mb") * MIB), settings, params.micros("period-s", 0),
-                params.object("limits").micros("conn-idle-s"), how != null && !how.equals("off"), version, known);
+                params.object("limits").micros("conn-idle-s"), how != null && !how.equals("off"), version, known,
+                source);
     }
 
     private static int sockets(Fields limits) {
--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/relay/Discovery.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -22,6 +23,8 @@
     private static final long PAUSE_MS = 100;
     /** Guards against an agent that answers at once again and again; far below what ends a watch. */
     private static final long BREATH_MS = 10;
+    /** So long without an answer that can be read is silence; far above what a watch waits for. */
+    private static final long SILENCE_MS = 2000;
 
     /** Takes in what discovery tells. */
     interface Listener {
@@ -31,17 +34,32 @@
     private final EventLoop loop;
     private final AgentClient agent;
     private final Listener listener;
+    private final Runnable silence;
     private final JsonFactory json = new JsonFactory();
     private long version = -1;
+    private Future<?> overdue;
 
-    Discovery(EventLoop loop, InetSocketAddress address, Listener listener) {
+    /** A watch at an address; {@code silence} is run each {@value #SILENCE_MS} ms for which nothing was heard. */
+    Discovery(EventLoop loop, InetSocketAddress address, Listener listener, Runnable silence) {
         this.loop = loop;
         this.listener = listener;
+        this.silence = silence;
         agent = new AgentClient(loop, address);
     }
 
     void start() {
         ask();
+        expectNews();
+    }
+
+    private void expectNews() {
+        if (overdue != null) {
+            overdue.cancel(false);
+        }
+        overdue = loop.schedule(() -> {
+            silence.run();
+            expectNews();
+        }, SILENCE_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Watches at another address from now on; its versions need not be those of the old one. */
@@ -72,6 +90,7 @@
             boolean whole = list.flag("all");
             List<Target> targets = Target.readAll(list);
             version = rev;
+            expectNews();
             if (whole || !targets.isEmpty()) {
                 listener.list(whole ? ListKind.FULL : ListKind.CHANGES, rev, targets);
             }
--- a/src/main/java/pipitstage/relay/Main.java
+++ b/src/main/java/pipitstage/relay/Main.java
@@ -25,11 +25,13 @@
 
     private static void serve() {
         try {
+            // Guards against a signal that would end the process, and against a file replaced while it starts.
+            Reload reload = Reload.onHangUp(System.getenv());
             Config config = Config.read(System.getenv());
             EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-            Relay relay = new Relay(loop, config);
-            Reload.onHangUp(System.getenv(), relay::reload);
+            Relay relay = new Relay(loop, config, reload::discoveryIsSilent);
             relay.start();
+            reload.start(config, relay::reload);
             Runtime.getRuntime().addShutdownHook(new Thread(relay::stop, "stop"));
         } catch (Config.BadConfigException e) {
             exit(e.getMessage(), MISUSE);
--- a/src/main/java/pipitstage/relay/Notices.java
+++ b/src/main/java/pipitstage/relay/Notices.java
@@ -66,7 +66,7 @@
                 Log.line("notices: the platform can't read what was sent");
             }
             batch.forEach(message -> waiting.poll());
-            batch.forEach(heard);
+            batch.forEach(this::tell);
         }
         if (waiting.isEmpty()) {
             out = false;
@@ -77,6 +77,15 @@
         }
     }
 
+    /** Guards against one message whose end can't be carried out: all later notices would wait for ever. */
+    private void tell(Message message) {
+        try {
+            heard.accept(message);
+        } catch (RuntimeException e) {
+            Log.line("notices: the end of " + message.content.callId() + " can't be carried out: " + e);
+        }
+    }
+
     private String line(Message message) {
         StringWriter text = new StringWriter();
         try (JsonGenerator json = factory.createGenerator(text)) {
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -24,13 +24,14 @@
     private final CountDownLatch stopped = new CountDownLatch(1);
     private long stopAt;
 
-    Relay(EventLoop loop, Config config) throws IOException {
+    /** A relay that asks for its configuration to be compared with its file while discovery is silent. */
+    Relay(EventLoop loop, Config config, Runnable discoveryIsSilent) throws IOException {
         this.loop = loop;
         this.config = config;
         Clock clock = new Clock();
         journal = new Journal(config.state(), config.diskBytes());
         engine = new Engine(loop, clock, config, journal, Logic::new);
-        discovery = new Discovery(loop, config.discovery(), engine);
+        discovery = new Discovery(loop, config.discovery(), engine, discoveryIsSilent);
         pulse = new Pulse(loop, clock);
         clients = new ClientServer(engine, clock, pulse, config.clientConnections());
     }
--- a/src/main/java/pipitstage/relay/Reload.java
+++ b/src/main/java/pipitstage/relay/Reload.java
@@ -1,31 +1,100 @@
 package pipitstage.relay;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.Arrays;
 import java.util.Map;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import sun.misc.Signal;
 
-/** Reads the configuration again at each SIGHUP, away from the event loop. */
+/**
+ * Keeps the newest configuration in force: reads its file again at each SIGHUP, and where discovery is silent, away
+ * from the event loop. A read that fails is tried again every {@value #AGAIN_MS} ms, {@value #MOST_TRIES} times.
+ */
 final class Reload {
-    private Reload() { }
+    static final int AGAIN_MS = 100;
+    static final int MOST_TRIES = 100;
 
-    /** Takes SIGHUP from now on; a configuration that can't be read leaves the old one in force. */
-    static void onHangUp(Map<String, String> environment, Consumer<Config> taker) {
+    private final Map<String, String> environment;
+    private final ScheduledExecutorService reader = Executors.newSingleThreadScheduledExecutor(work -> {
+        Thread thread = new Thread(work, "reload");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private Consumer<Config> taker;
+    private byte[] inForce;
+    /** Only the newest of several signals goes on trying; read and written on the reader's thread. */
+    private long newest;
+
+    private Reload(Map<String, String> environment) {
+        this.environment = environment;
+    }
+
+    /** Takes SIGHUP from now on; what came before {@link #start} is heeded then. */
+    static Reload onHangUp(Map<String, String> environment) {
+        Reload reload = new Reload(environment);
         // Guards, by a single thread, against an older file that overtakes a newer one.
-        ExecutorService reader = Executors.newSingleThreadExecutor(work -> {
-            Thread thread = new Thread(work, "reload");
-            thread.setDaemon(true);
-            return thread;
+        Signal.handle(new Signal("HUP"), signal -> reload.reader.execute(reload::hungUp));
+        return reload;
+    }
+
+    /**
+     * Tells of new configurations from now on, and at once where the file has been replaced since it was read.
+     *
+     * @param first the configuration in force
+     * @param listener takes what replaces it, on a thread of this object's own
+     */
+    void start(Config first, Consumer<Config> listener) {
+        reader.execute(() -> {
+            inForce = first.source();
+            taker = listener;
+            compare();
         });
-        Signal.handle(new Signal("HUP"), signal -> reader.execute(() -> read(environment, taker)));
     }
 
-    private static void read(Map<String, String> environment, Consumer<Config> taker) {
+    /** Guards against a signal that was lost, or whose file came late: reads the file and takes it if it is another. */
+    void discoveryIsSilent() {
+        reader.execute(this::compare);
+    }
+
+    private void hungUp() {
+        newest++;
+        read(newest, 1);
+    }
+
+    private void read(long signal, int tries) {
+        if (taker == null || signal != newest) {
+            return;
+        }
+        try {
+            take(Config.read(environment));
+        } catch (Config.BadConfigException | RuntimeException e) {
+            // Guards against a file that is just being written: it would leave the old one in force for good.
+            if (tries == 1 || tries == MOST_TRIES) {
+                Log.line("the old configuration stays in force, try " + tries + " of " + MOST_TRIES + ": "
+                        + e.getMessage());
+            }
+            if (tries < MOST_TRIES) {
+                reader.schedule(() -> read(signal, tries + 1), AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    private void compare() {
         try {
-            taker.accept(Config.read(environment));
-        } catch (Config.BadConfigException e) {
-            Log.line("the old configuration stays in force: " + e.getMessage());
+            if (taker != null && !Arrays.equals(Files.readAllBytes(Config.file(environment)), inForce)) {
+                take(Config.read(environment));
+            }
+        } catch (Config.BadConfigException | IOException | RuntimeException e) {
+            Log.line("discovery is silent and the configuration can't be compared: " + e.getMessage());
         }
     }
+
+    private void take(Config config) {
+        taker.accept(config);
+        inForce = config.source();
+    }
 }
--- /dev/null
+++ b/src/test/java/pipitstage/relay/AgentTest.java
@@ -0,0 +1,104 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static pipitstage.relay.RelayProcess.await;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The connection to discovery's agent, and the notices above it, where sockets or listeners fail. */
+class AgentTest {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final AtomicInteger failures = new AtomicInteger();
+    private final List<Integer> answers = new CopyOnWriteArrayList<>();
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private Channel socket() {
+        if (failures.getAndDecrement() > 0) {
+            throw new IllegalStateException("no descriptor is left");
+        }
+        return new NioSocketChannel();
+    }
+
+    private static InetSocketAddress at(StubPeer peer) {
+        return new InetSocketAddress("127.0.0.1", peer.port());
+    }
+
+    private void ask(AgentClient agent) {
+        agent.request(HttpMethod.GET, "/", "", 5000, (status, body) -> answers.add(status));
+    }
+
+    @Test
+    void moveRightAfterASocketThatCouldNotBeOpenedIsCarriedOut() throws Exception {
+        try (StubPeer old = StubPeer.always(StubPeer.status(200)); StubPeer next = StubPeer.always(StubPeer.status(200))) {
+            failures.set(1);
+            AgentClient agent = new AgentClient(loop, at(old), this::socket);
+            loop.submit(() -> {
+                ask(agent);
+                agent.moveTo(at(next));
+                ask(agent);
+            }).sync();
+            await(() -> answers.size() == 2);
+            assertEquals(List.of(0, 200), answers);
+            assertEquals(0, old.requests.size());
+        }
+    }
+
+    @Test
+    void socketThatCouldNotBeOpenedEndsOneRequestOnTheLoop() throws Exception {
+        try (StubPeer peer = StubPeer.always(StubPeer.status(200))) {
+            failures.set(1);
+            AgentClient agent = new AgentClient(loop, at(peer), this::socket);
+            List<Boolean> onLoop = new CopyOnWriteArrayList<>();
+            loop.submit(() -> agent.request(HttpMethod.GET, "/", "", 5000, (status, body) -> {
+                onLoop.add(loop.inEventLoop());
+                ask(agent);
+            })).sync();
+            await(() -> answers.size() == 1);
+            assertEquals(List.of(true), onLoop);
+            assertEquals(List.of(200), answers);
+        }
+    }
+
+    @Test
+    void oneEndThatCannotBeCarriedOutDoesNotStopLaterNotices() throws IOException {
+        try (StubPeer platform = StubPeer.always(StubPeer.status(204))) {
+            List<String> heard = new ArrayList<>();
+            Notices notices = new Notices(loop, at(platform), message -> {
+                if (message.number == 1) {
+                    throw new IllegalStateException("broken");
+                }
+                heard.add(message.content.callId());
+            });
+            loop.execute(() -> notices.send(ended(1)));
+            await(() -> platform.count("POST") == 1);
+            loop.execute(() -> notices.send(ended(2)));
+            await(() -> heard.size() == 1);
+            assertEquals(List.of("m2"), heard);
+        }
+    }
+
+    private static Message ended(long number) {
+        Message message = new Message(number, new Message.Content("m" + number, "safe", null, null, 0, 7, new byte[0]));
+        message.end = new Message.End(false, 0);
+        return message;
+    }
+}
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -98,18 +98,23 @@
 
     /** Discovery is at another place from now on; the relay hears of it by SIGHUP. */
     void moveDiscovery(StubPeer next) throws IOException {
+        replaceConfiguration(next);
+        hangUp();
+    }
+
+    /** The file says that discovery is at another place; the relay is not told. */
+    void replaceConfiguration(StubPeer next) throws IOException {
         discovery = next;
         configure();
-        hangUp();
     }
 
-    /** The configuration can't be read any more; the relay hears of it by SIGHUP. */
-    void spoilConfiguration() throws IOException {
-        Files.writeString(config(), "{");
+    /** The configuration holds something else from now on; the relay hears of it by SIGHUP. */
+    void spoilConfiguration(String text) throws IOException {
+        Files.writeString(config(), text);
         hangUp();
     }
 
-    private void hangUp() throws IOException {
+    void hangUp() throws IOException {
         signal("HUP");
     }
 
--- a/src/test/java/pipitstage/relay/ReloadTest.java
+++ b/src/test/java/pipitstage/relay/ReloadTest.java
@@ -9,8 +9,11 @@
 import static pipitstage.relay.StubPeer.status;
 
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A configuration that is replaced while the relay runs. */
 class ReloadTest extends RelayTestBase {
@@ -65,10 +68,114 @@
     @Test
     void configurationThatCannotBeReadLeavesTheOldOneInForce() throws IOException {
         relay.start();
-        relay.spoilConfiguration();
+        relay.spoilConfiguration("{");
         await(() -> relay.log().contains("the old configuration stays in force"));
         host.answer(request -> StubPeer.CLOSE);
         assertEquals(202, relay.handIn("u2", "unsafe", 7));
         await(() -> relay.noticed("u2", "dead"));
     }
+
+    /** The relay goes by this list's whole and later versions. */
+    private static void awaitWatch(StubPeer peer) {
+        await(() -> peer.count("GET /api/targets?after=") > 0);
+    }
+
+    private StubPeer sameHost(int rev) throws IOException {
+        return discovery(list(rev, true, target("h1", 7, "one", "in_service", host.address())));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "null", "{\"name\":\"n0\"}", "\u0000"})
+    void fileThatIsHalfWrittenAtTheSignalCountsOnceItIsWhole(String half) throws Exception {
+        relay.start();
+        relay.spoilConfiguration(half);
+        await(() -> relay.log().contains("the old configuration stays in force"));
+        // Discovery is not silent here: nothing but the tries after the signal can find the whole file.
+        discovery.answer(request -> answer(200, list(2, false)));
+        Thread.sleep(300);
+        try (StubPeer next = sameHost(4)) {
+            relay.replaceConfiguration(next);
+            awaitWatch(next);
+        }
+    }
+
+    @Test
+    void severalSignalsAtOnceEndWithTheNewestFile() throws IOException {
+        relay.start();
+        try (StubPeer second = sameHost(2); StubPeer third = sameHost(3); StubPeer fourth = sameHost(4)) {
+            relay.moveDiscovery(second);
+            relay.moveDiscovery(third);
+            relay.moveDiscovery(fourth);
+            awaitWatch(fourth);
+            long before = second.requests.size() + third.requests.size();
+            assertEquals(202, relay.handIn("s1", "safe", 7));
+            await(() -> host.count("POST") == 1);
+            assertEquals(before, second.requests.size() + third.requests.size(), "the older places are left");
+        }
+    }
+
+    @Test
+    void signalWhileTheCpuIsAwayCountsWhenItIsBack() throws IOException {
+        relay.start();
+        relay.pause();
+        try (StubPeer next = sameHost(5)) {
+            relay.moveDiscovery(next);
+            relay.hangUp();
+            relay.goOn();
+            awaitWatch(next);
+        }
+    }
+
+    @Test
+    void answerOfTheOldAgentAfterTheMoveIsNotHeeded() throws Exception {
+        CountDownLatch late = new CountDownLatch(1);
+        try (StubPeer wrong = StubPeer.always(status(200)); StubPeer next = sameHost(3)) {
+            String old = list(90, true, target("h9", 7, "one", "in_service", wrong.address()));
+            discovery.answer(request -> {
+                try {
+                    late.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                return answer(200, old);
+            });
+            StubPeer before = discovery;
+            relay.start();
+            await(() -> before.count("GET") > 0);
+            relay.moveDiscovery(next);
+            awaitWatch(next);
+            late.countDown();
+            assertEquals(202, relay.handIn("l1", "safe", 7));
+            await(() -> host.count("POST") == 1);
+            assertEquals(0, wrong.requests.size());
+            assertEquals(0, next.count("GET /api/targets?after=90"), "versions of the old place mean nothing here");
+            before.close();
+        }
+    }
+
+    @Test
+    void newPlaceThatRefusesAtFirstIsAskedAgain() throws Exception {
+        relay.start();
+        StubPeer closed = sameHost(6);
+        closed.close();
+        relay.moveDiscovery(closed);
+        await(() -> relay.log().contains("discovery is at /" + closed.address()));
+        Thread.sleep(300);
+        try (StubPeer next = new StubPeer(closed.port(), request -> request.line().startsWith("POST") ? status(204)
+                : answer(200, list(6, true, target("h1", 7, "one", "in_service", host.address()))))) {
+            awaitWatch(next);
+        }
+    }
+
+    @Test
+    void fileThatIsReplacedWithNoSignalCountsWhereDiscoveryIsSilent() throws IOException {
+        relay.start();
+        try (StubPeer next = sameHost(8)) {
+            relay.replaceConfiguration(next);
+            awaitWatch(next);
+            host.answer(request -> StubPeer.CLOSE);
+            assertEquals(202, relay.handIn("u3", "unsafe", 7));
+            await(() -> relay.noticed("u3", "dead"));
+        }
+    }
 }
--- a/src/test/java/pipitstage/relay/StubPeer.java
+++ b/src/test/java/pipitstage/relay/StubPeer.java
@@ -34,8 +34,13 @@
     private volatile Function<Request, String> answers;
 
     StubPeer(Function<Request, String> answers) throws IOException {
+        this(0, answers);
+    }
+
+    /** A peer on a port of its own, or on any where that is 0. */
+    StubPeer(int port, Function<Request, String> answers) throws IOException {
         this.answers = answers;
-        listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         daemon(this::accept);
     }
 
@@ -64,6 +69,10 @@
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
+    int port() {
+        return listener.getLocalPort();
+    }
+
     long count(String start) {
         return requests.stream().filter(r -> r.line().startsWith(start)).count();
     }
