--- a/src/main/java/pipitstage/relay/Config.java
+++ b/src/main/java/pipitstage/config/Config.java
@@ -1,11 +1,9 @@
-package pipitstage.relay;
+package pipitstage.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -14,12 +12,14 @@
 import pipitstage.Policy;
 import pipitstage.WireCodec;
 import pipitstage.WireException;
+import pipitstage.engine.Target;
+import pipitstage.platform.Targets;
 
 /**
  * Everything that a relay is told at its start. Spans are in microseconds; {@code knownVersion} is -1 and
  * {@code known} empty where no earlier list is known; {@code source} is the file that all this was read from.
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets, long diskBytes,
+public record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets, long diskBytes,
         Policy.Settings settings, long period, long idleSpan, boolean reports, long knownVersion,
         List<Target> known, byte[] source) {
 
@@ -29,7 +29,7 @@
     private static final double CLIENT_SHARE = 0.55;
 
     /** A setting that is missing or makes no sense; the message is for staff. */
-    static final class BadConfigException extends Exception {
+    public static final class BadConfigException extends Exception {
         private static final long serialVersionUID = 1L;
 
         BadConfigException(String message) {
@@ -38,7 +38,7 @@
     }
 
     /** Reads the configuration that the environment names. */
-    static Config read(Map<String, String> environment) throws BadConfigException {
+    public static Config read(Map<String, String> environment) throws BadConfigException {
         Path file = file(environment);
         Path state = Path.of(variable(environment, "EDGE_STATE"));
         try {
@@ -55,7 +55,7 @@
     }
 
     /** The file that holds the configuration. */
-    static Path file(Map<String, String> environment) throws BadConfigException {
+    public static Path file(Map<String, String> environment) throws BadConfigException {
         return Path.of(variable(environment, "EDGE_CONFIG"));
     }
 
@@ -68,10 +68,10 @@
         if (json.value("known") != null) {
             Fields list = json.object("known");
             version = list.whole("rev");
-            known = Target.readAll(list);
+            known = Targets.readAll(list);
         }
         String how = params.value("stats") == null ? null : params.object("stats").textOrNull("how");
-        return new Config(address(json.text("listen")), address(json.text("discovery")), state,
+        return new Config(Target.address(json.text("listen")), Target.address(json.text("discovery")), state,
                 sockets(limits),
                 (long) (limits.number("disk_mb") * MIB), settings, params.micros("period-s", 0),
                 params.object("limits").micros("conn-idle-s"), how != null && !how.equals("off"), version, known,
@@ -87,12 +87,12 @@
     }
 
     /** How many connections clients may hold. */
-    int clientConnections() {
+    public int clientConnections() {
         return (int) Math.ceil(CLIENT_SHARE * (sockets - OTHER_DESCRIPTORS));
     }
 
     /** How many connections to hosts there may be. */
-    int hostConnections() {
+    public int hostConnections() {
         return Math.max(1, sockets - OTHER_DESCRIPTORS - clientConnections());
     }
 
@@ -103,19 +103,4 @@
         }
         return value;
     }
-
-    /** An address in digits with its port: there is no DNS. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        String host = colon < 0 ? "" : text.substring(0, colon);
-        if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:]+]")) {
-            throw new IllegalArgumentException("no address with a port: " + text);
-        }
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            return new InetSocketAddress(InetAddress.getByName(host), port);
-        } catch (NumberFormatException | UnknownHostException e) {
-            throw new IllegalArgumentException("no address with a port: " + text, e);
-        }
-    }
 }
--- a/src/main/java/pipitstage/relay/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -1,7 +1,5 @@
-package pipitstage.relay;
+package pipitstage.engine;
 
-import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,38 +7,40 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import pipitstage.Policy;
 import pipitstage.Policy.Event;
 import pipitstage.Policy.LimitReport;
 import pipitstage.Policy.RequestClass;
 import pipitstage.Policy.Result;
+import pipitstage.log.Log;
 
 /**
  * Drives the decision module: gathers what has come in into rounds and carries out what the module answers.
- * It owns the table of messages and takes no decision of its own. Everything runs on one event loop.
+ * It owns the table of messages and takes no decision of its own. Everything runs on one event loop; what it needs of
+ * fronts, partners, journal and platform it knows by ports alone.
  */
-final class Engine implements Policy.Actions, HostClient.Results, Discovery.Listener {
+public final class Engine implements Intake, Membership, Policy.Actions, Partners.Results {
     /** When a message that the module has left open past its deadline is ended: in time for its notice. */
     private static final long LATEST_END = 200_000;
     private static final long COME_BACK = 1_000_000;
     /** How long passes may take while messages are still taken on; clients wait 400 ms for their answer. */
     private static final long MOST_LAG = 400_000;
 
-    private final EventLoop loop;
+    private final Timers timers;
     private final Clock clock;
-    private final Config config;
-    private final Journal journal;
+    private final Policy.Settings settings;
+    private final long period;
+    private final WriteAhead journal;
     private final Policy policy;
-    private final HostClient hosts;
-    private final Notices notices;
+    private Partners partners;
+    private Ends ends;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private final Set<Integer> destinations = new HashSet<>();
     private final Map<Long, Message> messages = new LinkedHashMap<>();
     private final Map<String, Message> byCallId = new HashMap<>();
-    private final Map<String, List<HostClient.Outgoing>> outgoing = new LinkedHashMap<>();
+    private final Map<String, List<Partners.Outgoing>> outgoing = new LinkedHashMap<>();
     private List<Event> events = new ArrayList<>();
     private List<Message> arrivals = new ArrayList<>();
     private long nextNumber;
@@ -51,28 +51,40 @@
     private boolean ready;
     private boolean listTold;
 
-    Engine(EventLoop loop, Clock clock, Config config, Journal journal, Function<Policy.Settings, Policy> module) {
-        this.loop = loop;
+    /**
+     * An engine round a decision module.
+     *
+     * @param period how long, in microseconds, what comes in is gathered before the module acts
+     * @param module makes the decision module for the settings
+     */
+    public Engine(Timers timers, Clock clock, Policy.Settings settings, long period, WriteAhead journal,
+            Function<Policy.Settings, Policy> module) {
+        this.timers = timers;
         this.clock = clock;
-        this.config = config;
+        this.settings = settings;
+        this.period = period;
         this.journal = journal;
-        policy = module.apply(config.settings());
-        hosts = new HostClient(loop, clock, config, this);
-        notices = new Notices(loop, config.discovery(), this::noticeHeard);
-        config.settings().classes().forEach(type -> classes.put(type.name(), type));
-        config.settings().tenants().forEach(tenant -> tenants.add(tenant.name()));
+        policy = module.apply(settings);
+        settings.classes().forEach(type -> classes.put(type.name(), type));
+        settings.tenants().forEach(tenant -> tenants.add(tenant.name()));
         nextNumber = journal.nextNumber();
     }
 
-    /** Takes in the list known from before and what the journal holds. */
-    void start() {
-        if (!config.known().isEmpty()) {
-            list(Policy.ListKind.CACHED, config.knownVersion(), config.known());
+    /** Sets what calls partners and what tells ends; once, before {@link #start}. */
+    public void attach(Partners calls, Ends notices) {
+        partners = calls;
+        ends = notices;
+    }
+
+    /** Takes in the list known from before, empty where there is none, and what the journal holds. */
+    public void start(long knownVersion, List<Target> known) {
+        if (!known.isEmpty()) {
+            list(Policy.ListKind.CACHED, knownVersion, known);
         }
         for (Message message : journal.open()) {
             remember(message);
             if (message.end != null) {
-                notices.send(message);
+                ends.send(message);
             } else {
                 held++;
                 watchEnd(message);
@@ -82,17 +94,13 @@
         }
     }
 
-    /** Notices go to another address from now on, also those that have no answer yet. */
-    void noticesTo(InetSocketAddress address) {
-        notices.moveTo(address);
-    }
-
-    boolean isReady() {
+    @Override
+    public boolean isReady() {
         return ready;
     }
 
     /** True where nothing is owed any more. */
-    boolean isIdle() {
+    public boolean isIdle() {
         return messages.isEmpty();
     }
 
@@ -100,36 +108,29 @@
      * Begins nothing new from now on: an attempt that the end of the process cuts off may have run, so a
      * message that may take effect only once would be lost by it. What is held waits in the journal.
      */
-    void freeze() {
+    public void freeze() {
         frozen = true;
     }
 
-    boolean isFrozen() {
+    public boolean isFrozen() {
         return frozen;
     }
 
     /** True where no attempt is out and no client waits for an answer. */
-    boolean isQuiet() {
+    public boolean isQuiet() {
         return attemptsOut == 0 && arrivals.isEmpty();
     }
 
-    /**
-     * True where the class, the tenant and the destination are known, or may be once discovery has told its
-     * list, and a key is there if one is needed.
-     */
-    boolean knows(Message.Content content) {
+    @Override
+    public boolean knows(Message.Content content) {
         RequestClass type = classes.get(content.requestClass());
         return type != null && (type.repeat() != Policy.Repeat.BY_KEY || content.key() != null)
                 && (tenants.isEmpty() || tenants.contains(content.tenant()))
                 && (destinations.contains(content.destination()) || !listTold);
     }
 
-    /**
-     * Takes a message on, whose bytes may have lain unread since a time, and returns it; its client is answered at
-     * the end of the round, so that one who leaves meanwhile is noticed and one whose message ends at once hears
-     * that instead. Null where the client has its answer already.
-     */
-    Message takeOn(Message.Content content, long unreadSince, Message.ClientReply client) {
+    @Override
+    public Message takeOn(Message.Content content, long unreadSince, Message.ClientReply client) {
         Message same = byCallId.get(content.callId());
         if (same != null) {
             // Guards against a client that sends a request once more since its connection closed on it. One
@@ -147,7 +148,7 @@
         // what may have lain unread so long is refused at once. It harms where the client has come just now.
         boolean behind = clock.micros() - unreadSince > MOST_LAG;
         Message message = new Message(nextNumber, content);
-        if (!ready || behind || !reachable || held >= config.settings().limits().maxOpen() || !journal.accept(message)) {
+        if (!ready || behind || !reachable || held >= settings.limits().maxOpen() || !journal.accept(message)) {
             client.refused(COME_BACK);
             return null;
         }
@@ -172,8 +173,8 @@
                 content.deadline(), content.destination());
     }
 
-    /** The client left before its answer: nothing is owed to it. */
-    void withdraw(Message message) {
+    @Override
+    public void withdraw(Message message) {
         message.client = null;
         if (messages.containsKey(message.number) && message.end == null && !message.over) {
             add(new Policy.Withdrawn(message.number));
@@ -184,10 +185,10 @@
     /** Guards against a message that an error in a round has left behind. */
     private void watchEnd(Message message) {
         long delay = message.content.deadline() + LATEST_END - clock.micros();
-        message.endWatch = loop.schedule(() -> {
+        message.endWatch = timers.after(Math.max(LATEST_END, delay), () -> {
             Log.line("message " + message.content.callId() + " is overdue");
             end(message.number, new Message.End(false, 0));
-        }, Math.max(LATEST_END, delay), TimeUnit.MICROSECONDS);
+        });
     }
 
     private void add(Event event) {
@@ -195,7 +196,7 @@
         if (!roundDue) {
             roundDue = true;
             // Guards, by a whole period, against answering a client whose leaving has come but is not read yet.
-            loop.schedule(this::round, config.period(), TimeUnit.MICROSECONDS);
+            timers.after(period, this::round);
         }
     }
 
@@ -225,9 +226,9 @@
     }
 
     private void sendAll() {
-        Map<String, List<HostClient.Outgoing>> batches = new LinkedHashMap<>(outgoing);
+        Map<String, List<Partners.Outgoing>> batches = new LinkedHashMap<>(outgoing);
         outgoing.clear();
-        batches.forEach(hosts::send);
+        batches.forEach(partners::send);
     }
 
     @Override
@@ -247,7 +248,7 @@
             return;
         }
         outgoing.computeIfAbsent(route, r -> new ArrayList<>())
-                .add(new HostClient.Outgoing(attempt, timeout > 0 ? Math.min(timeout, left) : left));
+                .add(new Partners.Outgoing(attempt, timeout > 0 ? Math.min(timeout, left) : left));
     }
 
     @Override
@@ -280,7 +281,7 @@
     /** Nothing more is owed for a message, and no notice either. */
     private void close(Message message) {
         // Guards against timers that hold every message, body and all, until its time is up.
-        message.endWatch.cancel(false);
+        message.endWatch.cancel();
         message.over = true;
         held--;
         journal.done(message);
@@ -301,10 +302,10 @@
         }
         message.end = end;
         if (message.client == null) {
-            message.endWatch.cancel(false);
+            message.endWatch.cancel();
             held--;
             journal.decided(message);
-            notices.send(message);
+            ends.send(message);
             return;
         }
         Message.ClientReply client = message.client;
@@ -317,7 +318,8 @@
         }
     }
 
-    private void noticeHeard(Message message) {
+    /** The end of a message, given to {@link Ends}, has been heard. */
+    public void noticeHeard(Message message) {
         message.over = true;
         journal.done(message);
         forgetIfSettled(message);
@@ -326,7 +328,7 @@
     @Override
     public void list(Policy.ListKind kind, long version, List<Target> targets) {
         targets.forEach(target -> destinations.add(target.listed().destination()));
-        hosts.list(kind, targets);
+        partners.list(kind, targets);
         ready = true;
         listTold |= kind != Policy.ListKind.CACHED;
         add(new Policy.RouteList(kind, version, targets.stream().map(Target::listed).toList()));
@@ -336,7 +338,7 @@
     public void cancel(long id, int attempt) {
         Message message = messages.get(id);
         if (message != null && attempt < message.attempts.size()) {
-            hosts.cancel(message.attempts.get(attempt));
+            partners.cancel(message.attempts.get(attempt));
         }
     }
 
@@ -352,17 +354,17 @@
 
     @Override
     public void remind(long name, long delay) {
-        loop.schedule(() -> add(new Policy.TimerFired(name)), delay, TimeUnit.MICROSECONDS);
+        timers.after(delay, () -> add(new Policy.TimerFired(name)));
     }
 
     @Override
     public void probe(String route) {
-        hosts.probe(route);
+        partners.probe(route);
     }
 
     @Override
     public void closeIdle(String route) {
-        hosts.closeIdle(route);
+        partners.closeIdle(route);
     }
 
     /** Relays on sockets have no way to talk to each other. */
--- /dev/null
+++ b/src/main/java/pipitstage/engine/Message.java
@@ -0,0 +1,135 @@
+package pipitstage.engine;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import pipitstage.Policy;
+
+/**
+ * A message that a client handed in, and how far its delivery has come. Times are the {@link Clock}'s, in
+ * microseconds. Not safe for use by several threads: everything about a message happens on the event loop.
+ */
+public final class Message {
+    /** What a client handed in; {@code tenant} and {@code key} may be null. */
+    public record Content(String callId, String requestClass, String tenant, String key, long deadline,
+            int destination, byte[] body) { }
+
+    /** How a message that is not delivered ends. */
+    public record End(boolean refused, long retryIn) { }
+
+    /** One attempt; {@code result} stays null while nothing is known. */
+    public static final class Attempt {
+        final Message message;
+        final int number;
+        final String route;
+        final long sentAt;
+        Policy.Result result;
+
+        private Attempt(Message message, int number, String route, long sentAt) {
+            this.message = message;
+            this.number = number;
+            this.route = route;
+            this.sentAt = sentAt;
+        }
+
+        public Message message() {
+            return message;
+        }
+
+        /** How many attempts came before it. */
+        public int number() {
+            return number;
+        }
+
+        public String route() {
+            return route;
+        }
+
+        public long sentAt() {
+            return sentAt;
+        }
+
+        /** How it ended, or null while nothing is known. */
+        public Policy.Result result() {
+            return result;
+        }
+
+        /** Takes in how it ended. */
+        public void result(Policy.Result known) {
+            result = known;
+        }
+    }
+
+    /** Number in this relay's journal. */
+    final long number;
+    final Content content;
+    final List<Attempt> attempts = new ArrayList<>();
+    /** Where the client that handed the message in waits; null once it has its answer. */
+    ClientReply client;
+    End end;
+    /** The timer that ends the message should the module leave it open. */
+    Timers.Timer endWatch;
+    /** Nothing more is owed. */
+    boolean over;
+    private int out;
+
+    /** A message with the number that it has in this relay's journal. */
+    public Message(long number, Content content) {
+        this.number = number;
+        this.content = content;
+    }
+
+    public long number() {
+        return number;
+    }
+
+    public Content content() {
+        return content;
+    }
+
+    /** Every attempt so far, the first one first. */
+    public List<Attempt> attempts() {
+        return Collections.unmodifiableList(attempts);
+    }
+
+    /** How it ends undelivered, or null where that is not decided. */
+    public End end() {
+        return end;
+    }
+
+    /** Takes in that it ends undelivered. */
+    public void decide(End decided) {
+        end = decided;
+    }
+
+    /** Adds an attempt that is about to be made, or was made before a restart. */
+    public Attempt addAttempt(String route, long sentAt) {
+        Attempt attempt = new Attempt(this, attempts.size(), route, sentAt);
+        attempts.add(attempt);
+        return attempt;
+    }
+
+    void attemptStarted() {
+        out++;
+    }
+
+    void attemptEnded() {
+        out--;
+    }
+
+    boolean hasAttemptsOut() {
+        return out > 0;
+    }
+
+    /** The answer that a client waits for after it has handed a message in; exactly one of these is called, once. */
+    public interface ClientReply {
+        /** Taken on: the relay owes the message its end. */
+        void taken();
+
+        /** Refused: handing it in again is harmless, after so many microseconds where that is above 0. */
+        void refused(long retryIn);
+
+        /** Failed: whether it took effect stays untold. */
+        void failed();
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/engine/Partners.java
@@ -0,0 +1,45 @@
+package pipitstage.engine;
+
+import java.util.List;
+import pipitstage.Policy.LimitReport;
+import pipitstage.Policy.ListKind;
+import pipitstage.Policy.Result;
+
+/**
+ * The port through which the engine calls partners of any kind. Every attempt that is sent ends by exactly one call
+ * of {@link Results#ended}, every probe by one of {@link Results#probed}; both may come before {@code send} or
+ * {@code probe} returns. Nothing is sent a second time by itself. To be called on the event loop only.
+ */
+public interface Partners {
+    /** Takes in what became of attempts and probes. */
+    interface Results {
+        /**
+         * An attempt ended.
+         *
+         * @param over nothing more is owed for its message
+         * @param wait how long the partner told this relay to wait, in microseconds; 0 where it did not
+         */
+        void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report);
+
+        /** A probe ended after so many microseconds; {@code wait} as above. */
+        void probed(String route, Result result, long wait, long elapsed, LimitReport report);
+    }
+
+    /** An attempt to send and how many microseconds its answer is waited for. */
+    record Outgoing(Message.Attempt attempt, long timeout) { }
+
+    /** Takes in a list of hosts; what drains or is gone is sent nothing new from now on. */
+    void list(ListKind kind, List<Target> targets);
+
+    /** Sends what one round has for one route, in as few calls as its kind allows. */
+    void send(String route, List<Outgoing> outgoing);
+
+    /** Gives up one attempt; one that is over already stays as it is. */
+    void cancel(Message.Attempt attempt);
+
+    /** Asks a route how it fares; it counts as a call there. */
+    void probe(String route);
+
+    /** Closes idle connections to a route. */
+    void closeIdle(String route);
+}
--- /dev/null
+++ b/src/main/java/pipitstage/engine/Target.java
@@ -0,0 +1,29 @@
+package pipitstage.engine;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import pipitstage.Policy;
+
+/** A host in a list and the address at which this relay reaches it. */
+public record Target(Policy.Listed listed, InetSocketAddress address) {
+
+    /**
+     * Reads an address in digits with its port, such as {@code 127.0.0.1:8080} or {@code [::1]:8080}: there is no DNS.
+     *
+     * @throws IllegalArgumentException where it is anything else
+     */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:]+]")) {
+            throw new IllegalArgumentException("no address with a port: " + text);
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return new InetSocketAddress(InetAddress.getByName(host), port);
+        } catch (NumberFormatException | UnknownHostException e) {
+            throw new IllegalArgumentException("no address with a port: " + text, e);
+        }
+    }
+}
--- a/src/main/java/pipitstage/relay/ClientConnection.java
+++ b/src/main/java/pipitstage/front/http/ClientConnection.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.front.http;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandler;
@@ -26,6 +26,9 @@
 import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import pipitstage.engine.Clock;
+import pipitstage.engine.Intake;
+import pipitstage.engine.Message;
 
 /** One client's connection: reads its requests, answers them in order, and gives up a client that stalls. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Message.ClientReply {
@@ -36,7 +39,7 @@
     private static final long LINGER_MS = 2000;
 
     private final ClientServer server;
-    private final Engine engine;
+    private final Intake intake;
     private final Clock clock;
     private final ArrayDeque<ClientRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -58,9 +61,9 @@
     private Message message;
     private Future<?> timer;
 
-    ClientConnection(ClientServer server, Engine engine, Clock clock) {
+    ClientConnection(ClientServer server, Intake intake, Clock clock) {
         this.server = server;
-        this.engine = engine;
+        this.intake = intake;
         this.clock = clock;
     }
 
@@ -168,7 +171,7 @@
     /** Guards against delivering what its client gave up and may hand in again under another id. */
     private void withdraw() {
         if (message != null) {
-            engine.withdraw(message);
+            intake.withdraw(message);
             message = null;
         }
     }
@@ -266,7 +269,7 @@
                 answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
             }
         } else if (head.uri().equals("/-/ready")) {
-            answer(engine.isReady() && !server.isDraining() ? HttpResponseStatus.OK
+            answer(intake.isReady() && !server.isDraining() ? HttpResponseStatus.OK
                     : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
         } else {
             answer(HttpResponseStatus.NOT_FOUND, 0);
@@ -275,10 +278,10 @@
 
     private void takeOn(ClientRequest request) {
         Message.Content content = request.content();
-        if (content == null || !engine.knows(content)) {
+        if (content == null || !intake.knows(content)) {
             answer(HttpResponseStatus.BAD_REQUEST, 0);
         } else {
-            message = engine.takeOn(content, server.unreadSince(), this);
+            message = intake.takeOn(content, server.unreadSince(), this);
         }
     }
 
@@ -314,7 +317,7 @@
         answering = false;
         context.writeAndFlush(response).addListener(written -> {
             if (!written.isSuccess() && answered != null) {
-                engine.withdraw(answered);
+                intake.withdraw(answered);
             }
             if (!written.isSuccess()) {
                 context.close();
--- a/src/main/java/pipitstage/relay/ClientRequest.java
+++ b/src/main/java/pipitstage/front/http/ClientRequest.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.front.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import pipitstage.engine.Message;
+import pipitstage.http.Headers;
 
 /** A client's request as it comes in: whether it can be read at all, and the message that it holds. */
 final class ClientRequest {
@@ -77,12 +79,12 @@
      */
     Message.Content content() {
         HttpHeaders headers = head.headers();
-        String callId = headers.get(ClientServer.CALL_ID, "");
-        String requestClass = headers.get("X-Call-Class", "");
-        String tenant = headers.get("X-Caller");
-        String key = headers.get(ClientServer.KEY);
-        String budget = headers.get(ClientServer.BUDGET, "");
-        Matcher consignee = CONSIGNEE.matcher(headers.get("X-Consignee", ""));
+        String callId = headers.get(Headers.CALL_ID, "");
+        String requestClass = headers.get(Headers.CALL_CLASS, "");
+        String tenant = headers.get(Headers.CALLER);
+        String key = headers.get(Headers.KEY);
+        String budget = headers.get(Headers.BUDGET, "");
+        Matcher consignee = CONSIGNEE.matcher(headers.get(Headers.CONSIGNEE, ""));
         if (!TOKEN.matcher(callId).matches() || !MILLIS.matcher(budget).matches() || !consignee.matches()
                 || key != null && !TOKEN.matcher(key).matches()) {
             return null;
--- a/src/main/java/pipitstage/relay/ClientServer.java
+++ b/src/main/java/pipitstage/front/http/ClientServer.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.front.http;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -15,19 +15,19 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import pipitstage.engine.Clock;
+import pipitstage.engine.Intake;
+import pipitstage.engine.Pulse;
+import pipitstage.log.Log;
 
 /** Listens for clients and keeps their connections, and what they have half sent, within bounds. */
-final class ClientServer {
-    static final String CALL_ID = "X-Call-Id";
-    static final String KEY = "Idempotency-Key";
-    static final String BUDGET = "X-Budget-Ms";
-    static final String LOAD_REPORT = "X-Load-Report";
+public final class ClientServer {
     private static final int BACKLOG = 1024;
     private static final long PAUSE_MS = 50;
     private static final int MOST_BUFFERED = 4 << 20;
     private static final int ALWAYS_BUFFERED = 4 << 10;
 
-    private final Engine engine;
+    private final Intake intake;
     private final Clock clock;
     private final Pulse pulse;
     private final int mostConnections;
@@ -41,22 +41,23 @@
     private int buffered;
     private boolean draining;
 
-    ClientServer(Engine engine, Clock clock, Pulse pulse, int mostConnections) {
-        this.engine = engine;
+    /** A front for so many connections at the most. */
+    public ClientServer(Intake intake, Clock clock, Pulse pulse, int mostConnections) {
+        this.intake = intake;
         this.clock = clock;
         this.pulse = pulse;
         this.mostConnections = mostConnections;
     }
 
     /** Listens for clients at an address. */
-    ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
+    public ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new Backlog()).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new ClientConnection(ClientServer.this, engine, clock).handlers());
+                        ch.pipeline().addLast(new ClientConnection(ClientServer.this, intake, clock).handlers());
                     }
                 }).bind(address);
         listener = bound.channel();
@@ -107,7 +108,7 @@
     }
 
     /** Closes connections as they fall idle; whatever a client has begun to send is still answered. */
-    void drain() {
+    public void drain() {
         draining = true;
         List.copyOf(silent).forEach(ClientConnection::close);
         List.copyOf(idle).forEach(ClientConnection::close);
@@ -118,16 +119,17 @@
     }
 
     /** True where every request that was begun has its answer. */
-    boolean isIdle() {
+    public boolean isIdle() {
         return connections.stream().allMatch(c -> silent.contains(c) || idle.contains(c) || c.isEnding());
     }
 
     /** True while a request that was read whole has no answer yet. */
-    boolean isAnswering() {
+    public boolean isAnswering() {
         return connections.stream().anyMatch(ClientConnection::isAnswering);
     }
 
-    void stopListening() {
+    /** Takes no new connection from now on. */
+    public void stopListening() {
         listener.close();
     }
 
--- /dev/null
+++ b/src/main/java/pipitstage/front/http/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Clients over HTTP/1.1: listens, reads requests within bounds, hands messages in through
+ * {@link pipitstage.engine.Intake} and answers.
+ *
+ * <p>May use: the engine, names of headers, the log and Netty; nothing of partners, journal or platform.
+ */
+package pipitstage.front.http;
--- a/src/main/java/pipitstage/relay/Journal.java
+++ b/src/main/java/pipitstage/journal/Journal.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.journal;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -17,6 +17,9 @@
 import java.util.Map;
 import java.util.zip.CRC32;
 import pipitstage.Policy;
+import pipitstage.engine.Message;
+import pipitstage.engine.WriteAhead;
+import pipitstage.log.Log;
 
 /**
  * The write-ahead journal of accepted work: one segment of records, each with its length and checksum.
@@ -25,7 +28,7 @@
  *
  * <p>Appending needs no sync: what was written outlasts the process, and nothing outlasts the machine.
  */
-final class Journal implements AutoCloseable {
+public final class Journal implements WriteAhead, AutoCloseable {
     // Shares of the disk. Both segments are there during rewriting: 0.5 + 0.4 at the most.
     private static final double LARGEST_OPEN = 0.3; // what is open when a message is taken on
     private static final double LARGEST_FINISHED = 0.1; // then the segment is rewritten
@@ -71,7 +74,7 @@
     private long nextRewrite = System.nanoTime();
 
     /** Opens the journal of a folder and replays it; a torn tail is cut off. */
-    Journal(Path folder, long disk) throws IOException {
+    public Journal(Path folder, long disk) throws IOException {
         this.folder = folder;
         this.disk = disk;
         Files.createDirectories(folder);
@@ -95,17 +98,18 @@
         replay();
     }
 
-    long nextNumber() {
+    @Override
+    public long nextNumber() {
         return lastNumber + 1;
     }
 
-    /** Every message that is not done, in the order accepted. */
-    List<Message> open() {
+    @Override
+    public List<Message> open() {
         return open.values().stream().map(o -> o.message).toList();
     }
 
-    /** Records that a message is taken on; false where there is no room or the disk fails. */
-    boolean accept(Message message) {
+    @Override
+    public boolean accept(Message message) {
         byte[] record = record(accepted(message));
         if (openBytes + record.length > LARGEST_OPEN * disk || !append(record, LARGEST_SEGMENT)) {
             return false;
@@ -114,29 +118,29 @@
         return true;
     }
 
-    /** Records an attempt before its first byte leaves; false where it can't be recorded. */
-    boolean attempt(Message.Attempt attempt) {
-        return note(attempt.message, attempt(attempt.message, attempt), LARGEST_SEGMENT);
+    @Override
+    public boolean attempt(Message.Attempt attempt) {
+        return note(attempt.message(), attempt(attempt.message(), attempt), LARGEST_SEGMENT);
     }
 
-    /** Records what is known of an attempt that has ended, above all the proof that it never ran. */
-    void result(Message.Attempt attempt) {
-        note(attempt.message, result(attempt.message, attempt), LARGEST_WITH_ENDS);
+    @Override
+    public void result(Message.Attempt attempt) {
+        note(attempt.message(), result(attempt.message(), attempt), LARGEST_WITH_ENDS);
     }
 
-    /** Records the end that the platform is still to be told of. */
-    void decided(Message message) {
+    @Override
+    public void decided(Message message) {
         note(message, decision(message), LARGEST_WITH_ENDS);
     }
 
-    /** Records that nothing more is owed for a message. */
-    void done(Message message) {
+    @Override
+    public void done(Message message) {
         boolean noted = note(message, out -> {
             out.writeByte(DONE);
-            out.writeLong(message.number);
+            out.writeLong(message.number());
         }, LARGEST_WITH_ENDS);
-        boolean known = open.containsKey(message.number);
-        forget(message.number);
+        boolean known = open.containsKey(message.number());
+        forget(message.number());
         // Guards against a full disk that would bring a finished message back: a rewrite leaves it out.
         boolean wanted = known && !noted || size - openBytes > LARGEST_FINISHED * disk;
         if (wanted && System.nanoTime() - nextRewrite >= 0) {
@@ -150,7 +154,7 @@
     }
 
     private boolean note(Message message, Payload payload, double share) {
-        Open entry = open.get(message.number);
+        Open entry = open.get(message.number());
         byte[] record = record(payload);
         if (entry == null || !append(record, share)) {
             return false;
@@ -164,8 +168,8 @@
         Open entry = new Open(message);
         entry.bytes = bytes;
         openBytes += bytes;
-        open.put(message.number, entry);
-        lastNumber = Math.max(lastNumber, message.number);
+        open.put(message.number(), entry);
+        lastNumber = Math.max(lastNumber, message.number());
     }
 
     private void forget(long number) {
@@ -221,7 +225,7 @@
                     byte[] records = recordsOf(entry.message);
                     write(channel, records, written);
                     written += records.length;
-                    sizes.put(entry.message.number, (long) records.length);
+                    sizes.put(entry.message.number(), (long) records.length);
                 }
                 Files.move(unfinished, next, StandardCopyOption.ATOMIC_MOVE);
             } catch (IOException e) {
@@ -247,23 +251,23 @@
     private static byte[] recordsOf(Message message) throws IOException {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         all.write(record(accepted(message)));
-        for (Message.Attempt attempt : message.attempts) {
+        for (Message.Attempt attempt : message.attempts()) {
             all.write(record(attempt(message, attempt)));
-            if (attempt.result != null) {
+            if (attempt.result() != null) {
                 all.write(record(result(message, attempt)));
             }
         }
-        if (message.end != null) {
+        if (message.end() != null) {
             all.write(record(decision(message)));
         }
         return all.toByteArray();
     }
 
     private static Payload accepted(Message message) {
-        Message.Content content = message.content;
+        Message.Content content = message.content();
         return out -> {
             out.writeByte(ACCEPTED);
-            out.writeLong(message.number);
+            out.writeLong(message.number());
             out.writeUTF(content.callId());
             out.writeUTF(content.requestClass());
             writeOptional(out, content.tenant());
@@ -278,28 +282,28 @@
     private static Payload attempt(Message message, Message.Attempt attempt) {
         return out -> {
             out.writeByte(ATTEMPT);
-            out.writeLong(message.number);
-            out.writeInt(attempt.number);
-            out.writeUTF(attempt.route);
-            out.writeLong(attempt.sentAt);
+            out.writeLong(message.number());
+            out.writeInt(attempt.number());
+            out.writeUTF(attempt.route());
+            out.writeLong(attempt.sentAt());
         };
     }
 
     private static Payload result(Message message, Message.Attempt attempt) {
         return out -> {
             out.writeByte(RESULT);
-            out.writeLong(message.number);
-            out.writeInt(attempt.number);
-            out.writeUTF(attempt.result.name());
+            out.writeLong(message.number());
+            out.writeInt(attempt.number());
+            out.writeUTF(attempt.result().name());
         };
     }
 
     private static Payload decision(Message message) {
         return out -> {
             out.writeByte(DECIDED);
-            out.writeLong(message.number);
-            out.writeBoolean(message.end.refused());
-            out.writeLong(message.end.retryIn());
+            out.writeLong(message.number());
+            out.writeBoolean(message.end().refused());
+            out.writeLong(message.end().retryIn());
         };
     }
 
@@ -370,8 +374,8 @@
             Message message = entry.message;
             switch (type) {
                 case ATTEMPT -> replayAttempt(message, in.readInt(), in.readUTF(), in.readLong());
-                case RESULT -> message.attempts.get(in.readInt()).result = Policy.Result.valueOf(in.readUTF());
-                case DECIDED -> message.end = new Message.End(in.readBoolean(), in.readLong());
+                case RESULT -> message.attempts().get(in.readInt()).result(Policy.Result.valueOf(in.readUTF()));
+                case DECIDED -> message.decide(new Message.End(in.readBoolean(), in.readLong()));
                 case DONE -> forget(number);
                 default -> throw new IOException("unknown record " + type);
             }
@@ -384,11 +388,11 @@
 
     /** Guards against attempts that a failing disk left out: they were not sent, but later ones keep their numbers. */
     private static void replayAttempt(Message message, int number, String route, long sentAt) throws IOException {
-        if (number < message.attempts.size() || number > MOST_ATTEMPTS) {
+        if (number < message.attempts().size() || number > MOST_ATTEMPTS) {
             throw new IOException("attempt " + number + " is out of order");
         }
-        while (message.attempts.size() < number) {
-            message.addAttempt(route, sentAt).result = Policy.Result.NOT_SENT;
+        while (message.attempts().size() < number) {
+            message.addAttempt(route, sentAt).result(Policy.Result.NOT_SENT);
         }
         message.addAttempt(route, sentAt);
     }
--- a/src/main/java/pipitstage/relay/Log.java
+++ b/src/main/java/pipitstage/log/Log.java
@@ -1,7 +1,7 @@
-package pipitstage.relay;
+package pipitstage.log;
 
 /** One plain line on standard error for staff, so many in a second at the most. */
-final class Log {
+public final class Log {
     private static final int LONGEST = 300;
     private static final int MOST_IN_A_SECOND = 20;
     private static final long SECOND = 1_000_000_000;
@@ -12,7 +12,7 @@
     private Log() { }
 
     /** Writes a line; what a peer sent is cut short and can't break out of its line. */
-    static void line(String text) {
+    public static void line(String text) {
         // Guards against a peer that makes the relay write more than its reader takes.
         if (isAllowed(System.nanoTime() / SECOND)) {
             String flat = text.length() > LONGEST ? text.substring(0, LONGEST) : text;
--- /dev/null
+++ b/src/main/java/pipitstage/log/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * One plain line on standard error for staff.
+ *
+ * <p>May use: nothing of the program.
+ */
+package pipitstage.log;
--- a/src/main/java/pipitstage/relay/AnswerDecoder.java
+++ b/src/main/java/pipitstage/partner/http/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.partner.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/pipitstage/relay/HostCall.java
+++ b/src/main/java/pipitstage/partner/http/HostCall.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.partner.http;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -27,9 +27,43 @@
 import pipitstage.Policy.LimitReport;
 import pipitstage.Policy.Result;
 import pipitstage.WireException;
+import pipitstage.engine.Message;
+import pipitstage.engine.Partners;
+import pipitstage.http.Headers;
+import pipitstage.log.Log;
 
 /** One call to a host, for one message, for several, or a probe; it knows the table of outcomes. */
 final class HostCall {
+    /** What owns a call: the pool of the host that it goes to. */
+    interface Owner {
+        String route();
+
+        /** The host's address and port, as a request names them. */
+        String authority();
+
+        /** Microseconds, on the clock of messages. */
+        long now();
+
+        Future<?> after(long micros, Runnable task);
+
+        void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report);
+
+        void probed(HostCall call, Result result, long wait, LimitReport report);
+
+        /** Drops a call that was given up before it had a connection; the result says whether the host is to blame. */
+        Result unqueue(HostCall call);
+
+        void toldToWait(long span);
+
+        /** Idle connections to the host are not worth trusting any more. */
+        void closeIdle();
+    }
+
+    /** What carries a call once it has a connection. */
+    interface Carrier {
+        void close();
+    }
+
     private static final JsonFactory JSON = new JsonFactory();
     private static final int MOST_ANSWER = 64 << 10;
     private static final int ITEM_OVERHEAD = 40;
@@ -37,8 +71,7 @@
 
     private record Part(Message.Attempt attempt, long until, Future<?> timeout) { }
 
-    private final HostClient client;
-    private final HostClient.Host host;
+    private final Owner owner;
     private final long startedAt;
     /**
      * The call's time is up with that of the first of its messages. Guards against an answer after it: to the host the
@@ -52,7 +85,7 @@
     private final Map<Message.Attempt, Part> parts = new LinkedHashMap<>();
     private final boolean several;
     private final Future<?> probeTimeout;
-    private HostConnection connection;
+    private Carrier connection;
     private boolean sent;
     private boolean ended;
     private int status;
@@ -62,43 +95,37 @@
     private final ByteBuf body = Unpooled.buffer(0, MOST_ANSWER);
 
     /** A call for one or more attempts. */
-    HostCall(HostClient client, HostClient.Host host, List<HostClient.Outgoing> outgoing) {
-        this.client = client;
-        this.host = host;
-        startedAt = client.now();
+    HostCall(Owner owner, List<Partners.Outgoing> outgoing) {
+        this.owner = owner;
+        startedAt = owner.now();
         probePath = null;
         probeTimeout = null;
         several = outgoing.size() > 1;
-        until = outgoing.stream().mapToLong(o -> o.attempt().message.content.deadline()).min().orElse(startedAt);
-        for (HostClient.Outgoing o : outgoing) {
+        until = outgoing.stream().mapToLong(o -> o.attempt().message().content().deadline()).min().orElse(startedAt);
+        for (Partners.Outgoing o : outgoing) {
             long span = Math.min(o.timeout(), until - startedAt);
-            Future<?> timeout = client.after(span, () -> giveUp(o.attempt(), Result.TIMEOUT));
+            Future<?> timeout = owner.after(span, () -> giveUp(o.attempt(), Result.TIMEOUT));
             parts.put(o.attempt(), new Part(o.attempt(), startedAt + span, timeout));
         }
     }
 
     /** A probe. */
-    HostCall(HostClient client, HostClient.Host host, String path, long timeout) {
-        this.client = client;
-        this.host = host;
-        startedAt = client.now();
+    HostCall(Owner owner, String path, long timeout) {
+        this.owner = owner;
+        startedAt = owner.now();
         until = startedAt + timeout;
         probePath = path;
         several = false;
-        probeTimeout = client.after(timeout, () -> abandon(Result.TIMEOUT));
+        probeTimeout = owner.after(timeout, () -> abandon(Result.TIMEOUT));
     }
 
     /** About how many bytes a message takes in a call for several. */
     static int encodedSize(Message message) {
-        Message.Content content = message.content;
+        Message.Content content = message.content();
         int key = content.key() == null ? 0 : content.key().length();
         return (content.body().length + 2) / 3 * 4 + content.callId().length() + key + ITEM_OVERHEAD;
     }
 
-    HostClient.Host host() {
-        return host;
-    }
-
     long startedAt() {
         return startedAt;
     }
@@ -107,7 +134,7 @@
         return sent;
     }
 
-    void begin(HostConnection carrier) {
+    void begin(Carrier carrier) {
         connection = carrier;
     }
 
@@ -124,22 +151,22 @@
             request = request(HttpMethod.POST, "/receive-many", manyBody());
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         } else {
-            Message.Content content = parts.keySet().iterator().next().message.content;
+            Message.Content content = parts.keySet().iterator().next().message().content();
             request = request(HttpMethod.POST, "/receive", content.body());
-            request.headers().set(ClientServer.CALL_ID, content.callId());
+            request.headers().set(Headers.CALL_ID, content.callId());
             if (content.key() != null) {
-                request.headers().set(ClientServer.KEY, content.key());
+                request.headers().set(Headers.KEY, content.key());
             }
         }
         long until = parts.values().stream().mapToLong(Part::until).max().orElse(0);
-        request.headers().set(ClientServer.BUDGET, Math.max(0, until - client.now()) / 1000);
+        request.headers().set(Headers.BUDGET, Math.max(0, until - owner.now()) / 1000);
         return request;
     }
 
     private FullHttpRequest request(HttpMethod method, String path, byte[] content) {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
                 Unpooled.wrappedBuffer(content));
-        request.headers().set(HttpHeaderNames.HOST, host.authority());
+        request.headers().set(HttpHeaderNames.HOST, owner.authority());
         if (method == HttpMethod.POST) {
             HttpUtil.setContentLength(request, content.length);
         }
@@ -151,7 +178,7 @@
         try (JsonGenerator json = JSON.createGenerator(bytes)) {
             json.writeStartArray();
             for (Message.Attempt attempt : parts.keySet()) {
-                Message.Content content = attempt.message.content;
+                Message.Content content = attempt.message().content();
                 json.writeStartObject();
                 json.writeStringField("id", content.callId());
                 if (content.key() != null) {
@@ -170,9 +197,9 @@
     /** The head of an answer; nothing of it counts before the answer is whole. */
     void head(HttpResponse response) {
         status = response.status().code();
-        report = report(response.headers().get(ClientServer.LOAD_REPORT));
-        wait = waitOf(response.headers().get("X-Come-Back-Ms"));
-        slotsTaken = "1".equals(response.headers().get("X-Line-Busy"));
+        report = report(response.headers().get(Headers.LOAD_REPORT));
+        wait = waitOf(response.headers().get(Headers.COME_BACK));
+        slotsTaken = "1".equals(response.headers().get(Headers.LINE_BUSY));
     }
 
     /** The first line of an answer: that a single message is delivered holds, whatever follows. */
@@ -202,7 +229,7 @@
     /** The answer is whole. */
     void complete() {
         if (wait > 0) {
-            client.toldToWait(host, wait);
+            owner.toldToWait(wait);
         }
         if (probePath != null) {
             if (status == 200 && report.equals(LimitReport.NONE)) {
@@ -222,7 +249,7 @@
 
     /** Guards against an answer that was read before the timers of the same pass ran. */
     private boolean isLate() {
-        return client.now() >= until;
+        return owner.now() >= until;
     }
 
     private void outcome(int code) {
@@ -253,11 +280,11 @@
                 throw new WireException("more than an array");
             }
         } catch (IOException | WireException e) {
-            Log.line("host " + host.route() + ": an answer can't be read: " + e.getMessage());
+            Log.line("host " + owner.route() + ": an answer can't be read: " + e.getMessage());
             return;
         }
         for (Message.Attempt attempt : new ArrayList<>(parts.keySet())) {
-            outcome(attempt, states.getOrDefault(attempt.message.content.callId(), "failed"));
+            outcome(attempt, states.getOrDefault(attempt.message().content().callId(), "failed"));
         }
     }
 
@@ -273,7 +300,7 @@
 
     /** The connection broke, or ended, before the answer was whole. */
     void broken() {
-        client.closeIdle(host);
+        owner.closeIdle();
         end(sent ? Result.RESET : Result.CONNECT_FAILED);
     }
 
@@ -295,7 +322,7 @@
         Part part = parts.remove(attempt);
         if (part != null) {
             part.timeout().cancel(false);
-            client.ended(attempt, result, over, wait, report);
+            owner.ended(attempt, result, over, wait, report);
         }
     }
 
@@ -303,7 +330,7 @@
         if (!ended) {
             ended = true;
             probeTimeout.cancel(false);
-            client.probed(this, result, wait, report);
+            owner.probed(this, result, wait, report);
         }
     }
 
@@ -325,11 +352,11 @@
     /** Gives the whole call up. What has not left whole never ran. */
     private void abandon(Result result) {
         if (connection == null) {
-            end(client.unqueue(this));
+            end(owner.unqueue(this));
             return;
         }
         end(sent ? result : Result.CONNECT_FAILED);
-        client.closeIdle(host);
+        owner.closeIdle();
         connection.close();
     }
 
--- a/src/main/java/pipitstage/relay/HostClient.java
+++ b/src/main/java/pipitstage/partner/http/HostClient.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.partner.http;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -21,26 +21,28 @@
 import pipitstage.Policy.LimitReport;
 import pipitstage.Policy.ListKind;
 import pipitstage.Policy.Result;
+import pipitstage.engine.Clock;
+import pipitstage.engine.Message;
+import pipitstage.engine.Partners;
+import pipitstage.engine.Target;
 
 /**
  * Calls hosts over kept connections and tells what became of each attempt. It resends nothing: a call goes
  * out once, on one connection.
  */
-final class HostClient {
+public final class HostClient implements Partners {
     private static final long PROBE_TIMEOUT = 1_500_000;
     private static final long SECOND = 1_000_000;
     private static final int MOST_BODY = 64 << 10;
 
-    /** Takes in what became of attempts and probes. */
-    interface Results {
-        /** An attempt ended; {@code over} means that nothing more is owed for its message. */
-        void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report);
-
-        void probed(String route, Result result, long wait, long elapsed, LimitReport report);
-    }
-
-    /** An attempt to send and how long its answer is waited for. */
-    record Outgoing(Message.Attempt attempt, long timeout) { }
+    /**
+     * How partners are called.
+     *
+     * @param reports whether answers may tell of limits, so that a probe asks for the same
+     * @param idleSpan microseconds after which a host closes a connection that stands idle, at the latest
+     * @param mostConnections how many connections to all hosts there may be
+     */
+    public record Options(boolean reports, long idleSpan, int mostConnections) { }
 
     /** Until when a destination, or a route apart, has told this relay to wait. */
     private static final class Wait {
@@ -48,7 +50,7 @@
     }
 
     /** A listed host with its connections. */
-    static final class Host {
+    private final class Host implements HostCall.Owner, HostConnection.Owner {
         private Target target;
         private final Wait wait;
         private final int batch;
@@ -65,11 +67,13 @@
             this.batch = batch;
         }
 
-        int breaks() {
+        @Override
+        public int breaks() {
             return breaks;
         }
 
-        String route() {
+        @Override
+        public String route() {
             return target.listed().route();
         }
 
@@ -84,9 +88,96 @@
                     && target.listed().kind().equals(other.listed().kind());
         }
 
-        String authority() {
+        @Override
+        public String authority() {
             return target.address().getHostString() + ":" + target.address().getPort();
         }
+
+        @Override
+        public long now() {
+            return clock.micros();
+        }
+
+        @Override
+        public Future<?> after(long micros, Runnable task) {
+            return loop.schedule(task, micros, TimeUnit.MICROSECONDS);
+        }
+
+        @Override
+        public void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report) {
+            calls.remove(attempt);
+            results.ended(attempt, result, over, wait, report);
+        }
+
+        @Override
+        public void probed(HostCall call, Result result, long wait, LimitReport report) {
+            results.probed(route(), result, wait, clock.micros() - call.startedAt(), report);
+        }
+
+        @Override
+        public Result unqueue(HostCall call) {
+            queue.remove(call);
+            return connecting > 0 ? Result.CONNECT_FAILED : Result.NOT_SENT;
+        }
+
+        @Override
+        public void toldToWait(long span) {
+            wait.until = Math.max(wait.until, clock.micros() + span);
+        }
+
+        /**
+         * Guards, after a call that broke or fell silent, against the next one on a connection that died with it:
+         * that call would end as a reset, where a new connection that fails proves that it never ran.
+         */
+        @Override
+        public void closeIdle() {
+            breaks++;
+            List.copyOf(idle).forEach(HostConnection::close);
+        }
+
+        /** A connection can carry a call: one that waits for it, or a later one. */
+        @Override
+        public void free(HostConnection connection) {
+            if (!queue.isEmpty()) {
+                HostCall call = queue.iterator().next();
+                queue.remove(call);
+                begin(connection, call);
+            } else if (hosts.get(route()) != this || !isListed() || !crowdedOut.isEmpty()) {
+                connection.close();
+            } else {
+                idle.addLast(connection);
+                allIdle.add(connection);
+                connection.retireAfter(idleSpan);
+            }
+        }
+
+        @Override
+        public void closed(HostConnection connection) {
+            idle.remove(connection);
+            allIdle.remove(connection);
+        }
+
+        private void begin(HostConnection connection, HostCall call) {
+            // Guards against a call that was connecting while its destination told this relay to wait.
+            if (clock.micros() < wait.until) {
+                call.end(Result.NOT_SENT);
+                free(connection);
+            } else {
+                connection.carry(call);
+            }
+        }
+
+        /** Sends a call on an idle connection, or on one that is opened for it. */
+        private void start(HostCall call) {
+            HostConnection connection = idle.pollLast();
+            if (connection != null) {
+                allIdle.remove(connection);
+                begin(connection, call);
+                return;
+            }
+            queue.add(call);
+            connect(this);
+        }
     }
 
     private final EventLoop loop;
@@ -100,29 +191,30 @@
     private final Map<String, Host> hosts = new HashMap<>();
     private final Map<Integer, Wait> waits = new HashMap<>();
     /** Idle connections of all hosts, the one that has stood longest first. */
-    private final Set<HostConnection> idle = new LinkedHashSet<>();
+    private final Set<HostConnection> allIdle = new LinkedHashSet<>();
     private final Map<Message.Attempt, HostCall> calls = new HashMap<>();
     private final Set<HostConnection> connections = new HashSet<>();
     /** Hosts whose calls wait until another connection has closed, as there may be no more. */
     private final Set<Host> crowdedOut = new LinkedHashSet<>();
 
-    HostClient(EventLoop loop, Clock clock, Config config, Results results) {
+    /** Calls hosts on an event loop; the settings tell kinds and the time for a connection. */
+    public HostClient(EventLoop loop, Clock clock, Policy.Settings settings, Options options, Results results) {
         this.loop = loop;
         this.clock = clock;
         this.results = results;
-        reports = config.reports();
+        reports = options.reports();
         // Guards against a call on a connection that the host is just closing: it would end as a reset.
-        idleSpan = Math.max(config.idleSpan() / 2, config.idleSpan() - SECOND);
-        mostConnections = config.hostConnections();
-        config.settings().kinds().forEach(kind -> kinds.put(kind.name(), kind));
-        long connectTimeout = config.settings().limits().connectTimeout();
+        idleSpan = Math.max(options.idleSpan() / 2, options.idleSpan() - SECOND);
+        mostConnections = options.mostConnections();
+        settings.kinds().forEach(kind -> kinds.put(kind.name(), kind));
+        long connectTimeout = settings.limits().connectTimeout();
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1000));
     }
 
-    /** Takes in a list of hosts; what drains or is gone is sent nothing new from now on. */
-    void list(ListKind kind, List<Target> targets) {
+    @Override
+    public void list(ListKind kind, List<Target> targets) {
         Set<String> named = new HashSet<>();
         for (Target target : targets) {
             named.add(target.listed().route());
@@ -167,11 +259,11 @@
             host.queue.remove(call);
             call.end(Result.NOT_SENT);
         });
-        closeIdle(host);
+        host.closeIdle();
     }
 
-    /** Sends what one round has for one route, in as few calls as its kind allows. */
-    void send(String route, List<Outgoing> outgoing) {
+    @Override
+    public void send(String route, List<Outgoing> outgoing) {
         Host host = hosts.get(route);
         if (host == null || !host.isListed()) {
             outgoing.forEach(o -> results.ended(o.attempt(), Result.NOT_SENT, false, 0, LimitReport.NONE));
@@ -180,7 +272,7 @@
         List<Outgoing> batch = new ArrayList<>();
         int bytes = 0;
         for (Outgoing next : outgoing) {
-            int size = HostCall.encodedSize(next.attempt().message);
+            int size = HostCall.encodedSize(next.attempt().message());
             // Guards against a call with a larger body than a host takes.
             if (!batch.isEmpty() && (batch.size() >= host.batch || bytes + size > MOST_BODY)) {
                 startBatch(host, batch);
@@ -194,51 +286,32 @@
     }
 
     private void startBatch(Host host, List<Outgoing> batch) {
-        HostCall call = new HostCall(this, host, batch);
+        HostCall call = new HostCall(host, batch);
         batch.forEach(o -> calls.put(o.attempt(), call));
-        start(call);
+        host.start(call);
     }
 
-    void probe(String route) {
+    @Override
+    public void probe(String route) {
         Host host = hosts.get(route);
         if (host == null || !host.isListed()) {
             results.probed(route, Result.NOT_SENT, 0, 0, LimitReport.NONE);
             return;
         }
-        start(new HostCall(this, host, reports ? "/-/load" : "/-/healthy", PROBE_TIMEOUT));
+        host.start(new HostCall(host, reports ? "/-/load" : "/-/healthy", PROBE_TIMEOUT));
     }
 
-    void closeIdle(String route) {
+    @Override
+    public void closeIdle(String route) {
         Host host = hosts.get(route);
         if (host != null) {
-            closeIdle(host);
+            host.closeIdle();
         }
     }
 
-    /**
-     * Guards, after a call that broke or fell silent, against the next one on a connection that died with it:
-     * that call would end as a reset, where a new connection that fails proves that it never ran.
-     */
-    void closeIdle(Host host) {
-        host.breaks++;
-        List.copyOf(host.idle).forEach(HostConnection::close);
-    }
-
-    private void start(HostCall call) {
-        Host host = call.host();
-        HostConnection connection = host.idle.pollLast();
-        if (connection != null) {
-            idle.remove(connection);
-            begin(connection, call);
-            return;
-        }
-        host.queue.add(call);
-        connect(host);
-    }
-
     private void connect(Host host) {
-        if (connections.size() >= mostConnections && !idle.isEmpty()) {
-            idle.iterator().next().close();
+        if (connections.size() >= mostConnections && !allIdle.isEmpty()) {
+            allIdle.iterator().next().close();
         }
         // Guards against more descriptors than there are, where nothing is idle: the calls wait.
         if (connections.size() >= mostConnections) {
@@ -246,7 +319,7 @@
             return;
         }
         host.connecting++;
-        HostConnection connection = new HostConnection(this, host);
+        HostConnection connection = new HostConnection(host);
         ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
@@ -258,16 +331,15 @@
         future.addListener(connected -> {
             if (connected.isSuccess()) {
                 host.connecting--;
-                free(connection);
+                host.free(connection);
             } else {
                 // Guards against a socket that could not even be opened: its failure is told on another thread.
-                loop.execute(() -> notConnected(connection));
+                loop.execute(() -> notConnected(host, connection));
             }
         });
     }
 
-    private void notConnected(HostConnection connection) {
-        Host host = connection.host();
+    private void notConnected(Host host, HostConnection connection) {
         host.connecting--;
         if (host.queue.size() > host.connecting) {
             HostCall oldest = host.queue.iterator().next();
@@ -289,71 +361,11 @@
         }
     }
 
-    /** A connection can carry a call: one that waits for it, or a later one. */
-    void free(HostConnection connection) {
-        Host host = connection.host();
-        if (!host.queue.isEmpty()) {
-            HostCall call = host.queue.iterator().next();
-            host.queue.remove(call);
-            begin(connection, call);
-        } else if (hosts.get(host.route()) != host || !host.isListed() || !crowdedOut.isEmpty()) {
-            connection.close();
-        } else {
-            host.idle.addLast(connection);
-            idle.add(connection);
-            connection.retireAfter(idleSpan);
-        }
-    }
-
-    /** Forgets a connection that has closed. */
-    void closed(HostConnection connection) {
-        connection.host().idle.remove(connection);
-        idle.remove(connection);
-    }
-
-    private void begin(HostConnection connection, HostCall call) {
-        // Guards against a call that was connecting while its destination told this relay to wait.
-        if (clock.micros() < call.host().wait.until) {
-            call.end(Result.NOT_SENT);
-            free(connection);
-        } else {
-            connection.carry(call);
-        }
-    }
-
-    /** Drops a call that was given up before it had a connection; the result says whether the host is to blame. */
-    Result unqueue(HostCall call) {
-        Host host = call.host();
-        host.queue.remove(call);
-        return host.connecting > 0 ? Result.CONNECT_FAILED : Result.NOT_SENT;
-    }
-
-    void toldToWait(Host host, long span) {
-        host.wait.until = Math.max(host.wait.until, clock.micros() + span);
-    }
-
-    /** Gives up one attempt. */
-    void cancel(Message.Attempt attempt) {
+    @Override
+    public void cancel(Message.Attempt attempt) {
         HostCall call = calls.get(attempt);
         if (call != null) {
             call.giveUp(attempt, Result.CANCELLED);
         }
     }
-
-    void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report) {
-        calls.remove(attempt);
-        results.ended(attempt, result, over, wait, report);
-    }
-
-    void probed(HostCall call, Result result, long wait, LimitReport report) {
-        results.probed(call.host().route(), result, wait, clock.micros() - call.startedAt(), report);
-    }
-
-    long now() {
-        return clock.micros();
-    }
-
-    Future<?> after(long micros, Runnable task) {
-        return loop.schedule(task, micros, TimeUnit.MICROSECONDS);
-    }
 }
--- a/src/main/java/pipitstage/relay/HostConnection.java
+++ b/src/main/java/pipitstage/partner/http/HostConnection.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.partner.http;
 
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,14 +19,27 @@
  * One connection to a host; it carries one call at a time and is used again only after a whole answer with
  * nothing behind it.
  */
-final class HostConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class HostConnection extends SimpleChannelInboundHandler<HttpObject> implements HostCall.Carrier {
+    /** What owns a connection: the pool of one host. */
+    interface Owner {
+        /** How often kept connections to the host were found not worth trusting. */
+        int breaks();
+
+        /** The connection can carry another call. */
+        void free(HostConnection connection);
+
+        /** The connection has closed. */
+        void closed(HostConnection connection);
+
+        Future<?> after(long micros, Runnable task);
+    }
+
     /** Guards against an answer that begins and never ends: hosts write theirs in one go. */
     private static final long LONGEST_ANSWER = 500_000;
     /** Guards against a second copy, or noise, right behind an answer: the next call's would be mixed up with it. */
     private static final long REST = 2_000;
 
-    private final HostClient client;
-    private final HostClient.Host host;
+    private final Owner owner;
     private final AnswerDecoder decoder = new AnswerDecoder();
     private ChannelHandlerContext context;
     private HostCall call;
@@ -35,13 +48,8 @@
     private boolean answered;
     private Future<?> timer;
 
-    HostConnection(HostClient client, HostClient.Host host) {
-        this.client = client;
-        this.host = host;
-    }
-
-    HostClient.Host host() {
-        return host;
+    HostConnection(Owner owner) {
+        this.owner = owner;
     }
 
     /** What the channel's pipeline is made of. */
@@ -76,7 +84,7 @@
 
     private void startTimer(long micros, Runnable task) {
         stopTimer();
-        timer = client.after(micros, task);
+        timer = owner.after(micros, task);
     }
 
     private void stopTimer() {
@@ -86,7 +94,8 @@
         }
     }
 
-    void close() {
+    @Override
+    public void close() {
         context.close();
     }
 
@@ -156,7 +165,7 @@
             answered = false;
             // Guards against what came with the answer and does not belong to it.
             if (reusable && !decoder.hasLeftover()) {
-                int breaks = host.breaks();
+                int breaks = owner.breaks();
                 startTimer(REST, () -> free(breaks));
             } else {
                 ctx.close();
@@ -173,17 +182,17 @@
 
     /** Guards also against a connection that died with another one while it rested. */
     private void free(int breaks) {
-        if (breaks != host.breaks()) {
+        if (breaks != owner.breaks()) {
             context.close();
         } else if (context.channel().isActive()) {
-            client.free(this);
+            owner.free(this);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         stopTimer();
-        client.closed(this);
+        owner.closed(this);
         lose(HostCall::broken);
     }
 
--- a/src/main/java/pipitstage/relay/AgentClient.java
+++ b/src/main/java/pipitstage/platform/AgentClient.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.platform;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/pipitstage/relay/Discovery.java
+++ b/src/main/java/pipitstage/platform/Discovery.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.platform;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -11,9 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import pipitstage.Fields;
 import pipitstage.Policy.ListKind;
+import pipitstage.engine.Membership;
+import pipitstage.engine.Target;
+import pipitstage.log.Log;
 
 /** Fetches the list of hosts once and then watches it for changes. */
-final class Discovery {
+public final class Discovery {
     /**
      * Guards against a discovery that falls silent: a watch that waits long would learn only after its end
      * of what was told meanwhile. Every answer is followed by the next call within a moment.
@@ -26,28 +29,24 @@
     /** So long without an answer that can be read is silence; far above what a watch waits for. */
     private static final long SILENCE_MS = 2000;
 
-    /** Takes in what discovery tells. */
-    interface Listener {
-        void list(ListKind kind, long version, List<Target> targets);
-    }
-
     private final EventLoop loop;
     private final AgentClient agent;
-    private final Listener listener;
+    private final Membership listener;
     private final Runnable silence;
     private final JsonFactory json = new JsonFactory();
     private long version = -1;
     private Future<?> overdue;
 
     /** A watch at an address; {@code silence} is run each {@value #SILENCE_MS} ms for which nothing was heard. */
-    Discovery(EventLoop loop, InetSocketAddress address, Listener listener, Runnable silence) {
+    public Discovery(EventLoop loop, InetSocketAddress address, Membership listener, Runnable silence) {
         this.loop = loop;
         this.listener = listener;
         this.silence = silence;
         agent = new AgentClient(loop, address);
     }
 
-    void start() {
+    /** Asks for the whole list, then watches. */
+    public void start() {
         ask();
         expectNews();
     }
@@ -63,7 +62,7 @@
     }
 
     /** Watches at another address from now on; its versions need not be those of the old one. */
-    void moveTo(InetSocketAddress address) {
+    public void moveTo(InetSocketAddress address) {
         version = -1;
         agent.moveTo(address);
     }
@@ -88,7 +87,7 @@
             Fields list = Fields.ofObject("list", Fields.read(parser));
             long rev = list.whole("rev");
             boolean whole = list.flag("all");
-            List<Target> targets = Target.readAll(list);
+            List<Target> targets = Targets.readAll(list);
             version = rev;
             expectNews();
             if (whole || !targets.isEmpty()) {
--- a/src/main/java/pipitstage/relay/Notices.java
+++ b/src/main/java/pipitstage/platform/Notices.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.platform;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -14,9 +14,12 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import pipitstage.engine.Ends;
+import pipitstage.engine.Message;
+import pipitstage.log.Log;
 
 /** Tells the platform of messages that ended undelivered, and again until it has heard. */
-final class Notices {
+public final class Notices implements Ends {
     private static final int MOST_IN_ONE = 100;
     private static final long PATIENCE_MS = 100;
     private static final long PAUSE_MS = 20;
@@ -29,13 +32,14 @@
     private boolean out;
 
     /** Notices that are told to {@code heard} once the platform has taken them. */
-    Notices(EventLoop loop, InetSocketAddress address, Consumer<Message> heard) {
+    public Notices(EventLoop loop, InetSocketAddress address, Consumer<Message> heard) {
         this.loop = loop;
         this.heard = heard;
         agent = new AgentClient(loop, address);
     }
 
-    void send(Message message) {
+    @Override
+    public void send(Message message) {
         waiting.add(message);
         if (!out) {
             out = true;
@@ -43,7 +47,8 @@
         }
     }
 
-    void moveTo(InetSocketAddress address) {
+    /** Notices go to another address from now on, also those that have no answer yet. */
+    public void moveTo(InetSocketAddress address) {
         agent.moveTo(address);
     }
 
@@ -82,7 +87,7 @@
         try {
             heard.accept(message);
         } catch (RuntimeException e) {
-            Log.line("notices: the end of " + message.content.callId() + " can't be carried out: " + e);
+            Log.line("notices: the end of " + message.content().callId() + " can't be carried out: " + e);
         }
     }
 
@@ -90,10 +95,10 @@
         StringWriter text = new StringWriter();
         try (JsonGenerator json = factory.createGenerator(text)) {
             json.writeStartObject();
-            json.writeStringField("ref", message.content.callId());
-            json.writeStringField("result", message.end.refused() ? "bounced" : "dead");
-            if (message.end.refused() && message.end.retryIn() > 0) {
-                json.writeNumberField("wait_ms", message.end.retryIn() / 1000);
+            json.writeStringField("ref", message.content().callId());
+            json.writeStringField("result", message.end().refused() ? "bounced" : "dead");
+            if (message.end().refused() && message.end().retryIn() > 0) {
+                json.writeNumberField("wait_ms", message.end().retryIn() / 1000);
             }
             json.writeEndObject();
         } catch (IOException e) {
--- a/src/main/java/pipitstage/relay/Target.java
+++ b/src/main/java/pipitstage/platform/Targets.java
@@ -1,17 +1,19 @@
-package pipitstage.relay;
+package pipitstage.platform;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import pipitstage.Fields;
 import pipitstage.Policy;
 import pipitstage.WireException;
+import pipitstage.engine.Target;
+import pipitstage.log.Log;
 
-/** A host in discovery's list and the address at which this relay reaches it. */
-record Target(Policy.Listed listed, InetSocketAddress address) {
+/** Hosts as discovery lists them (PROTOCOL, Discovery). */
+public final class Targets {
+    private Targets() { }
 
     /** Reads the entries of a list; one that makes no sense is logged and passed over. */
-    static List<Target> readAll(Fields list) {
+    public static List<Target> readAll(Fields list) {
         List<Target> targets = new ArrayList<>();
         for (Object json : list.list("targets")) {
             try {
@@ -32,6 +34,6 @@
         };
         Policy.Listed listed = new Policy.Listed(entry.text("uid"), (int) entry.whole("pod_group"),
                 entry.text("model"), entry.text("az"), availability, entry.number("capacity_hint", 0));
-        return new Target(listed, Config.address(entry.text("endpoint")));
+        return new Target(listed, Target.address(entry.text("endpoint")));
     }
 }
--- /dev/null
+++ b/src/main/java/pipitstage/relay/LoopTimers.java
@@ -0,0 +1,15 @@
+package pipitstage.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import pipitstage.engine.Timers;
+
+/** Timers of the one event loop. */
+record LoopTimers(EventLoop loop) implements Timers {
+    @Override
+    public Timer after(long micros, Runnable task) {
+        Future<?> due = loop.schedule(task, micros, TimeUnit.MICROSECONDS);
+        return () -> due.cancel(false);
+    }
+}
--- a/src/main/java/pipitstage/relay/Main.java
+++ b/src/main/java/pipitstage/relay/Main.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import pipitstage.SimHost;
 import pipitstage.WireException;
+import pipitstage.config.Config;
+import pipitstage.log.Log;
 
 /** Starts the relay or the simulator's adapter. docs/design.md has an overview. */
 public final class Main {
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -5,6 +5,17 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import pipitstage.Logic;
+import pipitstage.config.Config;
+import pipitstage.engine.Clock;
+import pipitstage.engine.Engine;
+import pipitstage.engine.Pulse;
+import pipitstage.engine.Timers;
+import pipitstage.front.http.ClientServer;
+import pipitstage.journal.Journal;
+import pipitstage.log.Log;
+import pipitstage.partner.http.HostClient;
+import pipitstage.platform.Discovery;
+import pipitstage.platform.Notices;
 
 /** The relay as a whole: puts its parts together, starts them and ends them. */
 final class Relay {
@@ -16,9 +27,9 @@
 
     private final EventLoop loop;
     private final Config config;
-    private final Journal journal;
     private final Engine engine;
     private final Pulse pulse;
+    private final Notices notices;
     private final Discovery discovery;
     private final ClientServer clients;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -29,10 +40,14 @@
         this.loop = loop;
         this.config = config;
         Clock clock = new Clock();
-        journal = new Journal(config.state(), config.diskBytes());
-        engine = new Engine(loop, clock, config, journal, Logic::new);
+        Timers timers = new LoopTimers(loop);
+        Journal journal = new Journal(config.state(), config.diskBytes());
+        engine = new Engine(timers, clock, config.settings(), config.period(), journal, Logic::new);
+        notices = new Notices(loop, config.discovery(), engine::noticeHeard);
+        engine.attach(new HostClient(loop, clock, config.settings(), new HostClient.Options(config.reports(),
+                config.idleSpan(), config.hostConnections()), engine), notices);
         discovery = new Discovery(loop, config.discovery(), engine, discoveryIsSilent);
-        pulse = new Pulse(loop, clock);
+        pulse = new Pulse(timers, clock);
         clients = new ClientServer(engine, clock, pulse, config.clientConnections());
     }
 
@@ -41,7 +56,7 @@
         try {
             loop.submit(() -> {
                 pulse.start();
-                engine.start();
+                engine.start(config.knownVersion(), config.known());
                 discovery.start();
             }).sync();
             Log.line("serving on " + clients.listen(loop, config.listen()).sync().channel().localAddress());
@@ -55,7 +70,7 @@
         loop.execute(() -> {
             Log.line("discovery is at " + next.discovery());
             discovery.moveTo(next.discovery());
-            engine.noticesTo(next.discovery());
+            notices.moveTo(next.discovery());
         });
     }
 
--- a/src/main/java/pipitstage/relay/Reload.java
+++ b/src/main/java/pipitstage/relay/Reload.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import pipitstage.config.Config;
+import pipitstage.log.Log;
 import sun.misc.Signal;
 
 /**
--- a/src/test/java/pipitstage/relay/StubPeer.java
+++ b/src/main/java/pipitstage/standin/StubPeer.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.standin;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -15,45 +15,54 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
 
-/** A peer of tests on an ephemeral port: a host, or discovery. It answers each request as it is told. */
-final class StubPeer implements AutoCloseable {
+/**
+ * A peer on a loopback port that speaks just enough HTTP/1.1 to stand in for a host or discovery: it keeps every
+ * request and answers each as it is told, or breaks off, or says nothing. One thread a connection.
+ */
+public final class StubPeer implements AutoCloseable {
     /** In place of an answer: the connection closes, or nothing comes at all. */
-    static final String CLOSE = "close";
-    static final String SILENCE = "silence";
+    public static final String CLOSE = "close";
+    public static final String SILENCE = "silence";
 
     /** A request as it came; the names of headers are in lower case. */
-    record Request(String line, Map<String, String> headers, String body, long at) {
-        String id() {
+    public record Request(String line, Map<String, String> headers, String body, long at) {
+        /** The message that the request is for, or null. */
+        public String id() {
             return headers.get("x-call-id");
         }
     }
 
-    final List<Request> requests = new CopyOnWriteArrayList<>();
-    final List<Socket> connections = new CopyOnWriteArrayList<>();
+    /** Every request so far, in the order in which they came whole. */
+    public final List<Request> requests = new CopyOnWriteArrayList<>();
+    /** Every connection so far. */
+    public final List<Socket> connections = new CopyOnWriteArrayList<>();
     private final ServerSocket listener;
     private volatile Function<Request, String> answers;
 
-    StubPeer(Function<Request, String> answers) throws IOException {
+    /** A peer on any free port. */
+    public StubPeer(Function<Request, String> answers) throws IOException {
         this(0, answers);
     }
 
     /** A peer on a port of its own, or on any where that is 0. */
-    StubPeer(int port, Function<Request, String> answers) throws IOException {
+    public StubPeer(int port, Function<Request, String> answers) throws IOException {
         this.answers = answers;
         listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         daemon(this::accept);
     }
 
     /** A peer that gives one answer to everything. */
-    static StubPeer always(String answer) throws IOException {
+    public static StubPeer always(String answer) throws IOException {
         return new StubPeer(request -> answer);
     }
 
-    static String status(int code, String... headers) {
+    /** An answer with a status, headers such as {@code "X: y"} and no body. */
+    public static String status(int code, String... headers) {
         return answer(code, "", headers);
     }
 
-    static String answer(int code, String body, String... headers) {
+    /** An answer with a status, a body in ISO 8859-1 and headers. */
+    public static String answer(int code, String body, String... headers) {
         StringBuilder text = new StringBuilder("HTTP/1.1 " + code + " X\r\n");
         for (String header : headers) {
             text.append(header).append("\r\n");
@@ -61,19 +70,22 @@
         return text + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    void answer(Function<Request, String> next) {
+    /** Answers otherwise from now on. */
+    public void answer(Function<Request, String> next) {
         answers = next;
     }
 
-    String address() {
+    /** Its address, such as {@code 127.0.0.1:4711}. */
+    public String address() {
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
-    int port() {
+    public int port() {
         return listener.getLocalPort();
     }
 
-    long count(String start) {
+    /** How many requests had a first line that begins so. */
+    public long count(String start) {
         return requests.stream().filter(r -> r.line().startsWith(start)).count();
     }
 
@@ -99,7 +111,7 @@
                 daemon(() -> serve(socket));
             }
         } catch (IOException e) {
-            // The test has closed this peer.
+            // This peer has been closed.
         }
     }
 
@@ -117,7 +129,7 @@
                 }
             }
         } catch (IOException e) {
-            // The relay, or the test, has closed the connection.
+            // The other side, or close(), has ended the connection.
         }
     }
 
--- /dev/null
+++ b/src/main/java/pipitstage/standin/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Stand-ins for what a relay meets: scripted peers on loopback ports, for tests, the demonstration and load.
+ * They are no part of a serving relay.
+ *
+ * <p>May use: nothing of the relay but names of headers.
+ */
+package pipitstage.standin;
--- /dev/null
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -0,0 +1,108 @@
+package pipitstage;
+
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.nameMatching;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Who may use whom: what each package-info.java says, held to. */
+class RoomsTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("pipitstage");
+    /** The decision module and the types that it speaks in. */
+    private static final String MODULE = "(\\[+L)?pipitstage\\.(Logic|Policy|State)(\\$[^;]*)?;?";
+    /** Sockets, files, clocks and threads. */
+    private static final DescribedPredicate<JavaClass> OUTSIDE = DescribedPredicate.or(
+            resideInAnyPackage("java.io..", "java.net..", "java.nio.file..", "java.nio.channels..",
+                    "java.time..", "java.util.concurrent..", "io.netty..", "com.fasterxml..", "sun.."),
+            nameMatching("java\\.lang\\.(System|Thread|Process|Runtime)(\\$.*)?")).as("sockets, files, clocks or threads");
+
+    private static DescribedPredicate<JavaClass> ours() {
+        return resideInAnyPackage("pipitstage..");
+    }
+
+    private static ArchRule module(String pattern) {
+        return noClasses().that().haveNameMatching(pattern).should().dependOnClassesThat(OUTSIDE);
+    }
+
+    @Test
+    void decisionsReachNoSocketFileClockOrThread() {
+        module(MODULE).check(ALL);
+        classes().that().haveNameMatching(MODULE).should()
+                .onlyDependOnClassesThat(DescribedPredicate.or(nameMatching(MODULE), DescribedPredicate.not(ours()))).check(ALL);
+    }
+
+    /** Proves that the rule above can fail. */
+    @Test
+    void ruleOfDecisionsFindsOneThatReachesOut() {
+        assertThrows(AssertionError.class, () -> module("pipitstage\\.SimHost").check(ALL));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "engine | pipitstage pipitstage.engine pipitstage.log",
+        "front.http | pipitstage.engine pipitstage.front.http pipitstage.http pipitstage.log",
+        "partner.http | pipitstage pipitstage.engine pipitstage.partner.http pipitstage.http pipitstage.log",
+        "platform | pipitstage pipitstage.engine pipitstage.platform pipitstage.log",
+        "journal | pipitstage pipitstage.engine pipitstage.journal pipitstage.log",
+        "log | pipitstage.log",
+        "http | pipitstage.http",
+        "standin | pipitstage.standin pipitstage.http"})
+    void packageUsesOnlyWhatItSays(String name, String allowed) {
+        classes().that().resideInAPackage("pipitstage." + name).should().onlyDependOnClassesThat(
+                resideInAnyPackage(allowed.split(" ")).or(DescribedPredicate.not(ours()))).check(ALL);
+    }
+
+    @Test
+    void engineKnowsNeitherNettyNorHttpNorFiles() {
+        noClasses().that().resideInAPackage("pipitstage.engine").should().dependOnClassesThat(
+                DescribedPredicate.or(nameMatching("java\\.lang\\.Thread.*"), resideInAnyPackage("io.netty..",
+                        "com.fasterxml..", "java.nio..", "java.io..", "java.net.http.."))).check(ALL);
+    }
+
+    @Test
+    void noPackagesUseEachOtherInARing() {
+        slices().matching("pipitstage.(**)").should().beFreeOfCycles().check(ALL);
+    }
+
+    @Test
+    void classesOfThePartnerSideUseEachOtherOneWayOnly() {
+        noClasses().that().haveNameMatching(".*\\.(HostConnection|HostCall|AnswerDecoder)(\\$.*)?").should()
+                .dependOnClassesThat(nameMatching(".*\\.HostClient(\\$.*)?")).check(ALL);
+        noClasses().that().haveNameMatching(".*\\.HostCall(\\$.*)?").should()
+                .dependOnClassesThat(nameMatching(".*\\.HostConnection(\\$.*)?")).check(ALL);
+    }
+
+    @Test
+    void everyPackageSaysWhatItIsForAndWhatItMayUse() throws IOException {
+        try (var folders = Files.walk(Path.of("src/main/java/pipitstage"))) {
+            List<Path> packages = folders.filter(Files::isDirectory).filter(RoomsTest::holdsClasses).toList();
+            assertTrue(packages.size() > 8, "folders: " + packages);
+            for (Path folder : packages) {
+                assertTrue(Files.readString(folder.resolve("package-info.java")).contains("May use: "), folder + "");
+            }
+        }
+    }
+
+    private static boolean holdsClasses(Path folder) {
+        String[] names = folder.toFile().list((parent, name) -> name.endsWith(".java"));
+        return names != null && names.length > 0;
+    }
+}
--- a/src/test/java/pipitstage/relay/JournalTest.java
+++ b/src/test/java/pipitstage/journal/JournalTest.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.journal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pipitstage.Policy.Result;
+import pipitstage.engine.Message;
 
 class JournalTest {
     private static final long DISK = 3 << 20;
@@ -72,23 +73,23 @@
             assertTrue(journal.accept(first) && journal.accept(second) && journal.accept(message(3, 0)));
             Message.Attempt refused = first.addAttempt("r1", 50);
             assertTrue(journal.attempt(refused));
-            refused.result = Result.FULL;
+            refused.result(Result.FULL);
             journal.result(refused);
             assertTrue(journal.attempt(first.addAttempt("r2", 60)));
-            second.end = new Message.End(true, 5);
+            second.decide(new Message.End(true, 5));
             journal.decided(second);
             journal.done(message(3, 0));
         }
         List<Message> open = reopened();
         assertEquals(2, open.size());
         Message first = open.get(0);
-        assertEquals("id1", first.content.callId());
-        assertEquals(123, first.content.deadline());
-        assertEquals(10, first.content.body().length);
-        assertEquals(Result.FULL, first.attempts.get(0).result);
-        assertEquals("r2", first.attempts.get(1).route);
-        assertNull(first.attempts.get(1).result);
-        assertEquals(new Message.End(true, 5), open.get(1).end);
+        assertEquals("id1", first.content().callId());
+        assertEquals(123, first.content().deadline());
+        assertEquals(10, first.content().body().length);
+        assertEquals(Result.FULL, first.attempts().get(0).result());
+        assertEquals("r2", first.attempts().get(1).route());
+        assertNull(first.attempts().get(1).result());
+        assertEquals(new Message.End(true, 5), open.get(1).end());
     }
 
     @Test
@@ -103,7 +104,7 @@
             assertEquals(1, journal.open().size());
             assertTrue(journal.accept(message(3, 10)));
         }
-        assertEquals(List.of(1L, 3L), reopened().stream().map(m -> m.number).toList());
+        assertEquals(List.of(1L, 3L), reopened().stream().map(m -> m.number()).toList());
     }
 
     @Test
@@ -138,7 +139,7 @@
         assertTrue(refused > 100, "refused: " + refused);
         // During a rewrite the new segment, no larger than what is open, stands beside the old one.
         assertTrue(most < 0.5 * DISK, "most on disk: " + most);
-        assertEquals(held.stream().map(m -> m.number).toList(), reopened().stream().map(m -> m.number).toList());
+        assertEquals(held.stream().map(m -> m.number()).toList(), reopened().stream().map(m -> m.number()).toList());
     }
 
     @Test
@@ -150,8 +151,8 @@
             journal.attempt(message.addAttempt("r1", 2));
         }
         Message open = reopened().get(0);
-        assertEquals(Result.NOT_SENT, open.attempts.get(0).result);
-        assertEquals("r1", open.attempts.get(1).route);
+        assertEquals(Result.NOT_SENT, open.attempts().get(0).result());
+        assertEquals("r1", open.attempts().get(1).route());
     }
 
     @Test
--- a/src/test/java/pipitstage/relay/LogTest.java
+++ b/src/test/java/pipitstage/log/LogTest.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.log;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/pipitstage/relay/AgentTest.java
+++ b/src/test/java/pipitstage/platform/AgentTest.java
@@ -1,4 +1,4 @@
-package pipitstage.relay;
+package pipitstage.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static pipitstage.relay.RelayProcess.await;
@@ -18,6 +18,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import pipitstage.engine.Message;
+import pipitstage.standin.StubPeer;
 
 /** The connection to discovery's agent, and the notices above it, where sockets or listeners fail. */
 class AgentTest {
@@ -83,10 +85,10 @@
         try (StubPeer platform = StubPeer.always(StubPeer.status(204))) {
             List<String> heard = new ArrayList<>();
             Notices notices = new Notices(loop, at(platform), message -> {
-                if (message.number == 1) {
+                if (message.number() == 1) {
                     throw new IllegalStateException("broken");
                 }
-                heard.add(message.content.callId());
+                heard.add(message.content().callId());
             });
             loop.execute(() -> notices.send(ended(1)));
             await(() -> platform.count("POST") == 1);
@@ -98,7 +100,7 @@
 
     private static Message ended(long number) {
         Message message = new Message(number, new Message.Content("m" + number, "safe", null, null, 0, 7, new byte[0]));
-        message.end = new Message.End(false, 0);
+        message.decide(new Message.End(false, 0));
         return message;
     }
 }
--- a/src/test/java/pipitstage/relay/BadClientTest.java
+++ b/src/test/java/pipitstage/relay/BadClientTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pipitstage.relay.RelayProcess.await;
-import static pipitstage.relay.StubPeer.status;
+import static pipitstage.standin.StubPeer.status;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import pipitstage.standin.StubPeer;
 
 /** Clients that send what can't be used, too much, or nothing at all. */
 class BadClientTest extends RelayTestBase {
--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -4,14 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pipitstage.relay.RelayProcess.await;
-import static pipitstage.relay.StubPeer.answer;
-import static pipitstage.relay.StubPeer.status;
+import static pipitstage.standin.StubPeer.answer;
+import static pipitstage.standin.StubPeer.status;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import pipitstage.standin.StubPeer;
 
 /** Calls to hosts: what is sent, what the answers mean, and what must not be sent. */
 class DeliveryTest extends RelayTestBase {
--- a/src/test/java/pipitstage/relay/DoorTest.java
+++ b/src/test/java/pipitstage/relay/DoorTest.java
@@ -5,8 +5,8 @@
 import static pipitstage.relay.RelayProcess.await;
 import static pipitstage.relay.RelayProcess.list;
 import static pipitstage.relay.RelayProcess.target;
-import static pipitstage.relay.StubPeer.answer;
-import static pipitstage.relay.StubPeer.status;
+import static pipitstage.standin.StubPeer.answer;
+import static pipitstage.standin.StubPeer.status;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import pipitstage.standin.StubPeer;
 
 /** What clients and discovery may send, and what of it is taken on. */
 class DoorTest extends RelayTestBase {
--- a/src/test/java/pipitstage/relay/LateReadTest.java
+++ b/src/test/java/pipitstage/relay/LateReadTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pipitstage.relay.RelayProcess.await;
-import static pipitstage.relay.StubPeer.status;
+import static pipitstage.standin.StubPeer.status;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import pipitstage.standin.StubPeer;
 
 /** Requests that wait unread while the relay has no CPU: their time runs all the same. */
 class LateReadTest extends RelayTestBase {
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -13,9 +13,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import pipitstage.engine.Message;
+import pipitstage.journal.Journal;
+import pipitstage.standin.StubPeer;
 
 /** The real program, started as a process of its own with stub peers round it. */
-final class RelayProcess implements AutoCloseable {
+public final class RelayProcess implements AutoCloseable {
     private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
     private static final int PATIENCE_S = 30;
 
@@ -256,7 +259,7 @@
                 && r.body().contains("{\"ref\":\"" + id + "\",\"result\":\"" + result + "\""));
     }
 
-    static void await(BooleanSupplier condition) {
+    public static void await(BooleanSupplier condition) {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > end) {
--- a/src/test/java/pipitstage/relay/RelayTestBase.java
+++ b/src/test/java/pipitstage/relay/RelayTestBase.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
+import pipitstage.standin.StubPeer;
 
 /** A relay with one host and discovery round it, ended after each test. */
 abstract class RelayTestBase {
--- a/src/test/java/pipitstage/relay/ReloadTest.java
+++ b/src/test/java/pipitstage/relay/ReloadTest.java
@@ -5,8 +5,8 @@
 import static pipitstage.relay.RelayProcess.await;
 import static pipitstage.relay.RelayProcess.list;
 import static pipitstage.relay.RelayProcess.target;
-import static pipitstage.relay.StubPeer.answer;
-import static pipitstage.relay.StubPeer.status;
+import static pipitstage.standin.StubPeer.answer;
+import static pipitstage.standin.StubPeer.status;
 
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import pipitstage.standin.StubPeer;
 
 /** A configuration that is replaced while the relay runs. */
 class ReloadTest extends RelayTestBase {
--- a/src/test/java/pipitstage/relay/RestartTest.java
+++ b/src/test/java/pipitstage/relay/RestartTest.java
@@ -4,13 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pipitstage.relay.RelayProcess.await;
-import static pipitstage.relay.StubPeer.status;
+import static pipitstage.standin.StubPeer.status;
 
 import java.io.IOException;
 import java.net.Socket;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import pipitstage.Policy;
+import pipitstage.standin.StubPeer;
 
 /** What a relay owes across the end of its process. */
 class RestartTest extends RelayTestBase {
@@ -54,8 +55,8 @@
     void unsafeMessageThatNeverRanIsResumed() throws IOException {
         host.answer(request -> status(503, "X-Come-Back-Ms: 60000"));
         assertEquals(202, relay.start().handIn("u2", "unsafe", 7));
-        await(() -> relay.journaled().stream().flatMap(m -> m.attempts.stream())
-                .anyMatch(a -> a.result == Policy.Result.FULL));
+        await(() -> relay.journaled().stream().flatMap(m -> m.attempts().stream())
+                .anyMatch(a -> a.result() == Policy.Result.FULL));
         relay.kill();
         host.answer(request -> status(200));
         relay.start();
--- a/src/test/java/pipitstage/relay/SpoiltAnswerTest.java
+++ b/src/test/java/pipitstage/relay/SpoiltAnswerTest.java
@@ -4,13 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pipitstage.relay.RelayProcess.await;
-import static pipitstage.relay.StubPeer.answer;
-import static pipitstage.relay.StubPeer.status;
+import static pipitstage.standin.StubPeer.answer;
+import static pipitstage.standin.StubPeer.status;
 
 import java.io.IOException;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import pipitstage.standin.StubPeer;
 
 /** Answers of hosts that can't be read, don't end, or bring more than belongs to them. */
 class SpoiltAnswerTest extends RelayTestBase {
