--- /dev/null
+++ b/src/main/java/pipitstage/cli/DemoCommand.java
@@ -0,0 +1,274 @@
+package pipitstage.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import pipitstage.config.tool.Tool;
+import pipitstage.standin.StandInClient;
+import pipitstage.standin.StandInDiscovery;
+import pipitstage.standin.StandInPartner;
+
+/** A first run: a relay from a file that the tool just wrote, with stand-ins round it, all on loopback. */
+@Command(name = "demo", mixinStandardHelpOptions = true, description = {
+    "Writes a relay file, starts the relay with two partners and a client on loopback, and tells what became of each"
+        + " class.", "One partner has a limit, the other fails for a while. Leaves nothing behind."})
+final class DemoCommand implements Callable<Integer> {
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+    private static final int LIMIT = 20;
+    private static final int RATE = 20;
+    private static final long PATIENCE_S = 20;
+    private static final int TENTHS = 10;
+    private static final List<String> CLASSES = List.of("status-update", "car-order", "settlement");
+
+    @Option(names = "--seconds", defaultValue = "8", description = "How long the client hands messages in"
+            + " (${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Spec
+    private CommandSpec spec;
+
+    /** What became of the messages of one class. */
+    private static final class Tally {
+        private int handedIn;
+        private int refused;
+        private final List<String> taken = new ArrayList<>();
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter out = spec.commandLine().getOut();
+        Path folder = Files.createTempDirectory("loftflow-demo");
+        Thread cleaning = new Thread(() -> delete(folder));
+        Runtime.getRuntime().addShutdownHook(cleaning);
+        try (StandInPartner limited = new StandInPartner(40, LIMIT);
+                StandInPartner failing = new StandInPartner(60, 0);
+                StandInDiscovery platform = new StandInDiscovery()) {
+            Path application = folder.resolve("demo.toml");
+            Files.writeString(application, application(folder, limited, failing, platform));
+            Tool.Outcome written = Tool.write(application, folder, false);
+            if (written.written() != Tool.Written.NEW) {
+                throw new IOException("the demonstration's own file has findings: " + written.findings());
+            }
+            out.println("wrote " + written.file().getFileName() + " from " + application.getFileName());
+            run(out, folder, written.file(), limited, failing, platform);
+        } finally {
+            delete(folder);
+        }
+        out.println("nothing is left behind");
+        out.flush();
+        return 0;
+    }
+
+    private void run(PrintWriter out, Path folder, Path relayFile, StandInPartner limited, StandInPartner failing,
+            StandInDiscovery platform) throws IOException, InterruptedException {
+        Path log = folder.resolve("relay.log");
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx72m",
+                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
+                Main.class.getName(), "serve", "--config", relayFile.toString())
+                .redirectErrorStream(true).redirectOutput(log.toFile());
+        // The demonstration keeps nothing, so its journal may lie among temporary files.
+        builder.environment().remove("TMPDIR");
+        Process relay = builder.start();
+        // Guards against a relay that outlives a demonstration that was broken off.
+        Thread ending = new Thread(relay::destroyForcibly);
+        Runtime.getRuntime().addShutdownHook(ending);
+        try {
+            Matcher at = serving(relay, log);
+            out.println("the relay serves on " + at.group(1) + ":" + at.group(2));
+            out.flush();
+            Map<String, Tally> tallies = new LinkedHashMap<>();
+            CLASSES.forEach(name -> tallies.put(name, new Tally()));
+            try (StandInClient client = new StandInClient(at.group(1), Integer.parseInt(at.group(2)))) {
+                handIn(out, client, tallies, limited, failing);
+            }
+            awaitEnds(tallies, limited, failing, platform);
+            report(out, tallies, limited, failing, platform);
+        } finally {
+            relay.destroy();
+            if (!relay.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+                relay.destroyForcibly();
+            }
+            Runtime.getRuntime().removeShutdownHook(ending);
+        }
+    }
+
+    private static Matcher serving(Process relay, Path log) throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (System.nanoTime() < end && relay.isAlive()) {
+            Matcher at = SERVING.matcher(Files.readString(log));
+            if (at.find()) {
+                return at;
+            }
+            Thread.sleep(20);
+        }
+        throw new IOException("the relay does not serve: " + Files.readString(log).strip());
+    }
+
+    private void handIn(PrintWriter out, StandInClient client, Map<String, Tally> tallies, StandInPartner limited,
+            StandInPartner failing) throws IOException, InterruptedException {
+        long start = System.nanoTime();
+        int count = seconds * RATE;
+        for (int i = 0; i < count; i++) {
+            long due = start + TimeUnit.SECONDS.toNanos(1) / RATE * i;
+            TimeUnit.NANOSECONDS.sleep(due - System.nanoTime());
+            if (i % RATE == 0) {
+                int second = i / RATE;
+                boolean down = second >= seconds / 4 && second < seconds / 2;
+                failing.be(down ? StandInPartner.Mood.SHUT : StandInPartner.Mood.WELL);
+                out.printf(Locale.ROOT, "%2d s: %d handed in, %d and %d calls at the partners%s%n", second, i,
+                        limited.postings().size(), failing.postings().size(), down ? ", the second one is shut" : "");
+                out.flush();
+            }
+            String type = CLASSES.get(i % CLASSES.size());
+            // Settlements go to railways alone; the others to both partners in turn.
+            int destination = type.equals("settlement") || i % 2 == 0 ? 1 : 2;
+            String id = "demo-" + i;
+            Tally tally = tallies.get(type);
+            tally.handedIn++;
+            int status = client.handIn(id, type, null, "key-" + i, destination, 6000, "message " + i);
+            if (status == 202) {
+                tally.taken.add(id);
+            } else {
+                tally.refused++;
+            }
+        }
+    }
+
+    private static boolean isOver(String id, StandInPartner limited, StandInPartner failing,
+            StandInDiscovery platform) {
+        return limited.effects().containsKey(id) || failing.effects().containsKey(id)
+                || platform.notices().stream().anyMatch(n -> n.ref().equals(id));
+    }
+
+    private static void awaitEnds(Map<String, Tally> tallies, StandInPartner limited, StandInPartner failing,
+            StandInDiscovery platform) throws InterruptedException {
+        for (int i = 0; i < PATIENCE_S * TENTHS; i++) {
+            if (tallies.values().stream().allMatch(t -> t.taken.stream().allMatch(
+                    id -> isOver(id, limited, failing, platform)))) {
+                return;
+            }
+            Thread.sleep(TimeUnit.SECONDS.toMillis(1) / TENTHS);
+        }
+    }
+
+    private static void report(PrintWriter out, Map<String, Tally> tallies, StandInPartner limited,
+            StandInPartner failing, StandInDiscovery platform) {
+        out.printf("%-14s %9s %9s %9s %9s %9s %9s%n", "class", "handed in", "delivered", "refused", "failed", "twice",
+                "no end");
+        tallies.forEach((type, tally) -> {
+            int delivered = 0;
+            int bounced = 0;
+            int dead = 0;
+            int twice = 0;
+            for (String id : tally.taken) {
+                int effects = limited.effects().getOrDefault(id, 0) + failing.effects().getOrDefault(id, 0);
+                twice += effects > 1 ? 1 : 0;
+                if (effects > 0) {
+                    delivered++;
+                } else if (platform.notices().contains(new StandInDiscovery.Notice(id, "bounced"))) {
+                    bounced++;
+                } else if (platform.notices().contains(new StandInDiscovery.Notice(id, "dead"))) {
+                    dead++;
+                }
+            }
+            out.printf("%-14s %9d %9d %9d %9d %9d %9d%n", type, tally.handedIn, delivered, tally.refused + bounced,
+                    dead, twice, tally.taken.size() - delivered - bounced - dead);
+        });
+        out.flush();
+    }
+
+    private static String application(Path folder, StandInPartner limited, StandInPartner failing,
+            StandInDiscovery platform) {
+        return """
+                format = 1
+                name = "demo"
+
+                [machine]
+                memory = "192MiB"
+                descriptors = 256
+                disk = "16MiB"
+                folder = "%s"
+
+                [[front]]
+                listen = "127.0.0.1:0"
+
+                [discovery]
+                notices = "%s"
+
+                [[class]]
+                name = "status-update"
+                repeat = "repeatable"
+                wanted = "1.5s"
+                deadline = "5s"
+                late-worth = 0.1
+                peak-rate = "7/s"
+
+                [[class]]
+                name = "car-order"
+                repeat = "by-key"
+                key-window = "7.5s"
+                wanted = "2s"
+                deadline = "8s"
+                worth = 2
+                late-worth = 0.5
+                peak-rate = "7/s"
+
+                [[class]]
+                name = "settlement"
+                repeat = "once"
+                wanted = "3s"
+                deadline = "8s"
+                worth = 5
+                late-worth = 0.3
+                peak-rate = "7/s"
+                to = ["railways"]
+
+                [[partner]]
+                name = "iron-line"
+                number = 1
+                kind = "railways"
+                limit = "%d/s"
+                response = "40ms"
+                [[partner.endpoint]]
+                id = "iron-1"
+                address = "%s"
+
+                [[partner]]
+                name = "prairie-elevator"
+                number = 2
+                kind = "elevators"
+                response = "60ms"
+                [[partner.endpoint]]
+                id = "prairie-1"
+                address = "%s"
+                """.formatted(folder.resolve("state"), platform.address(), LIMIT, limited.address(), failing.address());
+    }
+
+    private static void delete(Path folder) {
+        if (!Files.exists(folder)) {
+            return;
+        }
+        try (var files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        } catch (IOException e) {
+            System.err.println("loftflow: " + folder + " can't be removed: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/cli/Main.java
@@ -0,0 +1,54 @@
+package pipitstage.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import pipitstage.SimHost;
+import pipitstage.WireException;
+import pipitstage.config.Config;
+import pipitstage.config.tool.RelayFile;
+import pipitstage.log.Log;
+import pipitstage.relay.Serve;
+
+/**
+ * Where the program starts. What serves is started here, at once: the command line's library, and the parser of files
+ * where there is none to read, are not loaded. Everything else goes to {@link Commands}.
+ */
+public final class Main {
+    private static final int MISUSE = 2;
+
+    private Main() { }
+
+    /** Runs a command. */
+    public static void main(String[] args) throws IOException {
+        if (args.length == 1 && args[0].equals("serve")) {
+            serve(Config.ofPlatform(System.getenv()));
+        } else if (args.length == 3 && args[0].equals("serve") && args[1].equals("--config")) {
+            serve(RelayFile.source(Path.of(args[2])));
+        } else if (args.length == 1 && args[0].equals("simhost")) {
+            simhost();
+        } else {
+            System.exit(Commands.run(args));
+        }
+    }
+
+    private static void serve(Config.Source source) {
+        try {
+            Serve.start(source);
+        } catch (Config.BadConfigException e) {
+            e.getMessage().lines().forEach(Log::line);
+            System.exit(MISUSE);
+        } catch (IOException e) {
+            Log.line(e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static void simhost() throws IOException {
+        try {
+            SimHost.runOnStandardStreams();
+        } catch (WireException e) {
+            Log.line(e.getMessage());
+            System.exit(1);
+        }
+    }
+}
--- a/src/main/java/pipitstage/config/Config.java
+++ b/src/main/java/pipitstage/config/Config.java
@@ -16,12 +16,24 @@
 import pipitstage.platform.Targets;
 
 /**
- * Everything that a relay is told at its start. Spans are in microseconds; {@code knownVersion} is -1 and
- * {@code known} empty where no earlier list is known; {@code source} is the file that all this was read from.
+ * Everything that a relay is told at its start. Spans are in microseconds.
+ *
+ * @param listen where programs hand messages in
+ * @param discovery the agent that tells the list of hosts; null where the list below is all there is
+ * @param notices where ends other than delivery are told; null where they go to a file beside the journal
+ * @param clientConnections how many connections clients may hold
+ * @param hostConnections how many connections to hosts there may be
+ * @param period how long what comes in is gathered before the module acts
+ * @param idleSpan after which a host closes an idle connection at the latest
+ * @param knownKind whether the known list is all there is, or an old one that discovery will replace
+ * @param knownVersion -1 where no earlier list is known
+ * @param known empty where no earlier list is known
+ * @param source the file that all this was read from
  */
-public record Config(InetSocketAddress listen, InetSocketAddress discovery, Path state, int sockets, long diskBytes,
-        Policy.Settings settings, long period, long idleSpan, boolean reports, long knownVersion,
-        List<Target> known, byte[] source) {
+public record Config(List<InetSocketAddress> listen, InetSocketAddress discovery, InetSocketAddress notices,
+        Path state, int clientConnections, int hostConnections, long diskBytes, Policy.Settings settings, long period,
+        long idleSpan, boolean reports, Policy.ListKind knownKind, long knownVersion, List<Target> known,
+        byte[] source) {
 
     private static final long MIB = 1 << 20;
     /** Descriptors for all but connections: the JVM's own, the journal's, discovery's, and one just accepted. */
@@ -32,13 +44,37 @@
     public static final class BadConfigException extends Exception {
         private static final long serialVersionUID = 1L;
 
-        BadConfigException(String message) {
+        public BadConfigException(String message) {
             super(message);
         }
     }
 
+    /** Where a configuration comes from, again and again. */
+    public interface Source {
+        /** Reads and checks the whole of it. */
+        Config read() throws BadConfigException;
+
+        /** The file's bytes, to tell whether it has changed. */
+        byte[] bytes() throws IOException, BadConfigException;
+    }
+
+    /** The platform's configuration, which the environment names. */
+    public static Source ofPlatform(Map<String, String> environment) {
+        return new Source() {
+            @Override
+            public Config read() throws BadConfigException {
+                return Config.read(environment);
+            }
+
+            @Override
+            public byte[] bytes() throws IOException, BadConfigException {
+                return Files.readAllBytes(file(environment));
+            }
+        };
+    }
+
     /** Reads the configuration that the environment names. */
-    public static Config read(Map<String, String> environment) throws BadConfigException {
+    private static Config read(Map<String, String> environment) throws BadConfigException {
         Path file = file(environment);
         Path state = Path.of(variable(environment, "EDGE_STATE"));
         try {
@@ -55,11 +91,12 @@
     }
 
     /** The file that holds the configuration. */
-    public static Path file(Map<String, String> environment) throws BadConfigException {
+    private static Path file(Map<String, String> environment) throws BadConfigException {
         return Path.of(variable(environment, "EDGE_CONFIG"));
     }
 
-    private static Config of(Fields json, Path state, byte[] source) {
+    /** Makes sense of the platform's JSON. */
+    public static Config of(Fields json, Path state, byte[] source) {
         Fields params = json.object("settings");
         Fields limits = json.object("limits");
         Policy.Settings settings = WireCodec.settings(Long.parseUnsignedLong(json.text("seed"), 16), params);
@@ -71,11 +108,13 @@
             known = Targets.readAll(list);
         }
         String how = params.value("stats") == null ? null : params.object("stats").textOrNull("how");
-        return new Config(Target.address(json.text("listen")), Target.address(json.text("discovery")), state,
-                sockets(limits),
-                (long) (limits.number("disk_mb") * MIB), settings, params.micros("period-s", 0),
-                params.object("limits").micros("conn-idle-s"), how != null && !how.equals("off"), version, known,
-                source);
+        int connections = sockets(limits) - OTHER_DESCRIPTORS;
+        int clients = (int) Math.ceil(CLIENT_SHARE * connections);
+        InetSocketAddress discovery = Target.address(json.text("discovery"));
+        return new Config(List.of(Target.address(json.text("listen"))), discovery, discovery, state, clients,
+                Math.max(1, connections - clients), (long) (limits.number("disk_mb") * MIB), settings,
+                params.micros("period-s", 0), params.object("limits").micros("conn-idle-s"),
+                how != null && !how.equals("off"), Policy.ListKind.CACHED, version, known, source);
     }
 
     private static int sockets(Fields limits) {
@@ -86,16 +125,6 @@
         return (int) Math.min(sockets, Integer.MAX_VALUE);
     }
 
-    /** How many connections clients may hold. */
-    public int clientConnections() {
-        return (int) Math.ceil(CLIENT_SHARE * (sockets - OTHER_DESCRIPTORS));
-    }
-
-    /** How many connections to hosts there may be. */
-    public int hostConnections() {
-        return Math.max(1, sockets - OTHER_DESCRIPTORS - clientConnections());
-    }
-
     private static String variable(Map<String, String> environment, String name) throws BadConfigException {
         String value = environment.get(name);
         if (value == null || value.isEmpty()) {
--- /dev/null
+++ b/src/main/java/pipitstage/config/plan/Declared.java
@@ -0,0 +1,131 @@
+package pipitstage.config.plan;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import pipitstage.config.schema.Section;
+
+/**
+ * What a program's people declare: its messages, its partners, its machine. Spans are in microseconds, sizes in bytes,
+ * rates a second; 0 where none is known. Each part knows the table that it was read from, for findings.
+ */
+public record Declared(Section at, String name, Machine machine, List<Front> fronts, Discovery discovery, Fleet fleet,
+        List<Tenant> tenants, List<MessageClass> classes, List<Kind> kinds, List<Partner> partners) {
+    /** Where partners close idle connections if nothing else is declared. */
+    private static final long USUAL_IDLE = 10_000_000;
+
+    /** How often a message of a class may take effect. */
+    public enum Repeat { REPEATABLE, BY_KEY, ONCE }
+
+    /** The machine that a relay gets. */
+    public record Machine(Section at, double cores, long memory, int descriptors, long disk, String folder,
+            String building, long stopTime) { }
+
+    /** A door for programs. */
+    public record Front(Section at, String listen) { }
+
+    /** Addresses in digits, each null where there is none. */
+    public record Discovery(Section at, String agent, String notices) { }
+
+    /** The relays that share partners. */
+    public record Fleet(Section at, int relays, int number) { }
+
+    /** Whoever messages are sent for. */
+    public record Tenant(Section at, String name, double rate) { }
+
+    /** A class of messages; {@code to} is null where it goes to all kinds. */
+    public record MessageClass(Section at, String name, Repeat repeat, long keyWindow, boolean keysByBuilding,
+            long wanted, long deadline, double worth, double lateWorth, boolean inOrder, boolean secondCopies,
+            double peakRate, double meanRate, long body, long largestBody, List<String> to) {
+        /** True where messages go to partners of that kind. */
+        boolean goesTo(Partner partner) {
+            return to == null || to.contains(partner.kind());
+        }
+    }
+
+    /** A kind of partner. */
+    public record Kind(Section at, String name, int batch, boolean routesApart, long idle) { }
+
+    /** A destination. */
+    public record Partner(Section at, String name, int number, String kind, double limit, long response,
+            List<Endpoint> endpoints) { }
+
+    /** Where a partner takes calls. */
+    public record Endpoint(Section at, String id, String address, String building) { }
+
+    /** Reads what is declared out of a file that has no finding yet. */
+    public static Declared of(Section top) {
+        Section machine = top.table("machine");
+        Section discovery = top.table("discovery");
+        Section fleet = top.table("fleet");
+        List<Partner> partners = new ArrayList<>();
+        for (Section partner : top.tables("partner")) {
+            partners.add(new Partner(partner, partner.text("name"), (int) partner.whole("number"),
+                    partner.text("kind"), partner.number("limit"), partner.whole("response"),
+                    partner.tables("endpoint").stream().map(e -> new Endpoint(e, e.text("id"), e.text("address"),
+                            e.has("building") ? e.text("building") : machine.text("building"))).toList()));
+        }
+        return new Declared(top, top.text("name"),
+                new Machine(machine, machine.number("cores"), machine.whole("memory"),
+                        (int) machine.whole("descriptors"), machine.whole("disk"), machine.text("folder"),
+                        machine.text("building"), machine.whole("stop-time")),
+                top.tables("front").stream().map(f -> new Front(f, f.text("listen"))).toList(),
+                new Discovery(discovery, discovery.text("agent"), discovery.has("notices")
+                        ? discovery.text("notices") : discovery.text("agent")),
+                new Fleet(fleet, (int) fleet.whole("relays"), (int) fleet.whole("number")),
+                top.tables("tenant").stream().map(t -> new Tenant(t, t.text("name"), t.number("rate"))).toList(),
+                top.tables("class").stream().map(Declared::messageClass).toList(),
+                kinds(top, partners), partners);
+    }
+
+    private static MessageClass messageClass(Section c) {
+        Repeat repeat = switch (c.text("repeat")) {
+            case "once" -> Repeat.ONCE;
+            case "by-key" -> Repeat.BY_KEY;
+            default -> Repeat.REPEATABLE;
+        };
+        return new MessageClass(c, c.text("name"), repeat, c.whole("key-window"),
+                c.text("key-scope").equals("building"), c.whole("wanted"), c.whole("deadline"), c.number("worth"),
+                c.number("late-worth"), c.flag("in-order"), c.flag("second-copies"), c.number("peak-rate"),
+                c.number("mean-rate"), c.whole("body"), c.whole("largest-body"), c.names("to"));
+    }
+
+    /** The kinds that are declared, and those that partners or classes name without a table of their own. */
+    private static List<Kind> kinds(Section top, List<Partner> partners) {
+        Map<String, Kind> kinds = new HashMap<>();
+        List<Kind> inOrder = new ArrayList<>();
+        for (Section k : top.tables("kind")) {
+            inOrder.add(new Kind(k, k.text("name"), (int) k.whole("batch"), k.flag("routes-apart"), k.whole("idle")));
+            kinds.put(k.text("name"), inOrder.get(inOrder.size() - 1));
+        }
+        for (Partner partner : partners) {
+            kinds.computeIfAbsent(partner.kind(), name -> {
+                Kind kind = new Kind(partner.at(), name, 1, false, USUAL_IDLE);
+                inOrder.add(kind);
+                return kind;
+            });
+        }
+        return inOrder;
+    }
+
+    Kind kindOf(Partner partner) {
+        return kinds.stream().filter(k -> k.name().equals(partner.kind())).findFirst().orElseThrow();
+    }
+
+    /** The partners that a class goes to. */
+    List<Partner> partnersOf(MessageClass type) {
+        return partners.stream().filter(type::goesTo).toList();
+    }
+
+    /** Messages a second of all classes at their peak. */
+    double peakRate() {
+        return classes.stream().mapToDouble(MessageClass::peakRate).sum();
+    }
+
+    /** The endpoints of all partners. */
+    List<Endpoint> endpoints() {
+        return partners.stream().flatMap(p -> p.endpoints().stream()).toList();
+    }
+
+}
--- /dev/null
+++ b/src/main/java/pipitstage/config/plan/Surroundings.java
@@ -0,0 +1,25 @@
+package pipitstage.config.plan;
+
+import java.util.Optional;
+
+/** What the checks ask of the machine that they run on; a port, so that they do no I/O themselves. */
+public interface Surroundings {
+    /** Nothing is known of the machine. */
+    Surroundings UNKNOWN = new Surroundings() {
+        @Override
+        public Optional<String> temporary() {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<String> fault(String folder) {
+            return Optional.empty();
+        }
+    };
+
+    /** The folder for temporary files ({@code $TMPDIR}), where one is set. */
+    Optional<String> temporary();
+
+    /** Why nothing could be kept in a folder, such as that it can't be written; empty where nothing speaks against it. */
+    Optional<String> fault(String folder);
+}
--- /dev/null
+++ b/src/main/java/pipitstage/config/schema/Schema.java
@@ -0,0 +1,294 @@
+package pipitstage.config.schema;
+
+import static pipitstage.config.schema.Setting.Type.ADDRESS;
+import static pipitstage.config.schema.Setting.Type.FLAG;
+import static pipitstage.config.schema.Setting.Type.FOLDER;
+import static pipitstage.config.schema.Setting.Type.NAME;
+import static pipitstage.config.schema.Setting.Type.NAMES;
+import static pipitstage.config.schema.Setting.Type.NUMBER;
+import static pipitstage.config.schema.Setting.Type.RATE;
+import static pipitstage.config.schema.Setting.Type.SIZE;
+import static pipitstage.config.schema.Setting.Type.SPAN;
+import static pipitstage.config.schema.Setting.Type.TABLE;
+import static pipitstage.config.schema.Setting.Type.TABLES;
+import static pipitstage.config.schema.Setting.Type.WHOLE;
+import static pipitstage.config.schema.Setting.Type.WORD;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import pipitstage.config.file.Units;
+
+/**
+ * Every setting there is. An application file holds those that are not derived; a relay file holds the same and what
+ * the tool derives from them, so that a relay file alone tells whether it fits what was declared.
+ */
+public final class Schema {
+    private static final double ANY = Double.MAX_VALUE;
+    private static final double MS = 1_000;
+    private static final double SECOND = 1_000_000;
+    private static final double DAY = 24 * 3_600 * SECOND;
+    private static final double KIB = 1 << 10;
+    private static final double MIB = 1 << 20;
+    private static final int MOST_BODY = 64 << 10;
+
+    private static final Map<String, Setting> ALL = new LinkedHashMap<>();
+
+    static {
+        need("format", WHOLE, 1, 1, "The version of this form of file: 1.");
+        need("name", NAME, 0, ANY, "The program that the relay stands beside, or the relay itself.");
+
+        table("machine", "The machine that the relay gets.");
+        may("machine.cores", NUMBER, "1", 0.05, 64, "Share of CPU: one event loop uses one core at the most.");
+        need("machine.memory", SIZE, 64 * MIB, ANY, "Memory for the process; beyond it the system may end it.");
+        need("machine.descriptors", WHOLE, 64, 1_000_000, "File descriptors that the process may hold.");
+        need("machine.disk", SIZE, 256 * KIB, ANY, "Space in the folder that lasts.");
+        need("machine.folder", FOLDER, 0, ANY, "The folder that lasts, for the journal; private to this relay.");
+        may("machine.building", NAME, "main", 0, ANY, "The building that the machine stands in.");
+        may("machine.stop-time", SPAN, "4s", SECOND, DAY, "From SIGTERM until the process is ended outright.");
+
+        tables("front", "A door through which programs hand messages in; at least one is needed.");
+        word("front[].protocol", "http", List.of("http"), "What programs speak there.");
+        need("front[].listen", ADDRESS, 0, ANY, "The address to listen on; port 0 lets the system pick.");
+
+        table("discovery", "Where partners' endpoints come from, if not from this file alone.");
+        may("discovery.agent", ADDRESS, null, 0, ANY, "The agent that tells the list of endpoints and its changes.");
+        may("discovery.notices", ADDRESS, null, 0, ANY, "Where ends other than delivery are told; the agent's address"
+                + " if left out, and with no agent a file in the folder that lasts.");
+
+        table("fleet", "The relays that share the partners' limits.");
+        may("fleet.relays", WHOLE, "1", 1, 100_000, "How many relays call the same partners.");
+        may("fleet.number", WHOLE, "0", 0, 99_999, "Which of them this one is, from 0.");
+
+        tables("tenant", "Whoever messages are sent for; with none, any name or none is taken.");
+        need("tenant[].name", NAME, 0, ANY, "The name that a message gives.");
+        may("tenant[].rate", RATE, "0/s", 0, ANY, "Its share, over all relays; 0/s for no share of its own.");
+
+        tables("class", "A class of messages; at least one is needed.");
+        need("class[].name", NAME, 0, ANY, "The name that a message gives.");
+        wordNeeded("class[].repeat", List.of("repeatable", "by-key", "once"),
+                "How often a message may take effect: any number of times, once for each key, or once.");
+        may("class[].key-window", SPAN, null, 1, DAY, "How long a partner drops a repeated key.");
+        word("class[].key-scope", "all", List.of("all", "building"),
+                "Which endpoints of a partner share what they know of keys.");
+        need("class[].wanted", SPAN, 1, DAY, "Delivered within this span a message is worth all it can be.");
+        need("class[].deadline", SPAN, 1, DAY, "After this span a message is given up.");
+        may("class[].worth", NUMBER, "1", 0, 1e9, "What a delivery is worth, beside other classes.");
+        may("class[].late-worth", NUMBER, "0", 0, 1, "The share of its worth that is left at the deadline.");
+        may("class[].in-order", FLAG, "false", 0, ANY, "Messages of one key go out one at a time, in order.");
+        may("class[].second-copies", FLAG, "false", 0, ANY,
+                "A second copy may be sent while the first has no answer yet.");
+        need("class[].peak-rate", RATE, 0, ANY, "Messages a second at the busiest, to this relay.");
+        may("class[].mean-rate", RATE, null, 0, ANY, "Messages a second over a day, to this relay.");
+        may("class[].body", SIZE, "1KiB", 0, MOST_BODY, "The usual size of a body.");
+        may("class[].largest-body", SIZE, "64KiB", 1, MOST_BODY, "The largest body.");
+        may("class[].to", NAMES, null, 0, ANY, "The kinds of partner that the class goes to; all if left out.");
+
+        tables("kind", "A kind of partner; one that is not named here has the fallbacks.");
+        need("kind[].name", NAME, 0, ANY, "The name that partners give.");
+        may("kind[].batch", WHOLE, "1", 1, 100, "Messages that may travel in one call.");
+        may("kind[].routes-apart", FLAG, "false", 0, ANY, "Each endpoint has a limit and outages of its own.");
+        may("kind[].idle", SPAN, "10s", 100 * MS, DAY, "Such a partner closes a connection idle for so long.");
+
+        tables("partner", "A destination; at least one is needed unless discovery has an agent.");
+        need("partner[].name", NAME, 0, ANY, "A name for staff.");
+        need("partner[].number", WHOLE, 0, 999_999_999, "The number by which messages name it.");
+        need("partner[].kind", NAME, 0, ANY, "What kind of partner it is.");
+        may("partner[].limit", RATE, null, 0, ANY, "Calls a second that it takes from all relays together, if known.");
+        need("partner[].response", SPAN, 1, DAY, "How long a call usually takes.");
+        tables("partner[].endpoint", "An address at which the partner takes calls; none where discovery tells them.");
+        need("partner[].endpoint[].id", NAME, 0, ANY, "A name that is the same at every relay.");
+        need("partner[].endpoint[].address", ADDRESS, 0, ANY, "Where it listens.");
+        may("partner[].endpoint[].building", NAME, "main", 0, ANY, "The building that it stands in.");
+
+        derivedTable("buffer", "Messages that the relay holds.");
+        derived("buffer.messages", WHOLE, null, 1, 10_000_000, "How many messages may be open at once; more are refused"
+                + " with a time to come back.");
+        derived("buffer.round", SPAN, "5ms", MS, 100 * MS, "How long what comes in is gathered before it is acted on.");
+
+        derivedTable("calls", "Calls to partners.");
+        derived("calls.slots", WHOLE, null, 1, 1_000_000, "Calls that may be out at once.");
+        derived("calls.connections", WHOLE, null, 1, 1_000_000, "Connections to partners that may be open at once.");
+        derived("calls.attempts", WHOLE, "12", 1, 1_000, "Attempts for one message at the most.");
+        derived("calls.connect-timeout", SPAN, "1.5s", MS, 60 * SECOND, "How long a connection may take to come up.");
+        derived("calls.idle", SPAN, "10s", 100 * MS, DAY, "Connections idle for so long are not used again.");
+        derived("calls.cancel", FLAG, "true", 0, ANY, "Calls may be given up before their time is over.");
+        derived("calls.probes", FLAG, "true", 0, ANY, "Partners may be asked how they fare; each time is a call.");
+        derived("calls.reports", FLAG, "true", 0, ANY, "Answers may tell of limits.");
+        derived("calls.second-copies", FLAG, "false", 0, ANY, "Some class may have second copies.");
+
+        derivedTable("clients", "Connections of programs.");
+        derived("clients.connections", WHOLE, null, 1, 1_000_000, "Connections that programs may hold at once.");
+
+        derivedTable("journal", "What outlasts the process.");
+        derived("journal.limit", SIZE, null, 256 * KIB, ANY, "Space for the journal, in the folder that lasts.");
+
+        derivedTable("process", "The start line's figures.");
+        derived("process.heap", SIZE, null, 16 * MIB, ANY, "The largest heap (-Xmx).");
+        derived("process.direct", SIZE, null, MIB, ANY, "The largest direct memory (-XX:MaxDirectMemorySize).");
+
+        derivedTable("rules", "Figures of the rules that bind every message.");
+        derived("rules.drain-grace", SPAN, "500ms", 0, DAY, "After this span a draining endpoint gets nothing new.");
+        derived("rules.fall-multiple", NUMBER, "2.5", 1, 100, "A cold partner falls at so many times what it can do.");
+        derived("rules.fall-span", SPAN, "2s", MS, DAY, "It falls when that lasts so long.");
+        derived("rules.cold-from", NUMBER, "0.15", 0, 1, "The share of its capacity with which a partner returns.");
+        derived("rules.warm-up", SPAN, "10s", 0, DAY, "After this span a partner that returned is warm.");
+        derived("rules.order-pause", SPAN, "1s", 0, DAY, "In a class in order, a key waits so long after a call whose"
+                + " outcome is unknown.");
+    }
+
+    private Schema() { }
+
+    private static void add(String key, Setting.Type type, boolean required, String fallback, List<String> words,
+            double least, double most, boolean derived, String text) {
+        ALL.put(key, new Setting(key, type, required, fallback, words, least, most, derived, text));
+    }
+
+    private static void need(String key, Setting.Type type, double least, double most, String text) {
+        add(key, type, true, null, List.of(), least, most, false, text);
+    }
+
+    private static void may(String key, Setting.Type type, String fallback, double least, double most, String text) {
+        add(key, type, false, fallback, List.of(), least, most, false, text);
+    }
+
+    private static void word(String key, String fallback, List<String> words, String text) {
+        add(key, WORD, false, fallback, words, 0, ANY, false, text);
+    }
+
+    private static void wordNeeded(String key, List<String> words, String text) {
+        add(key, WORD, true, null, words, 0, ANY, false, text);
+    }
+
+    private static void table(String key, String text) {
+        add(key, TABLE, false, null, List.of(), 0, ANY, false, text);
+    }
+
+    private static void tables(String key, String text) {
+        add(key + "[]", TABLES, false, null, List.of(), 0, ANY, false, text);
+    }
+
+    private static void derivedTable(String key, String text) {
+        add(key, TABLE, false, null, List.of(), 0, ANY, true, text);
+    }
+
+    private static void derived(String key, Setting.Type type, String fallback, double least, double most,
+            String text) {
+        add(key, type, fallback == null, fallback, List.of(), least, most, true, text);
+    }
+
+    /** Every setting, in the order of the reference. */
+    public static List<Setting> all() {
+        return List.copyOf(ALL.values());
+    }
+
+    /** The setting of a key, with or without the numbers of its tables; empty where there is none. */
+    public static Optional<Setting> of(String key) {
+        return Optional.ofNullable(ALL.get(pattern(key)));
+    }
+
+    /** The setting of a key whose brackets were left out, such as {@code class.deadline}; empty where there is none. */
+    public static Optional<Setting> loose(String key) {
+        return ALL.values().stream().filter(s -> bare(s.key()).equals(key)).findFirst();
+    }
+
+    private static String bare(String key) {
+        return key.replace("[]", "");
+    }
+
+    /** A key without the numbers of its tables: {@code class[].deadline} for {@code class[2].deadline}. */
+    static String pattern(String key) {
+        String plain = key.replaceAll("\\[\\d*]", "[]");
+        return ALL.containsKey(plain) || !ALL.containsKey(plain + "[]") ? plain : plain + "[]";
+    }
+
+    /** The settings right in a table; the empty key is the top. */
+    static List<Setting> in(String table) {
+        return ALL.values().stream().filter(s -> s.parent().equals(table)).toList();
+    }
+
+    /** The known key most like one that is unknown; empty where none is much like it. */
+    public static Optional<String> nearest(String unknown, boolean withDerived) {
+        String plain = pattern(unknown);
+        List<Setting> candidates = new ArrayList<>(ALL.values());
+        candidates.removeIf(s -> s.derived() && !withDerived);
+        int most = Math.max(2, plain.substring(plain.lastIndexOf('.') + 1).length() / 3);
+        return candidates.stream().map(Setting::key).min(Comparator.comparingInt(k -> distance(bare(k), bare(plain))))
+                .filter(k -> distance(bare(k), bare(plain)) <= most);
+    }
+
+    /** Letters to change, add or leave out; two that have changed places count as one. */
+    static int distance(String a, String b) {
+        int[][] d = new int[a.length() + 1][b.length() + 1];
+        for (int i = 0; i <= a.length(); i++) {
+            for (int j = 0; j <= b.length(); j++) {
+                if (i == 0 || j == 0) {
+                    d[i][j] = i + j;
+                    continue;
+                }
+                int differs = a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1;
+                d[i][j] = Math.min(Math.min(d[i - 1][j], d[i][j - 1]) + 1, d[i - 1][j - 1] + differs);
+                if (i > 1 && j > 1 && a.charAt(i - 1) == b.charAt(j - 2) && a.charAt(i - 2) == b.charAt(j - 1)) {
+                    d[i][j] = Math.min(d[i][j], d[i - 2][j - 2] + 1);
+                }
+            }
+        }
+        return d[a.length()][b.length()];
+    }
+
+    /** The reference of all settings as Markdown. */
+    public static String reference() {
+        StringBuilder text = new StringBuilder("# Settings\n\nWritten by `loftflow config reference` from the schema"
+                + " that the checks use. Derived settings stand in relay files alone; `loftflow config write` works them"
+                + " out.\n");
+        for (Setting setting : ALL.values()) {
+            if (setting.type() == TABLE || setting.type() == TABLES) {
+                text.append("\n## ").append(setting.key()).append("\n\n").append(setting.text())
+                        .append(setting.derived() ? " Derived." : "").append("\n\n");
+            } else {
+                text.append(setting.key().indexOf('.') < 0 ? "\n" : "").append("- `").append(setting.key())
+                        .append("`: ").append(setting.form()).append(bounds(setting)).append(holds(setting))
+                        .append(' ').append(setting.text()).append('\n');
+            }
+        }
+        return text.toString();
+    }
+
+    /** What {@code config explain} prints for one setting. */
+    public static String explanation(Setting setting) {
+        return setting.key() + "\n  " + setting.text() + "\n  Form: " + setting.form() + bounds(setting)
+                + holds(setting) + "\n  In: " + (setting.derived() ? "relay files (derived by config write)"
+                : "application files and relay files");
+    }
+
+    private static String holds(Setting setting) {
+        if (setting.type() == TABLE || setting.type() == TABLES) {
+            return ".";
+        }
+        return setting.required() ? "; must be there." : setting.fallback() == null ? "; may be left out."
+                : "; " + setting.fallback() + " if left out.";
+    }
+
+    /** The bounds in the setting's own unit, empty where there are none. */
+    static String bounds(Setting setting) {
+        if (setting.least() == 0 && setting.most() == ANY) {
+            return "";
+        }
+        String least = inUnit(setting, setting.least());
+        return setting.most() == ANY ? ", " + least + " at least"
+                : ", from " + least + " to " + inUnit(setting, setting.most());
+    }
+
+    static String inUnit(Setting setting, double value) {
+        return switch (setting.type()) {
+            case SPAN -> Units.ofSpan((long) value);
+            case SIZE -> Units.ofSize((long) value);
+            case RATE -> Units.ofRate(value);
+            case WHOLE -> Long.toString((long) value);
+            default -> Double.toString(value).replaceFirst("\\.0$", "");
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/config/tool/MachineSurroundings.java
@@ -0,0 +1,34 @@
+package pipitstage.config.tool;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import pipitstage.config.plan.Surroundings;
+
+/** The machine that this runs on. */
+record MachineSurroundings(Optional<String> temporary) implements Surroundings {
+
+    static MachineSurroundings of(Map<String, String> environment) {
+        return new MachineSurroundings(Optional.ofNullable(environment.get("TMPDIR")).filter(dir -> !dir.isEmpty()));
+    }
+
+    /** A folder that is not there yet is made at the start, so nothing speaks against it here. */
+    @Override
+    public Optional<String> fault(String folder) {
+        Path path = Path.of(folder);
+        if (Files.exists(path) && !Files.isDirectory(path)) {
+            return Optional.of(folder + " is no folder on this machine");
+        }
+        if (Files.exists(path) && !Files.isWritable(path)) {
+            return Optional.of(folder + " can't be written by this user; give it to them or name another");
+        }
+        for (Path above = path.getParent(); above != null; above = above.getParent()) {
+            if (Files.exists(above)) {
+                return Files.isDirectory(above) ? Optional.empty()
+                        : Optional.of(folder + " can't be made: " + above + " is no folder on this machine");
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/config/tool/PlatformFile.java
@@ -0,0 +1,121 @@
+package pipitstage.config.tool;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParseException;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import pipitstage.Fields;
+import pipitstage.Policy;
+import pipitstage.WireException;
+import pipitstage.config.Config;
+import pipitstage.config.file.Finding;
+import pipitstage.config.file.Units;
+
+/**
+ * Checks a platform's JSON ({@code EDGE_CONFIG}). Errors are what keeps a relay from starting, in the words of
+ * {@code serve}; contradictions are warnings, since the platform's word holds. Keys that are unknown are the platform's
+ * own business.
+ */
+final class PlatformFile {
+    /** SIGKILL comes no sooner after SIGTERM (DEPLOY). */
+    private static final long STOP_TIME = 3_700_000;
+
+    private final String file;
+    private final Map<String, JsonLocation> places = new HashMap<>();
+    private final List<Finding> findings = new ArrayList<>();
+
+    private PlatformFile(String file) {
+        this.file = file;
+    }
+
+    static List<Finding> check(String file, String text) {
+        PlatformFile check = new PlatformFile(file);
+        check.read(text);
+        check.findings.sort(Finding.IN_ORDER);
+        return check.findings;
+    }
+
+    private void read(String text) {
+        JsonFactory json = new JsonFactory();
+        try (JsonParser parser = json.createParser(text)) {
+            index(parser, "");
+        } catch (JsonParseException e) {
+            add(Finding.Severity.ERROR, e.getLocation(), "", "no JSON: " + e.getOriginalMessage());
+            return;
+        } catch (IOException e) {
+            add(Finding.Severity.ERROR, null, "", "no JSON: " + e.getMessage());
+            return;
+        }
+        try (JsonParser parser = json.createParser(text)) {
+            parser.nextToken();
+            contradictions(Config.of(Fields.ofObject("config", Fields.read(parser)), Path.of("/"), new byte[0]));
+        } catch (IOException | WireException | IllegalArgumentException e) {
+            String reason = e.getMessage();
+            String key = places.keySet().stream().filter(k -> !k.isEmpty() && reason.contains(k))
+                    .max((a, b) -> a.length() - b.length()).orElse("");
+            add(Finding.Severity.ERROR, places.get(key), key, reason);
+        }
+    }
+
+    /** Notes where each key stands, and keys that stand twice in one object. */
+    private void index(JsonParser parser, String prefix) throws IOException {
+        JsonToken token = prefix.isEmpty() ? parser.nextToken() : parser.currentToken();
+        if (token == JsonToken.START_OBJECT) {
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String key = prefix.isEmpty() ? parser.currentName() : prefix + "." + parser.currentName();
+                JsonLocation at = parser.currentTokenLocation();
+                if (places.putIfAbsent(key, at) != null) {
+                    add(Finding.Severity.ERROR, at, key, "stands in line " + places.get(key).getLineNr() + " already");
+                }
+                parser.nextToken();
+                index(parser, key);
+            }
+        } else if (token == JsonToken.START_ARRAY) {
+            for (int i = 1; parser.nextToken() != JsonToken.END_ARRAY; i++) {
+                index(parser, prefix + "[" + i + "]");
+            }
+        }
+    }
+
+    private void contradictions(Config config) {
+        Policy.Settings settings = config.settings();
+        Policy.Limits limits = settings.limits();
+        if (config.hostConnections() < limits.callSlots()) {
+            warn("limits.sockets", config.hostConnections() + " connections to hosts are left, fewer than"
+                    + " settings.family-info.call-slots = " + limits.callSlots() + "; calls will wait for one another");
+        }
+        if (settings.rules().drainGrace() >= STOP_TIME) {
+            warn("settings.contract.drain-grace-s", Units.ofSpan(settings.rules().drainGrace()) + " is no shorter than "
+                    + Units.ofSpan(STOP_TIME) + ", after which a stopped relay may be killed");
+        }
+        for (int i = 0; i < settings.classes().size(); i++) {
+            Policy.RequestClass type = settings.classes().get(i);
+            String key = "settings.classes[" + (i + 1) + "]";
+            if (type.deadline() <= limits.connectTimeout()) {
+                warn(key + ".deadline-s", Units.ofSpan(type.deadline()) + " is no longer than"
+                        + " settings.limits.connect-timeout-s, " + Units.ofSpan(limits.connectTimeout()));
+            }
+            if (type.repeat() == Policy.Repeat.BY_KEY && type.keyWindow() <= limits.connectTimeout()) {
+                warn(key + ".dedup-window-s", Units.ofSpan(type.keyWindow()) + " is no longer than"
+                        + " settings.limits.connect-timeout-s, " + Units.ofSpan(limits.connectTimeout())
+                        + ": no retry could be made");
+            }
+        }
+    }
+
+    private void warn(String key, String reason) {
+        add(Finding.Severity.WARNING, places.get(key), key, reason);
+    }
+
+    private void add(Finding.Severity severity, JsonLocation at, String key, String reason) {
+        findings.add(new Finding(severity, file, at == null ? 1 : at.getLineNr(), at == null ? 1 : at.getColumnNr(),
+                key, reason.replaceAll("\\p{Cntrl}+", " ")));
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/config/tool/RelayFile.java
@@ -0,0 +1,119 @@
+package pipitstage.config.tool;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import pipitstage.Policy;
+import pipitstage.config.Config;
+import pipitstage.config.file.Finding;
+import pipitstage.config.file.SourceFile;
+import pipitstage.config.plan.Declared;
+import pipitstage.config.plan.Figures;
+import pipitstage.engine.Target;
+
+/** Runs a relay by a relay file: the same checks as the tool's, then what the relay is told. */
+public final class RelayFile {
+    private RelayFile() { }
+
+    /** A relay file as a source of configuration. What is wrong with it is told in the words of {@code config check}. */
+    public static Config.Source source(Path file) {
+        return new Config.Source() {
+            @Override
+            public Config read() throws Config.BadConfigException {
+                return RelayFile.read(file);
+            }
+
+            @Override
+            public byte[] bytes() throws IOException {
+                return Files.readAllBytes(file);
+            }
+        };
+    }
+
+    private static Config read(Path file) throws Config.BadConfigException {
+        try {
+            String text = SourceFile.text(file);
+            CheckedFile checked = CheckedFile.of(file.toString(), text, MachineSurroundings.of(System.getenv()));
+            if (!checked.isClean()) {
+                throw new Config.BadConfigException(checked.findings().stream().filter(Finding::isError)
+                        .map(Finding::toString).collect(Collectors.joining("\n")));
+            }
+            if (checked.kind() != CheckedFile.Kind.RELAY) {
+                throw new Config.BadConfigException(file + ": is no relay file; loftflow config write makes one of an"
+                        + " application file");
+            }
+            return config(checked.declared(), checked.figures(), text.getBytes(StandardCharsets.UTF_8));
+        } catch (SourceFile.UnreadableException e) {
+            throw new Config.BadConfigException(e.getMessage());
+        }
+    }
+
+    /** What a relay is told, of a file that has no error. */
+    static Config config(Declared declared, Figures figures, byte[] source) {
+        Declared.Discovery discovery = declared.discovery();
+        boolean whole = discovery.agent() == null;
+        List<Target> known = targets(declared);
+        return new Config(declared.fronts().stream().map(f -> Target.address(f.listen())).toList(),
+                addressOrNull(discovery.agent()), addressOrNull(discovery.notices()),
+                Path.of(declared.machine().folder()), figures.clients(), figures.connections(), figures.journal(),
+                settings(declared, figures), figures.round(), figures.idle(), figures.reports(),
+                whole ? Policy.ListKind.FULL : Policy.ListKind.CACHED, whole ? 0 : -1, known, source);
+    }
+
+    private static InetSocketAddress addressOrNull(String address) {
+        return address == null ? null : Target.address(address);
+    }
+
+    private static List<Target> targets(Declared declared) {
+        List<Target> targets = new ArrayList<>();
+        for (Declared.Partner partner : declared.partners()) {
+            for (Declared.Endpoint endpoint : partner.endpoints()) {
+                targets.add(new Target(new Policy.Listed(endpoint.id(), partner.number(), partner.kind(),
+                        endpoint.building(), Policy.Availability.LISTED, partner.limit()),
+                        Target.address(endpoint.address())));
+            }
+        }
+        return targets;
+    }
+
+    private static Policy.Settings settings(Declared declared, Figures f) {
+        Set<String> buildings = new LinkedHashSet<>();
+        buildings.add(declared.machine().building());
+        declared.partners().forEach(p -> p.endpoints().forEach(e -> buildings.add(e.building())));
+        // A limit of 0 is one that nobody knows: a hint would then be worse than none.
+        boolean limits = declared.partners().stream().allMatch(p -> p.limit() > 0);
+        return new Policy.Settings(seed(declared), declared.fleet().number(), declared.fleet().relays(),
+                declared.machine().building(), declared.classes().stream().map(RelayFile::requestClass).toList(),
+                declared.tenants().stream().map(t -> new Policy.Tenant(t.name(), t.rate())).toList(),
+                declared.kinds().stream().map(k -> new Policy.Kind(k.name(), k.routesApart(), k.batch())).toList(),
+                buildings.stream().map(b -> new Policy.Zone(b, 0)).toList(),
+                new Policy.Limits(f.slots(), f.messages(), f.attempts(), f.cancel(), f.probes(), false,
+                        f.secondCopies(), true, f.connectTimeout()),
+                new Policy.Rules(0, f.drainGrace(), f.fallMultiple(), f.fallSpan(), f.coldFrom(), f.warmUp(), 0,
+                        f.orderPause()),
+                1, false, false, limits ? Policy.RateHint.NOMINAL : Policy.RateHint.NONE, 0);
+    }
+
+    /** New with each start, so that relays that start together don't act in step. */
+    private static long seed(Declared declared) {
+        return System.nanoTime() * 31 + declared.fleet().number();
+    }
+
+    private static Policy.RequestClass requestClass(Declared.MessageClass c) {
+        Policy.Repeat repeat = switch (c.repeat()) {
+            case REPEATABLE -> Policy.Repeat.REPEATABLE;
+            case BY_KEY -> Policy.Repeat.BY_KEY;
+            case ONCE -> Policy.Repeat.ONCE;
+        };
+        return new Policy.RequestClass(c.name(), repeat,
+                c.keysByBuilding() ? Policy.KeyScope.ZONE : Policy.KeyScope.ALL, c.keyWindow(), c.wanted(),
+                c.deadline(), c.worth(), c.lateWorth(), c.inOrder());
+    }
+}
--- a/src/main/java/pipitstage/engine/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -76,10 +76,10 @@
         ends = notices;
     }
 
-    /** Takes in the list known from before, empty where there is none, and what the journal holds. */
-    public void start(long knownVersion, List<Target> known) {
+    /** Takes in the list that is known at the start, empty where there is none, and what the journal holds. */
+    public void start(Policy.ListKind kind, long knownVersion, List<Target> known) {
         if (!known.isEmpty()) {
-            list(Policy.ListKind.CACHED, knownVersion, known);
+            list(kind, knownVersion, known);
         }
         for (Message message : journal.open()) {
             remember(message);
--- /dev/null
+++ b/src/main/java/pipitstage/platform/EndsFile.java
@@ -0,0 +1,93 @@
+package pipitstage.platform;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+import pipitstage.engine.Ends;
+import pipitstage.engine.Message;
+import pipitstage.log.Log;
+
+/**
+ * Tells ends other than delivery in a file of JSON Lines in the folder that lasts, where no platform listens. When the
+ * file has half its share of the disk it becomes {@code ends.jsonl.1}, in the place of an earlier one. An end that can't
+ * be written is still owed: it is tried again with the next one, and at the next start.
+ */
+public final class EndsFile implements Ends {
+    /** The part of the disk that both files together may take is one in so many. */
+    public static final int DISK_PART = 20;
+    private static final String NAME = "ends.jsonl";
+
+    private final Path file;
+    private final Path older;
+    private final long most;
+    private final Consumer<Message> heard;
+    private final JsonFactory json = new JsonFactory();
+    private final ArrayDeque<Message> waiting = new ArrayDeque<>();
+
+    /** A file in a folder that takes, with the one before it, so many bytes at the most. */
+    public EndsFile(Path folder, long bytes, Consumer<Message> heard) {
+        file = folder.resolve(NAME);
+        older = folder.resolve(NAME + ".1");
+        most = bytes / 2;
+        this.heard = heard;
+    }
+
+    @Override
+    public void send(Message message) {
+        waiting.add(message);
+        try {
+            while (!waiting.isEmpty()) {
+                append(line(waiting.peek()));
+                heard.accept(waiting.poll());
+            }
+        } catch (IOException e) {
+            Log.line("ends: can't be written, " + waiting.size() + " wait: " + e.getMessage());
+        }
+    }
+
+    private void append(byte[] line) throws IOException {
+        if (Files.exists(file) && Files.size(file) + line.length > most) {
+            Files.move(file, older, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+        }
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            long before = channel.size();
+            ByteBuffer rest = ByteBuffer.wrap(line);
+            try {
+                while (rest.hasRemaining()) {
+                    channel.write(rest, before + rest.position());
+                }
+            } catch (IOException e) {
+                // Guards against half a line that the next one would be written behind.
+                channel.truncate(before);
+                throw e;
+            }
+        }
+    }
+
+    private byte[] line(Message message) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = json.createGenerator(text)) {
+            out.writeStartObject();
+            out.writeStringField("ref", message.content().callId());
+            out.writeStringField("class", message.content().requestClass());
+            out.writeNumberField("dest", message.content().destination());
+            out.writeStringField("result", message.end().refused() ? "bounced" : "dead");
+            if (message.end().refused() && message.end().retryIn() > 0) {
+                out.writeNumberField("wait_ms", message.end().retryIn() / 1000);
+            }
+            out.writeNumberField("attempts", message.attempts().size());
+            out.writeEndObject();
+        }
+        return (text + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import pipitstage.Logic;
@@ -15,6 +17,7 @@
 import pipitstage.log.Log;
 import pipitstage.partner.http.HostClient;
 import pipitstage.platform.Discovery;
+import pipitstage.platform.EndsFile;
 import pipitstage.platform.Notices;
 
 /** The relay as a whole: puts its parts together, starts them and ends them. */
@@ -29,9 +32,11 @@
     private final Config config;
     private final Engine engine;
     private final Pulse pulse;
+    /** Null where ends go to a file. */
     private final Notices notices;
+    /** Null where the list of hosts is in the configuration. */
     private final Discovery discovery;
-    private final ClientServer clients;
+    private final List<ClientServer> fronts = new ArrayList<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private long stopAt;
 
@@ -43,12 +48,18 @@
         Timers timers = new LoopTimers(loop);
         Journal journal = new Journal(config.state(), config.diskBytes());
         engine = new Engine(timers, clock, config.settings(), config.period(), journal, Logic::new);
-        notices = new Notices(loop, config.discovery(), engine::noticeHeard);
+        notices = config.notices() == null ? null : new Notices(loop, config.notices(), engine::noticeHeard);
         engine.attach(new HostClient(loop, clock, config.settings(), new HostClient.Options(config.reports(),
-                config.idleSpan(), config.hostConnections()), engine), notices);
-        discovery = new Discovery(loop, config.discovery(), engine, discoveryIsSilent);
+                config.idleSpan(), config.hostConnections()), engine), notices != null ? notices
+                : new EndsFile(config.state(), config.diskBytes() / EndsFile.DISK_PART, engine::noticeHeard));
+        discovery = config.discovery() == null ? null
+                : new Discovery(loop, config.discovery(), engine, discoveryIsSilent);
         pulse = new Pulse(timers, clock);
-        clients = new ClientServer(engine, clock, pulse, config.clientConnections());
+        // Guards against fronts that together hold more connections than there are.
+        int each = Math.max(1, config.clientConnections() / config.listen().size());
+        for (int i = 0; i < config.listen().size(); i++) {
+            fronts.add(new ClientServer(engine, clock, pulse, each));
+        }
     }
 
     /** Resumes what the journal holds and serves. */
@@ -56,21 +67,30 @@
         try {
             loop.submit(() -> {
                 pulse.start();
-                engine.start(config.knownVersion(), config.known());
-                discovery.start();
+                engine.start(config.knownKind(), config.knownVersion(), config.known());
+                if (discovery != null) {
+                    discovery.start();
+                }
             }).sync();
-            Log.line("serving on " + clients.listen(loop, config.listen()).sync().channel().localAddress());
+            for (int i = 0; i < fronts.size(); i++) {
+                Log.line("serving on " + fronts.get(i).listen(loop, config.listen().get(i)).sync().channel()
+                        .localAddress());
+            }
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
         }
     }
 
-    /** Takes over the address of discovery; everything else is read at the start alone. */
+    /** Takes over the addresses of discovery and for notices; everything else is read at the start alone. */
     void reload(Config next) {
         loop.execute(() -> {
-            Log.line("discovery is at " + next.discovery());
-            discovery.moveTo(next.discovery());
-            notices.moveTo(next.discovery());
+            if (discovery != null && next.discovery() != null) {
+                Log.line("discovery is at " + next.discovery());
+                discovery.moveTo(next.discovery());
+            }
+            if (notices != null && next.notices() != null) {
+                notices.moveTo(next.notices());
+            }
         });
     }
 
@@ -78,7 +98,7 @@
     void stop() {
         stopAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MS);
         loop.schedule(engine::freeze, BEGIN_NOTHING_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(clients::drain, SERVE_ON_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> fronts.forEach(ClientServer::drain), SERVE_ON_MS, TimeUnit.MILLISECONDS);
         loop.schedule(this::endWhenDone, SERVE_ON_MS, TimeUnit.MILLISECONDS);
         try {
             stopped.await();
@@ -90,8 +110,9 @@
     private void endWhenDone() {
         boolean late = System.nanoTime() >= stopAt;
         boolean done = engine.isIdle() || engine.isFrozen() && engine.isQuiet();
-        if (clients.isIdle() && done || late && !clients.isAnswering()) {
-            clients.stopListening();
+        boolean idle = fronts.stream().allMatch(ClientServer::isIdle);
+        if (idle && done || late && fronts.stream().noneMatch(ClientServer::isAnswering)) {
+            fronts.forEach(ClientServer::stopListening);
             stopped.countDown();
         } else {
             loop.schedule(this::endWhenDone, LOOK_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/pipitstage/relay/Reload.java
+++ b/src/main/java/pipitstage/relay/Reload.java
@@ -1,9 +1,7 @@
 package pipitstage.relay;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.util.Arrays;
-import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,7 +18,7 @@
     static final int AGAIN_MS = 100;
     static final int MOST_TRIES = 100;
 
-    private final Map<String, String> environment;
+    private final Config.Source source;
     private final ScheduledExecutorService reader = Executors.newSingleThreadScheduledExecutor(work -> {
         Thread thread = new Thread(work, "reload");
         thread.setDaemon(true);
@@ -31,13 +29,13 @@
     /** Only the newest of several signals goes on trying; read and written on the reader's thread. */
     private long newest;
 
-    private Reload(Map<String, String> environment) {
-        this.environment = environment;
+    private Reload(Config.Source source) {
+        this.source = source;
     }
 
     /** Takes SIGHUP from now on; what came before {@link #start} is heeded then. */
-    static Reload onHangUp(Map<String, String> environment) {
-        Reload reload = new Reload(environment);
+    static Reload onHangUp(Config.Source source) {
+        Reload reload = new Reload(source);
         // Guards, by a single thread, against an older file that overtakes a newer one.
         Signal.handle(new Signal("HUP"), signal -> reload.reader.execute(reload::hungUp));
         return reload;
@@ -72,7 +70,7 @@
             return;
         }
         try {
-            take(Config.read(environment));
+            take(source.read());
         } catch (Config.BadConfigException | RuntimeException e) {
             // Guards against a file that is just being written: it would leave the old one in force for good.
             if (tries == 1 || tries == MOST_TRIES) {
@@ -87,8 +85,8 @@
 
     private void compare() {
         try {
-            if (taker != null && !Arrays.equals(Files.readAllBytes(Config.file(environment)), inForce)) {
-                take(Config.read(environment));
+            if (taker != null && !Arrays.equals(source.bytes(), inForce)) {
+                take(source.read());
             }
         } catch (Config.BadConfigException | IOException | RuntimeException e) {
             Log.line("discovery is silent and the configuration can't be compared: " + e.getMessage());
--- /dev/null
+++ b/src/main/java/pipitstage/relay/Serve.java
@@ -0,0 +1,24 @@
+package pipitstage.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import pipitstage.config.Config;
+
+/** Starts a relay that serves until the process ends. */
+public final class Serve {
+    private Serve() { }
+
+    /** Starts a relay; returns once it serves, and signals end it from then on. */
+    public static void start(Config.Source source) throws Config.BadConfigException, IOException {
+        // Guards against a signal that would end the process, and against a file replaced while it starts.
+        Reload reload = Reload.onHangUp(source);
+        Config config = source.read();
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Relay relay = new Relay(loop, config, reload::discoveryIsSilent);
+        relay.start();
+        reload.start(config, relay::reload);
+        Runtime.getRuntime().addShutdownHook(new Thread(relay::stop, "stop"));
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/standin/StandInDiscovery.java
@@ -0,0 +1,93 @@
+package pipitstage.standin;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Discovery's agent on a loopback port (PROTOCOL, Discovery and Notices): tells a list of endpoints and its changes to
+ * those who watch, and records every notice.
+ */
+public final class StandInDiscovery implements AutoCloseable {
+    /** A notice of an end. */
+    public record Notice(String ref, String result) { }
+
+    private static final Pattern AFTER = Pattern.compile("after=(\\d+)&wait_ms=(\\d+)");
+    private static final Pattern NOTICE = Pattern.compile("\"ref\":\"([^\"]*)\",\"result\":\"([a-z]*)\"");
+
+    private final StubPeer peer;
+    private final List<Notice> notices = new CopyOnWriteArrayList<>();
+    private List<String> entries = List.of();
+    private long revision;
+
+    public StandInDiscovery() throws IOException {
+        peer = new StubPeer(this::answer);
+    }
+
+    public String address() {
+        return peer.address();
+    }
+
+    /** Every notice so far. */
+    public List<Notice> notices() {
+        return notices;
+    }
+
+    /** An entry of a list; {@code state} is {@code in_service}, {@code terminating} or {@code terminated}. */
+    public static String entry(String id, int destination, String kind, String building, String state,
+            String address) {
+        return "{\"uid\":\"" + id + "\",\"endpoint\":\"" + address + "\",\"az\":\"" + building + "\",\"model\":\"" + kind
+                + "\",\"pod_group\":" + destination + ",\"state\":\"" + state
+                + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+
+    /** Tells another whole list from now on; those who watch hear of it at once. */
+    public synchronized void list(List<String> next) {
+        entries = new ArrayList<>(next);
+        revision++;
+        notifyAll();
+    }
+
+    private String answer(StubPeer.Request request) {
+        if (request.line().startsWith("POST /status ")) {
+            Matcher each = NOTICE.matcher(request.body());
+            while (each.find()) {
+                notices.add(new Notice(each.group(1), each.group(2)));
+            }
+            return StubPeer.status(204);
+        }
+        if (!request.line().startsWith("GET /api/targets")) {
+            return StubPeer.status(404);
+        }
+        Matcher watch = AFTER.matcher(request.line());
+        return watch.find() ? changes(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2))) : whole();
+    }
+
+    private synchronized String whole() {
+        return StubPeer.answer(200, "{\"rev\":" + revision + ",\"all\":true,\"targets\":["
+                + String.join(",", entries) + "]}");
+    }
+
+    private synchronized String changes(long after, long waitMillis) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+        try {
+            for (long left = waitMillis; revision <= after && left > 0;
+                    left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime())) {
+                wait(left);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return revision > after ? whole()
+                : StubPeer.answer(200, "{\"rev\":" + revision + ",\"all\":false,\"targets\":[]}");
+    }
+
+    @Override
+    public void close() throws IOException {
+        peer.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/standin/StandInPartner.java
@@ -0,0 +1,125 @@
+package pipitstage.standin;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import pipitstage.http.Headers;
+
+/**
+ * A partner's endpoint on a loopback port (PROTOCOL, Relays to hosts): takes calls of one message, within a limit and in
+ * a stated time, fails as it is told, and records every posting. What took effect is counted by id, so that a message
+ * that took effect twice shows.
+ */
+public final class StandInPartner implements AutoCloseable {
+    /** How a call is met. */
+    public enum Mood {
+        /** 200 after the response time. */
+        WELL,
+        /** 503 at once: shut, and nothing runs. */
+        SHUT,
+        /** The message runs, and the connection closes with no answer. */
+        RESETS,
+        /** The message runs, and no answer comes. */
+        SILENT
+    }
+
+    /** A call that came whole. */
+    public record Posting(String id, String key, long atNanos, boolean ran, int status) { }
+
+    private static final long SECOND = 1_000_000_000;
+    private static final int NO_ANSWER = 0;
+
+    private final StubPeer peer;
+    private final long responseMillis;
+    private final int limit;
+    private final List<Posting> postings = new ArrayList<>();
+    private final Map<String, Integer> effects = new HashMap<>();
+    private final List<Long> taken = new ArrayList<>();
+    private Mood mood = Mood.WELL;
+
+    /**
+     * An endpoint on a free port.
+     *
+     * @param responseMillis how long a call takes
+     * @param limit calls that it takes in any second; more are answered 503; 0 for no limit
+     */
+    public StandInPartner(long responseMillis, int limit) throws IOException {
+        this.responseMillis = responseMillis;
+        this.limit = limit;
+        peer = new StubPeer(this::meet);
+    }
+
+    public String address() {
+        return peer.address();
+    }
+
+    /** Meets calls in another way from now on. */
+    public synchronized void be(Mood next) {
+        mood = next;
+    }
+
+    /** Every call so far. */
+    public synchronized List<Posting> postings() {
+        return List.copyOf(postings);
+    }
+
+    /** How often each message took effect. */
+    public synchronized Map<String, Integer> effects() {
+        return Map.copyOf(effects);
+    }
+
+    private String meet(StubPeer.Request request) {
+        if (request.line().startsWith("GET /-/")) {
+            return StubPeer.status(200);
+        }
+        if (!request.line().startsWith("POST /receive ")) {
+            return StubPeer.status(404);
+        }
+        Mood now;
+        synchronized (this) {
+            now = mood;
+            boolean full = limit > 0 && !hasRoom();
+            boolean ran = now != Mood.SHUT && !full;
+            int status = !ran ? 503 : now == Mood.WELL ? 200 : NO_ANSWER;
+            postings.add(new Posting(request.id(), request.headers().get(
+                    Headers.KEY.toLowerCase(java.util.Locale.ROOT)), System.nanoTime(), ran, status));
+            if (!ran) {
+                return StubPeer.status(503);
+            }
+            effects.merge(request.id(), 1, Integer::sum);
+        }
+        if (now == Mood.RESETS) {
+            return StubPeer.CLOSE;
+        }
+        if (now == Mood.SILENT) {
+            return StubPeer.SILENCE;
+        }
+        pause();
+        return StubPeer.status(200);
+    }
+
+    private boolean hasRoom() {
+        long now = System.nanoTime();
+        taken.removeIf(at -> now - at >= SECOND);
+        if (taken.size() >= limit) {
+            return false;
+        }
+        taken.add(now);
+        return true;
+    }
+
+    private void pause() {
+        try {
+            Thread.sleep(responseMillis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        peer.close();
+    }
+}
--- a/src/test/java/pipitstage/RoomsTest.java
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -28,6 +28,8 @@
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("pipitstage");
     /** The decision module and the types that it speaks in. */
     private static final String MODULE = "(\\[+L)?pipitstage\\.(Logic|Policy|State)(\\$[^;]*)?;?";
+    /** The modules that decide from files: what is derived, and what contradicts what. */
+    private static final String PLAN = "pipitstage\\.config\\.(plan|schema)\\..*";
     /** Sockets, files, clocks and threads. */
     private static final DescribedPredicate<JavaClass> OUTSIDE = DescribedPredicate.or(
             resideInAnyPackage("java.io..", "java.net..", "java.nio.file..", "java.nio.channels..",
@@ -45,6 +47,7 @@
     @Test
     void decisionsReachNoSocketFileClockOrThread() {
         module(MODULE).check(ALL);
+        module(PLAN).check(ALL);
         classes().that().haveNameMatching(MODULE).should()
                 .onlyDependOnClassesThat(DescribedPredicate.or(nameMatching(MODULE), DescribedPredicate.not(ours()))).check(ALL);
     }
@@ -62,6 +65,13 @@
         "partner.http | pipitstage pipitstage.engine pipitstage.partner.http pipitstage.http pipitstage.log",
         "platform | pipitstage pipitstage.engine pipitstage.platform pipitstage.log",
         "journal | pipitstage pipitstage.engine pipitstage.journal pipitstage.log",
+        "config | pipitstage pipitstage.config pipitstage.engine pipitstage.platform",
+        "config.file | pipitstage.config.file",
+        "config.schema | pipitstage.config.schema pipitstage.config.file",
+        "config.plan | pipitstage.config.plan pipitstage.config.schema pipitstage.config.file",
+        "config.tool | pipitstage pipitstage.engine pipitstage.config..",
+        "relay | pipitstage pipitstage.relay pipitstage.config pipitstage.engine pipitstage.front.. pipitstage.partner.. "
+            + "pipitstage.platform pipitstage.journal pipitstage.log",
         "log | pipitstage.log",
         "http | pipitstage.http",
         "standin | pipitstage.standin pipitstage.http"})
@@ -77,6 +87,14 @@
                         "com.fasterxml..", "java.nio..", "java.io..", "java.net.http.."))).check(ALL);
     }
 
+    @Test
+    void librariesStayInTheirRooms() {
+        noClasses().that().resideOutsideOfPackage("pipitstage.cli").should().dependOnClassesThat(
+                resideInAnyPackage("picocli..", "com.github.difflib..")).check(ALL);
+        noClasses().that().doNotHaveSimpleName("TomlFile").should().dependOnClassesThat(
+                resideInAnyPackage("org.tomlj..", "org.antlr..")).check(ALL);
+    }
+
     @Test
     void noPackagesUseEachOtherInARing() {
         slices().matching("pipitstage.(**)").should().beFreeOfCycles().check(ALL);
--- /dev/null
+++ b/src/test/java/pipitstage/cli/CommandsTest.java
@@ -0,0 +1,136 @@
+package pipitstage.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pipitstage.Fields;
+
+/** The command line: exit codes, what it prints, and that nothing ends with a stack trace. */
+class CommandsTest {
+    private static final Path CONFIG = Path.of("src/test/resources/config");
+
+    @TempDir
+    Path folder;
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    private int run(Object... args) {
+        out.getBuffer().setLength(0);
+        err.getBuffer().setLength(0);
+        String[] texts = java.util.Arrays.stream(args).map(String::valueOf).toArray(String[]::new);
+        int code = Commands.run(new PrintWriter(out), new PrintWriter(err), texts);
+        assertFalse((out + "" + err).contains("\tat "), "no stack trace: " + err);
+        return code;
+    }
+
+    @Test
+    void checkExitsWithZeroOneOrTwo() throws IOException {
+        assertEquals(0, run("config", "check", CONFIG.resolve("base.toml")));
+        assertEquals("1 file: 0 errors, 0 warnings\n", out.toString());
+        Path broken = CONFIG.resolve("broken/idle-beyond-partner.toml");
+        assertEquals(1, run("config", "check", broken, CONFIG.resolve("base.toml")));
+        assertTrue(out.toString().startsWith(broken + ":"), out.toString());
+        assertTrue(out.toString().endsWith("2 files: 1 errors, 0 warnings\n"), out.toString());
+        assertEquals(2, run("config", "check", folder.resolve("nosuch"), broken));
+        assertTrue(err.toString().contains("does not exist") && out.toString().contains("calls.idle"));
+        assertEquals(2, run("config", "check"));
+        assertEquals(1, err.toString().lines().count(), err.toString());
+    }
+
+    @Test
+    void warningsCountWhereTheyAreToBeStrictlyTaken() {
+        Path warns = CONFIG.resolve("valid/scope-building.toml");
+        assertEquals(0, run("config", "check", warns));
+        assertTrue(out.toString().contains(": warning: "), out.toString());
+        assertEquals(1, run("config", "check", "--strict", warns));
+    }
+
+    @Test
+    void findingsInJsonAreOneArrayForMachines() throws IOException {
+        assertEquals(1, run("config", "check", "--format", "json", CONFIG.resolve("broken/unknown-key.toml")));
+        try (JsonParser parser = new JsonFactory().createParser(out.toString())) {
+            parser.nextToken();
+            List<?> findings = (List<?>) Fields.read(parser);
+            Map<?, ?> first = (Map<?, ?>) findings.stream().filter(f -> ((Map<?, ?>) f).get("key")
+                    .equals("class[1].dedline")).findFirst().orElseThrow();
+            assertEquals("error", first.get("severity"));
+            assertTrue(first.get("line") instanceof Integer line && line > 0);
+        }
+    }
+
+    @Test
+    void writeShowsTheDifferenceAndWantsForce() throws IOException {
+        Path base = CONFIG.resolve("base.toml");
+        assertEquals(0, run("config", "write", base, "-o", folder));
+        assertTrue(out.toString().contains("serve --config " + folder.resolve("grain-desk.relay.toml")));
+        assertEquals(0, run("config", "write", base, "-o", folder));
+        assertTrue(out.toString().startsWith("unchanged "));
+        Path file = folder.resolve("grain-desk.relay.toml");
+        Files.writeString(file, Files.readString(file).replace("attempts = 12", "attempts = 3"));
+        assertEquals(1, run("config", "write", base, "-o", folder));
+        assertTrue(out.toString().contains("-attempts = 3\n+attempts = 12"), out.toString());
+        assertEquals(0, run("config", "write", base, "-o", folder, "--force"));
+        assertEquals(1, run("config", "write", CONFIG.resolve("broken/wanted-beyond-deadline.toml"), "-o", folder));
+        assertEquals(1, run("config", "write", file, "-o", folder), "a relay file is no application file");
+        assertEquals(2, run("config", "write", base));
+    }
+
+    @Test
+    void explainKnowsEveryKeyAndNamesTheNearest() {
+        assertEquals(0, run("config", "explain", "class.deadline"));
+        assertTrue(out.toString().contains("must be there"), out.toString());
+        assertEquals(2, run("config", "explain", "class.dedline"));
+        assertTrue(err.toString().contains("did you mean class[].deadline?"), err.toString());
+    }
+
+    @Test
+    void helpAndCompletionCoverEveryCommand() {
+        assertEquals(0, run("--help"));
+        for (String command : List.of("serve", "simhost", "config", "demo", "generate-completion")) {
+            assertTrue(out.toString().contains(command), command);
+        }
+        assertEquals(0, run("config", "check", "--help"));
+        assertEquals(0, run("generate-completion"));
+        assertTrue(out.toString().contains("_complete_loftflow"));
+    }
+
+    @Test
+    void misuseEndsWithOneLine() {
+        for (String[] args : new String[][] {{}, {"nosuch"}, {"config"}, {"config", "nosuch"}, {"serve", "x"},
+            {"serve", "--config"}, {"simhost", "x"}, {"demo", "--seconds", "x"}, {"config", "check", "--format", "xml",
+                "x"}}) {
+            assertEquals(2, run((Object[]) args), String.join(" ", args));
+            assertEquals(1, err.toString().lines().count(), err.toString());
+        }
+    }
+
+    @Test
+    void demonstrationTellsWhatBecameOfEachClassAndLeavesNothingBehind() {
+        assertEquals(0, run("demo", "--seconds", "4"), err.toString());
+        String text = out.toString();
+        for (String type : List.of("status-update", "car-order", "settlement")) {
+            String[] row = text.lines().filter(l -> l.startsWith(type)).findFirst().orElseThrow().split("\\s+");
+            assertTrue(Integer.parseInt(row[1]) > 20 && Integer.parseInt(row[2]) > 0, text);
+            assertEquals("0", row[5], "took effect twice: " + text);
+            assertEquals("0", row[6], "have no end: " + text);
+        }
+        assertTrue(text.endsWith("nothing is left behind\n"), text);
+        try (var files = Files.list(Path.of(System.getProperty("java.io.tmpdir")))) {
+            assertEquals(0, files.filter(f -> f.getFileName().toString().startsWith("loftflow-demo")).count());
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/config/WrittenFilesPropertyTest.java
@@ -0,0 +1,181 @@
+package pipitstage.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.lifecycle.AfterContainer;
+import pipitstage.cli.Main;
+import pipitstage.config.plan.Surroundings;
+import pipitstage.config.tool.CheckedFile;
+import pipitstage.config.tool.Tool;
+import pipitstage.relay.RelayProcess;
+import pipitstage.standin.StandInClient;
+import pipitstage.standin.StandInPartner;
+
+/** Any application file that the tool accepts gives a relay file that checks clean and a relay that delivers. */
+class WrittenFilesPropertyTest {
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+    private static final AtomicInteger ACCEPTED = new AtomicInteger();
+    private static final AtomicInteger REFUSED = new AtomicInteger();
+
+    /** An application file drawn from a seed; some contradict themselves. */
+    private static String application(Random random, Path state, List<String> addresses) {
+        StringBuilder text = new StringBuilder("format = 1\nname = \"app\"\n[machine]\nmemory = \""
+                + (80 + random.nextInt(400)) + "MiB\"\ndescriptors = " + (80 + random.nextInt(900)) + "\ndisk = \""
+                + (4 + random.nextInt(60)) + "MiB\"\nfolder = \"" + state + "\"\nbuilding = \"b0\"\n[[front]]\nlisten ="
+                + " \"127.0.0.1:0\"\n");
+        if (random.nextBoolean()) {
+            int relays = 1 + random.nextInt(5);
+            text.append("[fleet]\nrelays = ").append(relays).append("\nnumber = ").append(random.nextInt(relays + 1) / 2)
+                    .append('\n');
+        }
+        int kinds = 1 + random.nextInt(2);
+        int classes = 1 + random.nextInt(3);
+        for (int c = 0; c < classes; c++) {
+            String repeat = List.of("repeatable", "by-key", "once").get(random.nextInt(3));
+            long deadline = 3_000 + random.nextInt(20_000);
+            text.append(String.format(Locale.ROOT, "[[class]]\nname = \"c%d\"\nrepeat = \"%s\"\nwanted = \"%dms\"\n"
+                    + "deadline = \"%dms\"\nworth = %d\nlate-worth = %.2f\npeak-rate = \"%d/m\"\nbody = \"%dB\"\n", c, repeat,
+                    deadline / (1 + random.nextInt(4)) - 1, deadline, random.nextInt(9), random.nextDouble(),
+                    1 + random.nextInt(1_200), random.nextInt(8_000)));
+            if (repeat.equals("by-key")) {
+                text.append("key-window = \"").append(1 + random.nextInt(30)).append("s\"\nkey-scope = \"")
+                        .append(random.nextBoolean() ? "all" : "building").append("\"\n");
+            }
+            if (random.nextInt(4) == 0) {
+                text.append("in-order = true\n");
+            }
+            if (random.nextInt(3) == 0) {
+                text.append("to = [\"k").append(random.nextInt(kinds)).append("\"]\n");
+            }
+        }
+        for (int k = 0; k < kinds; k++) {
+            text.append("[[kind]]\nname = \"k").append(k).append("\"\nroutes-apart = ").append(random.nextBoolean())
+                    .append("\nidle = \"").append(1 + random.nextInt(30)).append("s\"\n");
+        }
+        for (int p = 0; p < addresses.size(); p++) {
+            text.append("[[partner]]\nname = \"p").append(p).append("\"\nnumber = ").append(p).append("\nkind = \"k")
+                    .append(p % kinds).append("\"\nresponse = \"").append(1 + random.nextInt(900)).append("ms\"\n");
+            if (random.nextBoolean()) {
+                text.append("limit = \"").append(1 + random.nextInt(60)).append("/s\"\n");
+            }
+            text.append("[[partner.endpoint]]\nid = \"e").append(p).append("\"\naddress = \"").append(addresses.get(p))
+                    .append("\"\nbuilding = \"b").append(random.nextInt(2)).append("\"\n");
+        }
+        return text.toString();
+    }
+
+    private static CheckedFile checked(String text) {
+        return CheckedFile.of("app.toml", text, Surroundings.UNKNOWN);
+    }
+
+    @Property(tries = 1000, seed = "41", shrinking = ShrinkingMode.OFF)
+    void acceptedFileGivesARelayFileThatChecksClean(@ForAll long seed) throws Exception {
+        String text = application(new Random(seed), Path.of("/var/lib/loftflow"), List.of("127.0.0.1:9001",
+                "127.0.0.1:9002"));
+        if (!checked(text).isClean()) {
+            REFUSED.incrementAndGet();
+            return;
+        }
+        ACCEPTED.incrementAndGet();
+        Path folder = Files.createTempDirectory("written");
+        try {
+            Path file = Files.writeString(folder.resolve("app.toml"), text);
+            Tool.Outcome outcome = Tool.write(file, folder, false);
+            assertEquals(Tool.Written.NEW, outcome.written(), outcome.findings() + text);
+            CheckedFile written = checked(outcome.after());
+            assertTrue(written.isClean(), written.findings() + "\n" + outcome.after());
+            assertEquals(CheckedFile.Kind.RELAY, written.kind());
+        } finally {
+            delete(folder);
+        }
+    }
+
+    /** Proves that the property above speaks of both sides. */
+    @AfterContainer
+    static void bothKindsWereDrawn() {
+        assertTrue(ACCEPTED.get() > 100 && REFUSED.get() > 100, ACCEPTED + " accepted, " + REFUSED + " refused");
+    }
+
+    @Property(tries = 5, seed = "43", shrinking = ShrinkingMode.OFF)
+    void acceptedFileGivesARelayThatDeliversOneOfEachClass(@ForAll @LongRange(min = 0, max = 1_000_000) long seed)
+            throws Exception {
+        Path folder = Files.createTempDirectory("served");
+        try (StandInPartner first = new StandInPartner(5, 0); StandInPartner second = new StandInPartner(5, 0)) {
+            String text = null;
+            CheckedFile app = null;
+            for (long draw = seed; app == null || !app.isClean(); draw++) {
+                text = application(new Random(draw), folder.resolve("state"),
+                        List.of(first.address(), second.address()));
+                app = checked(text);
+            }
+            Files.writeString(folder.resolve("app.toml"), text);
+            serveOneOfEach(folder, app, List.of(first, second));
+        } finally {
+            delete(folder);
+        }
+    }
+
+    private static void serveOneOfEach(Path folder, CheckedFile app, List<StandInPartner> partners) throws Exception {
+        Tool.Outcome outcome = Tool.write(folder.resolve("app.toml"), folder, false);
+        Path log = folder.resolve("log");
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-XX:TieredStopAtLevel=1", "-Xmx48m", "-cp", System.getProperty("java.class.path"),
+                Main.class.getName(), "serve", "--config", outcome.file().toString()).redirectErrorStream(true)
+                .redirectOutput(log.toFile());
+        // The folders of tests lie among temporary ones, which the relay would rightly refuse.
+        builder.environment().remove("TMPDIR");
+        Process relay = builder.start();
+        try {
+            RelayProcess.await(() -> SERVING.matcher(read(log)).find());
+            Matcher at = SERVING.matcher(read(log));
+            assertTrue(at.find());
+            List<String> ids = new ArrayList<>();
+            try (StandInClient client = new StandInClient(at.group(1), Integer.parseInt(at.group(2)))) {
+                assertTrue(client.isReady());
+                for (var type : app.declared().classes()) {
+                    var partner = app.declared().partners().stream()
+                            .filter(p -> type.to() == null || type.to().contains(p.kind())).findFirst().orElseThrow();
+                    ids.add(type.name());
+                    assertEquals(202, client.handIn(type.name(), type.name(), null, "k-" + type.name(),
+                            partner.number(), type.deadline() / 1000, "body"), read(log) + outcome.after());
+                }
+            }
+            RelayProcess.await(() -> ids.stream().allMatch(id -> partners.stream()
+                    .anyMatch(p -> p.effects().containsKey(id))));
+        } finally {
+            relay.destroyForcibly().waitFor();
+        }
+    }
+
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (var files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- a/src/test/java/pipitstage/relay/DoorTest.java
+++ b/src/test/java/pipitstage/relay/DoorTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import pipitstage.cli.Main;
 import pipitstage.standin.StubPeer;
 
 /** What clients and discovery may send, and what of it is taken on. */
--- /dev/null
+++ b/src/test/java/pipitstage/relay/RelayFileTest.java
@@ -0,0 +1,218 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pipitstage.cli.Main;
+import pipitstage.config.tool.Tool;
+import pipitstage.standin.StandInClient;
+import pipitstage.standin.StandInDiscovery;
+import pipitstage.standin.StandInPartner;
+
+/** A relay that runs by a relay file alone, and what it loads. */
+class RelayFileTest {
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+
+    @TempDir
+    Path folder;
+    private final List<Process> processes = new ArrayList<>();
+    private Path log;
+
+    @AfterEach
+    void end() throws InterruptedException {
+        for (Process process : processes) {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    private Process start(Path file, String... options) throws IOException {
+        log = folder.resolve("log" + processes.size());
+        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-XX:TieredStopAtLevel=1", "-Xmx32m"));
+        line.addAll(List.of(options));
+        line.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config",
+                file.toString()));
+        ProcessBuilder builder = new ProcessBuilder(line).redirectErrorStream(true).redirectOutput(log.toFile());
+        // The folders of tests lie among temporary ones, which the relay would rightly refuse.
+        builder.environment().remove("TMPDIR");
+        Process process = builder.start();
+        processes.add(process);
+        return process;
+    }
+
+    private String log() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private StandInClient client() {
+        await(() -> SERVING.matcher(log()).find());
+        Matcher at = SERVING.matcher(log());
+        assertTrue(at.find());
+        return new StandInClient(at.group(1), Integer.parseInt(at.group(2)));
+    }
+
+    private Path written(String discovery, String endpoint) throws Exception {
+        String text = """
+                format = 1
+                name = "app"
+                [machine]
+                memory = "128MiB"
+                descriptors = 128
+                disk = "8MiB"
+                folder = "%s"
+                [[front]]
+                listen = "127.0.0.1:0"
+                [[front]]
+                listen = "127.0.0.1:0"
+                %s
+                [[class]]
+                name = "settlement"
+                repeat = "once"
+                wanted = "2s"
+                deadline = "6s"
+                peak-rate = "5/s"
+                [[partner]]
+                name = "iron-line"
+                number = 7
+                kind = "railways"
+                response = "20ms"
+                %s
+                """.formatted(folder.resolve("state"), discovery, endpoint);
+        Path file = Files.writeString(folder.resolve("app.toml"), text);
+        Tool.Outcome outcome = Tool.write(file, folder, false);
+        assertEquals(Tool.Written.NEW, outcome.written(), outcome.findings().toString());
+        return outcome.file();
+    }
+
+    private static String endpoint(StandInPartner partner) {
+        return "[[partner.endpoint]]\nid = \"iron-1\"\naddress = \"" + partner.address() + "\"";
+    }
+
+    @Test
+    void listInTheFileIsAllThereIsAndEndsGoToAFile() throws Exception {
+        try (StandInPartner partner = new StandInPartner(5, 0)) {
+            start(written("", endpoint(partner)));
+            try (StandInClient client = client()) {
+                assertTrue(client.isReady());
+                assertEquals(202, client.handIn("s1", "settlement", null, null, 7, 5000, "a"));
+                await(() -> partner.effects().containsKey("s1"));
+                assertEquals(400, client.handIn("s2", "settlement", null, null, 8, 5000, "a"), "no such destination");
+                partner.be(StandInPartner.Mood.RESETS);
+                assertEquals(202, client.handIn("s3", "settlement", null, null, 7, 5000, "a"));
+                await(() -> ends().contains("\"ref\":\"s3\",\"class\":\"settlement\",\"dest\":7,\"result\":\"dead\""));
+            }
+            assertEquals(2, log().lines().filter(l -> l.contains("serving on")).count(), "both fronts: " + log());
+            assertEquals(1, partner.effects().get("s3"));
+        }
+    }
+
+    private String ends() {
+        try {
+            return Files.readString(folder.resolve("state/ends.jsonl"));
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    @Test
+    void takenMessageIsDeliveredAfterAKill() throws Exception {
+        try (StandInPartner partner = new StandInPartner(5, 0)) {
+            Path file = written("", endpoint(partner));
+            partner.be(StandInPartner.Mood.SHUT);
+            Process first = start(file);
+            try (StandInClient client = client()) {
+                assertEquals(202, client.handIn("s1", "settlement", null, null, 7, 6000, "a"));
+            }
+            first.destroyForcibly().waitFor();
+            partner.be(StandInPartner.Mood.WELL);
+            start(file);
+            await(() -> partner.effects().containsKey("s1") || ends().contains("s1"));
+            assertTrue(partner.effects().getOrDefault("s1", 0) <= 1);
+        }
+    }
+
+    @Test
+    void discoveryTellsTheEndpointsThatTheFileLacks() throws Exception {
+        try (StandInPartner partner = new StandInPartner(5, 0); StandInDiscovery discovery = new StandInDiscovery()) {
+            discovery.list(List.of(StandInDiscovery.entry("iron-1", 7, "railways", "main", "in_service",
+                    partner.address())));
+            start(written("[discovery]\nagent = \"" + discovery.address() + "\"", ""));
+            try (StandInClient client = client()) {
+                await(() -> isReady(client));
+                assertEquals(202, client.handIn("s1", "settlement", null, null, 7, 5000, "a"));
+                await(() -> partner.effects().containsKey("s1"));
+                partner.be(StandInPartner.Mood.RESETS);
+                assertEquals(202, client.handIn("s2", "settlement", null, null, 7, 5000, "a"));
+                await(() -> discovery.notices().contains(new StandInDiscovery.Notice("s2", "dead")));
+            }
+            assertEquals("", ends(), "notices go to the platform");
+        }
+    }
+
+    private static boolean isReady(StandInClient client) {
+        try {
+            return client.isReady();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Test
+    void serveRefusesInTheWordsOfTheTool() throws Exception {
+        try (var files = Files.list(Path.of("src/test/resources/config/broken"))) {
+            for (Path file : files.filter(f -> f.toString().matches(".*(idle-beyond|slots-below|span-huge).*toml"))
+                    .toList()) {
+                Process process = start(file);
+                assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+                assertEquals(2, process.exitValue());
+                assertEquals("loftflow: " + Tool.check(file).get(0), log().lines().findFirst().orElse(""));
+                assertFalse(log().contains("serving"), log());
+            }
+        }
+        Process process = start(Path.of("src/test/resources/config/base.toml"));
+        assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+        assertTrue(log().contains("is no relay file; loftflow config write makes one"), log());
+    }
+
+    @Test
+    void servingLoadsNothingOfTheCommandLineNorServingThePlatformsWayTheParser() throws Exception {
+        try (StandInPartner partner = new StandInPartner(5, 0)) {
+            start(written("", endpoint(partner)), "-Xlog:class+load");
+            client().close();
+            assertTrue(log().contains("org.tomlj"), "the log of classes works");
+            assertFalse(log().contains("picocli") || log().contains("com.github.difflib")
+                    || log().contains("pipitstage.standin"), "the command line is loaded");
+        }
+        Path classes = folder.resolve("classes");
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-Xlog:class+load:file=" + classes, "-cp", System.getProperty("java.class.path"), Main.class.getName(),
+                "serve").redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.environment().put("EDGE_CONFIG", "deploy/training.json");
+        builder.environment().put("EDGE_STATE", folder.resolve("training").toString());
+        processes.add(builder.start());
+        await(() -> SERVING.matcher(log()).find());
+        String loaded = Files.readString(classes);
+        assertTrue(loaded.contains("pipitstage.config.Config "), "the log of classes works");
+        for (String unused : List.of("org.tomlj", "org.antlr", "picocli", "pipitstage.config.plan",
+                "pipitstage.config.schema", "pipitstage.config.file", "pipitstage.cli.Commands", "EndsFile")) {
+            assertFalse(loaded.contains(unused), unused + " is loaded");
+        }
+    }
+}
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import pipitstage.cli.Main;
 import pipitstage.engine.Message;
 import pipitstage.journal.Journal;
 import pipitstage.standin.StubPeer;
