--- a/src/main/java/pipitstage/cli/Commands.java
+++ b/src/main/java/pipitstage/cli/Commands.java
@@ -29,7 +29,7 @@
 @Command(name = "loftflow", version = "loftflow 0.1.0", mixinStandardHelpOptions = true,
         description = "An outbound message relay.", synopsisSubcommandLabel = "COMMAND",
         subcommands = {Commands.ServeHelp.class, Commands.SimhostHelp.class, Commands.ConfigCommand.class,
-            DemoCommand.class, AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class})
+            UndeliverableCommand.class, DemoCommand.class, AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class})
 final class Commands implements Runnable {
     private static final int CLEAN = 0;
     private static final int FINDINGS = 1;
@@ -63,7 +63,7 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed: serve, simhost, config,"
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed: serve, simhost, config, undeliverable,"
                 + " demo or generate-completion");
     }
 
--- a/src/main/java/pipitstage/config/Config.java
+++ b/src/main/java/pipitstage/config/Config.java
@@ -28,12 +28,24 @@
  * @param knownKind whether the known list is all there is, or an old one that discovery will replace
  * @param knownVersion -1 where no earlier list is known
  * @param known empty where no earlier list is known
+ * @param keeping what is kept of messages that could not be delivered; null where nothing is
  * @param source the file that all this was read from
  */
 public record Config(List<InetSocketAddress> listen, InetSocketAddress discovery, InetSocketAddress notices,
         Path state, int clientConnections, int hostConnections, long diskBytes, Policy.Settings settings, long period,
         long idleSpan, boolean reports, Policy.ListKind knownKind, long knownVersion, List<Target> known,
-        byte[] source) {
+        Keeping keeping, byte[] source) {
+
+    /**
+     * What is kept of messages that could not be delivered: bytes, messages a second, microseconds.
+     *
+     * @param limit space in the folder that lasts
+     * @param high share of it from which on the store is full
+     * @param low share of it below which it is not full any more
+     * @param shelfLives by class
+     */
+    public record Keeping(long limit, long entries, double high, double low, boolean refuseWhenFull, long age,
+            double pace, long pause, long clockMargin, long listenOn, Map<String, Long> shelfLives) { }
 
     private static final long MIB = 1 << 20;
     /** Descriptors for all but connections: the JVM's own, the journal's, discovery's, and one just accepted. */
@@ -114,7 +126,7 @@
         return new Config(List.of(Target.address(json.text("listen"))), discovery, discovery, state, clients,
                 Math.max(1, connections - clients), (long) (limits.number("disk_mb") * MIB), settings,
                 params.micros("period-s", 0), params.object("limits").micros("conn-idle-s"),
-                how != null && !how.equals("off"), Policy.ListKind.CACHED, version, known, source);
+                how != null && !how.equals("off"), Policy.ListKind.CACHED, version, known, null, source);
     }
 
     private static int sockets(Fields limits) {
--- a/src/main/java/pipitstage/config/file/Units.java
+++ b/src/main/java/pipitstage/config/file/Units.java
@@ -9,7 +9,7 @@
 /** Spans, sizes and rates as files write them: a number with its unit, such as 1.5s, 64KiB or 20/s. */
 public final class Units {
     /** The longest span; anything longer is a slip of the pen, and sums of a few stay far from an overflow. */
-    public static final long LONGEST_SPAN = 7L * 24 * 3_600 * 1_000_000;
+    public static final long LONGEST_SPAN = 366L * 24 * 3_600 * 1_000_000;
     private static final long LARGEST_SIZE = 1L << 40;
     private static final double HIGHEST_RATE = 1e6;
 
@@ -39,7 +39,7 @@
     public static long span(String text) {
         BigDecimal micros = number(text, SPANS, "250ms, 1.5s or 2m");
         if (micros.compareTo(BigDecimal.valueOf(LONGEST_SPAN)) > 0) {
-            throw new IllegalArgumentException("\"" + text + "\" is longer than 7d");
+            throw new IllegalArgumentException("\"" + text + "\" is longer than 366d");
         }
         return micros.longValue();
     }
--- a/src/main/java/pipitstage/config/plan/Checks.java
+++ b/src/main/java/pipitstage/config/plan/Checks.java
@@ -50,6 +50,7 @@
         checks.addresses();
         checks.capacity();
         checks.machine();
+        checks.undeliverable();
         return checks.findings;
     }
 
@@ -365,6 +366,34 @@
         }
     }
 
+    private void undeliverable() {
+        Declared.Undeliverable kept = declared.undeliverable();
+        if (!kept.keep()) {
+            return;
+        }
+        for (MessageClass type : declared.classes()) {
+            if (type.shelfLife() < type.deadline()) {
+                error(type.at(), "shelf-life", span(type.shelfLife()) + " is shorter than deadline = "
+                        + span(type.deadline()) + ": a message would be too old as soon as it is kept; raise it");
+            }
+        }
+        if (kept.low() >= kept.high()) {
+            error(kept.at(), "low", kept.low() + " is no lower than undeliverable.high = " + kept.high()
+                    + ": the store would be full and not full at once; lower it");
+        }
+        if (kept.limit() + figures.journal() > declared.machine().disk()) {
+            error(kept.at(), "limit", Units.ofSize(kept.limit()) + " and the journal's " + Units.ofSize(figures.journal())
+                    + " share a folder with machine.disk = " + Units.ofSize(declared.machine().disk())
+                    + "; lower one or raise that");
+        }
+        for (Partner partner : declared.partners()) {
+            if (partner.limit() > 0 && kept.pace() > partner.limit()) {
+                error(kept.at(), "pace", Units.ofRate(kept.pace()) + " is above the limit of partner " + partner.name()
+                        + ", " + Units.ofRate(partner.limit()) + "; lower it");
+            }
+        }
+    }
+
     private void machine() {
         Declared.Machine machine = declared.machine();
         long memory = figures.heap() + figures.direct() + Planner.JVM_OWN;
--- a/src/main/java/pipitstage/config/plan/Declared.java
+++ b/src/main/java/pipitstage/config/plan/Declared.java
@@ -11,7 +11,8 @@
  * rates a second; 0 where none is known. Each part knows the table that it was read from, for findings.
  */
 public record Declared(Section at, String name, Machine machine, List<Front> fronts, Discovery discovery, Fleet fleet,
-        List<Tenant> tenants, List<MessageClass> classes, List<Kind> kinds, List<Partner> partners) {
+        List<Tenant> tenants, List<MessageClass> classes, List<Kind> kinds, List<Partner> partners,
+        Undeliverable undeliverable) {
     /** Where partners close idle connections if nothing else is declared. */
     private static final long USUAL_IDLE = 10_000_000;
 
@@ -31,13 +32,17 @@
     /** The relays that share partners. */
     public record Fleet(Section at, int relays, int number) { }
 
+    /** What is kept of messages that could not be delivered; nothing where {@code keep} is false. */
+    public record Undeliverable(Section at, boolean keep, long limit, long entries, double high, double low,
+            boolean refuseWhenFull, long age, double pace, long pause, long clockMargin, long listenOn) { }
+
     /** Whoever messages are sent for. */
     public record Tenant(Section at, String name, double rate) { }
 
     /** A class of messages; {@code to} is null where it goes to all kinds. */
     public record MessageClass(Section at, String name, Repeat repeat, long keyWindow, boolean keysByBuilding,
             long wanted, long deadline, double worth, double lateWorth, boolean inOrder, boolean secondCopies,
-            double peakRate, double meanRate, long body, long largestBody, List<String> to) {
+            double peakRate, double meanRate, long body, long largestBody, long shelfLife, List<String> to) {
         /** True where messages go to partners of that kind. */
         boolean goesTo(Partner partner) {
             return to == null || to.contains(partner.kind());
@@ -76,7 +81,13 @@
                 new Fleet(fleet, (int) fleet.whole("relays"), (int) fleet.whole("number")),
                 top.tables("tenant").stream().map(t -> new Tenant(t, t.text("name"), t.number("rate"))).toList(),
                 top.tables("class").stream().map(Declared::messageClass).toList(),
-                kinds(top, partners), partners);
+                kinds(top, partners), partners, undeliverable(top.table("undeliverable")));
+    }
+
+    private static Undeliverable undeliverable(Section u) {
+        return new Undeliverable(u, u.flag("keep"), u.whole("limit"), u.whole("entries"), u.number("high"),
+                u.number("low"), u.text("when-full").equals("refuse"), u.whole("age"), u.number("pace"),
+                u.whole("pause"), u.whole("clock-margin"), u.whole("listen-on"));
     }
 
     private static MessageClass messageClass(Section c) {
@@ -88,7 +99,8 @@
         return new MessageClass(c, c.text("name"), repeat, c.whole("key-window"),
                 c.text("key-scope").equals("building"), c.whole("wanted"), c.whole("deadline"), c.number("worth"),
                 c.number("late-worth"), c.flag("in-order"), c.flag("second-copies"), c.number("peak-rate"),
-                c.number("mean-rate"), c.whole("body"), c.whole("largest-body"), c.names("to"));
+                c.number("mean-rate"), c.whole("body"), c.whole("largest-body"),
+                c.whole("shelf-life"), c.names("to"));
     }
 
     /** The kinds that are declared, and those that partners or classes name without a table of their own. */
--- a/src/main/java/pipitstage/config/plan/Planner.java
+++ b/src/main/java/pipitstage/config/plan/Planner.java
@@ -23,6 +23,7 @@
     /** The part of the heap that held messages may take. */
     static final double HELD_SHARE = 0.5;
     static final double JOURNAL_SHARE = 0.8;
+    private static final long LEAST_JOURNAL = 256 << 10;
     private static final double HEAD_ROOM = 1.1;
     private static final double SLOT_ROOM = 2;
     private static final int LEAST_MESSAGES = 12;
@@ -81,9 +82,10 @@
                 + " out; twice that, %d at least", calls, LEAST_SLOTS));
         int sockets = Math.max(2, machine.descriptors() - OTHER_DESCRIPTORS);
         int endpoints = declared.endpoints().size();
-        int connections = Math.max(slots, Math.min(slots + endpoints, sockets * 45 / 100));
+        int listeners = declared.undeliverable().keep() ? Math.max(2, slots / 3) : 0;
+        int connections = Math.max(slots, Math.min(slots + endpoints + listeners, sockets * 45 / 100));
         why.put("calls.connections", text("one for each slot and, where descriptors allow, one idle for each of %d"
-                + " endpoints", endpoints));
+                + " endpoints%s", endpoints, listeners > 0 ? " and some that listen for late answers" : ""));
         int clients = Math.max(FEWEST_CLIENTS, sockets - connections);
         why.put("clients.connections", text("the rest of %d descriptors after %d for the process itself and %d calls",
                 machine.descriptors(), OTHER_DESCRIPTORS, connections));
@@ -96,8 +98,11 @@
         why.put("calls.idle", "the shortest after which a kind of partner closes idle connections");
         boolean copies = declared.classes().stream().anyMatch(Declared.MessageClass::secondCopies);
         why.put("calls.second-copies", copies ? "a class asks for them" : "no class asks for them");
-        long journal = wholeKib(machine.disk() * JOURNAL_SHARE);
-        why.put("journal.limit", text("four fifths of machine.disk (%s); open messages may take %.0f%% of it and need"
+        Declared.Undeliverable kept = declared.undeliverable();
+        long disk = Math.max(0, machine.disk() - (kept.keep() ? kept.limit() : 0));
+        long journal = Math.max(LEAST_JOURNAL, wholeKib(disk * JOURNAL_SHARE));
+        why.put("journal.limit", text("four fifths of machine.disk (%s)" + (kept.keep() ? " less undeliverable.limit" : "")
+                + "; open messages may take %.0f%% of it and need"
                 + " %s", Units.ofSize(machine.disk()), OPEN_SHARE * 100,
                 kib(bytes(declared, messages, RECORD))));
         long direct = machine.memory() >= SMALL_MACHINE ? 16 * MIB : 8 * MIB;
--- a/src/main/java/pipitstage/config/schema/Schema.java
+++ b/src/main/java/pipitstage/config/schema/Schema.java
@@ -31,6 +31,7 @@
     private static final double MS = 1_000;
     private static final double SECOND = 1_000_000;
     private static final double DAY = 24 * 3_600 * SECOND;
+    private static final double YEAR = 366 * DAY;
     private static final double KIB = 1 << 10;
     private static final double MIB = 1 << 20;
     private static final int MOST_BODY = 64 << 10;
@@ -85,6 +86,8 @@
         may("class[].mean-rate", RATE, null, 0, ANY, "Messages a second over a day, to this relay.");
         may("class[].body", SIZE, "1KiB", 0, MOST_BODY, "The usual size of a body.");
         may("class[].largest-body", SIZE, "64KiB", 1, MOST_BODY, "The largest body.");
+        may("class[].shelf-life", SPAN, "1d", 1, YEAR, "How long a message that is kept as undeliverable is worth sending"
+                + " again by itself.");
         may("class[].to", NAMES, null, 0, ANY, "The kinds of partner that the class goes to; all if left out.");
 
         tables("kind", "A kind of partner; one that is not named here has the fallbacks.");
@@ -104,6 +107,20 @@
         need("partner[].endpoint[].address", ADDRESS, 0, ANY, "Where it listens.");
         may("partner[].endpoint[].building", NAME, "main", 0, ANY, "The building that it stands in.");
 
+        table("undeliverable", "Messages that could not be delivered, kept to be inspected and sent again.");
+        may("undeliverable.keep", FLAG, "false", 0, ANY, "Keep them; their clients are told that they failed.");
+        may("undeliverable.limit", SIZE, "16MiB", MIB, ANY, "Space for them in the folder that lasts.");
+        may("undeliverable.entries", WHOLE, "100000", 1, 100_000_000, "How many there may be.");
+        may("undeliverable.high", NUMBER, "0.9", 0.1, 1, "Share of the limit from which on the store is full.");
+        may("undeliverable.low", NUMBER, "0.8", 0.1, 1, "Share of the limit below which it is not full any more.");
+        word("undeliverable.when-full", "refuse", List.of("refuse", "log"), "A full store refuses new work, or lets it go"
+                + " on and logs each message that could not be kept as lost.");
+        may("undeliverable.age", SPAN, "30d", SECOND, YEAR, "Entries that are delivered or discarded are removed then.");
+        may("undeliverable.pace", RATE, "1/s", 1e-4, 1_000, "Messages sent again to one destination, at the most.");
+        may("undeliverable.pause", SPAN, "1s", 100 * MS, DAY, "Between two tries of one entry; doubles up to 64 times.");
+        may("undeliverable.clock-margin", SPAN, "1s", 0, DAY, "By how much the clocks of partners may differ.");
+        may("undeliverable.listen-on", SPAN, "30s", 0, DAY, "How long a late answer is listened for after a time-out.");
+
         derivedTable("buffer", "Messages that the relay holds.");
         derived("buffer.messages", WHOLE, null, 1, 10_000_000, "How many messages may be open at once; more are refused"
                 + " with a time to come back.");
--- a/src/main/java/pipitstage/config/tool/RelayFile.java
+++ b/src/main/java/pipitstage/config/tool/RelayFile.java
@@ -64,7 +64,15 @@
                 addressOrNull(discovery.agent()), addressOrNull(discovery.notices()),
                 Path.of(declared.machine().folder()), figures.clients(), figures.connections(), figures.journal(),
                 settings(declared, figures), figures.round(), figures.idle(), figures.reports(),
-                whole ? Policy.ListKind.FULL : Policy.ListKind.CACHED, whole ? 0 : -1, known, source);
+                whole ? Policy.ListKind.FULL : Policy.ListKind.CACHED, whole ? 0 : -1, known,
+                keeping(declared), source);
+    }
+
+    private static Config.Keeping keeping(Declared declared) {
+        Declared.Undeliverable u = declared.undeliverable();
+        return !u.keep() ? null : new Config.Keeping(u.limit(), u.entries(), u.high(), u.low(), u.refuseWhenFull(),
+                u.age(), u.pace(), u.pause(), u.clockMargin(), u.listenOn(), declared.classes().stream().collect(
+                Collectors.toMap(Declared.MessageClass::name, Declared.MessageClass::shelfLife)));
     }
 
     private static InetSocketAddress addressOrNull(String address) {
--- a/src/main/java/pipitstage/engine/Clock.java
+++ b/src/main/java/pipitstage/engine/Clock.java
@@ -1,15 +1,16 @@
 package pipitstage.engine;
 
-/**
- * A clock in microseconds that never steps back. It starts at the wall clock's time, so that a deadline
- * written to the journal still means something to the next process.
- */
-public final class Clock {
-    private final long startWall = System.currentTimeMillis() * 1000;
-    private final long startNanos = System.nanoTime();
+/** The time in microseconds since the epoch, which never steps back while a process lives. */
+public interface Clock {
+    long micros();
 
-    /** Microseconds since the epoch, as the wall clock told at the start. */
-    public long micros() {
-        return startWall + (System.nanoTime() - startNanos) / 1000;
+    /**
+     * The machine's clock. It starts at the wall clock's time, so that a deadline written to the journal still means
+     * something to the next process, and is carried on by the monotonic clock.
+     */
+    static Clock system() {
+        long startWall = System.currentTimeMillis() * 1000;
+        long startNanos = System.nanoTime();
+        return () -> startWall + (System.nanoTime() - startNanos) / 1000;
     }
 }
--- a/src/main/java/pipitstage/engine/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -24,6 +24,8 @@
     /** When a message that the module has left open past its deadline is ended: in time for its notice. */
     private static final long LATEST_END = 200_000;
     private static final long COME_BACK = 1_000_000;
+    /** Beyond this share of the messages that may be open, live ones have the room to themselves. */
+    private static final double RESEND_SHARE = 0.5;
     /** How long passes may take while messages are still taken on; clients wait 400 ms for their answer. */
     private static final long MOST_LAG = 400_000;
 
@@ -35,6 +37,7 @@
     private final Policy policy;
     private Partners partners;
     private Ends ends;
+    private Keeper keeper = Keeper.NONE;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private final Set<Integer> destinations = new HashSet<>();
@@ -76,6 +79,11 @@
         ends = notices;
     }
 
+    /** Sets what keeps messages that can't be delivered; once, before {@link #start}. */
+    public void keepBy(Keeper keeps) {
+        keeper = keeps;
+    }
+
     /** Takes in the list that is known at the start, empty where there is none, and what the journal holds. */
     public void start(Policy.ListKind kind, long knownVersion, List<Target> known) {
         if (!known.isEmpty()) {
@@ -83,8 +91,13 @@
         }
         for (Message message : journal.open()) {
             remember(message);
-            if (message.end != null) {
-                ends.send(message);
+            if (message.entry() != 0) {
+                keeper.resumed(message);
+            }
+            if (message.entry() != 0 && (message.end != null || message.isDelivered())) {
+                keeper.resent(message);
+            } else if (message.end != null) {
+                tellEnd(message);
             } else {
                 held++;
                 watchEnd(message);
@@ -148,7 +161,7 @@
         // what may have lain unread so long is refused at once. It harms where the client has come just now.
         boolean behind = clock.micros() - unreadSince > MOST_LAG;
         Message message = new Message(nextNumber, content);
-        if (!ready || behind || !reachable || held >= settings.limits().maxOpen() || !journal.accept(message)) {
+        if (!ready || behind || !reachable || keeper.refuses(content) || held >= settings.limits().maxOpen() || !journal.accept(message)) {
             client.refused(COME_BACK);
             return null;
         }
@@ -162,6 +175,46 @@
         return message;
     }
 
+    /**
+     * Sends a message again that was kept. It is journaled like any other, with the attempts that still bind it, and
+     * the module decides on it as on one that a restart has left.
+     *
+     * @param entry the entry that it was kept as, not 0
+     * @param past attempts, in order, that may have run
+     * @return the message, or null where it can't be taken on just now; nothing has happened then
+     */
+    public Message resend(long entry, Message.Content content, List<Policy.PastAttempt> past) {
+        boolean busy = held > settings.limits().maxOpen() * RESEND_SHARE;
+        if (!ready || frozen || busy || byCallId.containsKey(content.callId())
+                || !destinations.contains(content.destination())) {
+            return null;
+        }
+        Message message = new Message(nextNumber, content, entry);
+        past.forEach(p -> message.addAttempt(p.route(), p.sentAt()).result = p.result());
+        if (!journal.accept(message)) {
+            return null;
+        }
+        nextNumber++;
+        held++;
+        remember(message);
+        watchEnd(message);
+        add(new Policy.Resumed(acceptance(message), past));
+        return message;
+    }
+
+    /** Stops sending a message again, since an earlier attempt has turned out to have taken effect. */
+    public void recall(Message message) {
+        if (message.end == null && !message.over) {
+            add(new Policy.Withdrawn(message.number));
+            endResend(message);
+        }
+    }
+
+    /** A message that the keeper was given, or that was sent again, outlasts the process there. */
+    public void kept(Message message) {
+        heard(message);
+    }
+
     private void remember(Message message) {
         messages.put(message.number, message);
         byCallId.put(message.content.callId(), message);
@@ -262,10 +315,16 @@
             // Guards against a delivery that comes after the time that its client counts: that is none.
             journal.result(attempt);
             end(message.number, new Message.End(false, 0));
+        } else if (over && message.entry() != 0 && message.end == null && !message.over) {
+            journal.result(attempt);
+            endResend(message);
         } else if (over && message.end == null && !message.over) {
             close(message);
         } else if (!message.over) {
             journal.result(attempt);
+            if (message.end != null) {
+                keeper.learnt(attempt);
+            }
         }
         boolean closed = message.over || message.end != null;
         add(new Policy.Outcome(message.number, attempt.number, attempt.route, result, closed, wait,
@@ -273,6 +332,26 @@
         forgetIfSettled(message);
     }
 
+    @Override
+    public void late(Message.Attempt attempt) {
+        Message message = attempt.message;
+        attempt.result = Result.OK;
+        if (messages.get(message.number) != message) {
+            keeper.learnt(attempt);
+            return;
+        }
+        journal.result(attempt);
+        if (message.end != null) {
+            keeper.learnt(attempt);
+        } else if (message.entry() != 0) {
+            recall(message);
+        } else if (!message.over && clock.micros() <= message.content.deadline()) {
+            // Guards against a further attempt for what has turned out to be delivered.
+            add(new Policy.Withdrawn(message.number));
+            close(message);
+        }
+    }
+
     @Override
     public void probed(String route, Result result, long wait, long elapsed, LimitReport report) {
         add(new Policy.ProbeDone(route, result, wait, elapsed, report));
@@ -300,12 +379,18 @@
         if (message == null || message.end != null || message.over) {
             return;
         }
-        message.end = end;
+        if (message.entry() != 0) {
+            endResend(message);
+            return;
+        }
+        boolean keeps = message.client == null && keeper.takes(message);
+        // What is kept is nobody else's to hand in again: its client is told that it failed.
+        message.end = keeps ? new Message.End(false, 0) : end;
         if (message.client == null) {
             message.endWatch.cancel();
             held--;
             journal.decided(message);
-            ends.send(message);
+            tellEnd(message);
             return;
         }
         Message.ClientReply client = message.client;
@@ -318,17 +403,43 @@
         }
     }
 
+    private void tellEnd(Message message) {
+        boolean keeps = !message.end.refused() && keeper.takes(message);
+        message.owed = keeps ? 2 : 1;
+        if (keeps) {
+            keeper.keep(message);
+        }
+        ends.send(message);
+    }
+
+    /** A message that was sent again is over; what became of it is in its attempts. */
+    private void endResend(Message message) {
+        message.endWatch.cancel();
+        held--;
+        message.end = new Message.End(false, 0);
+        journal.decided(message);
+        keeper.resent(message);
+    }
+
     /** The end of a message, given to {@link Ends}, has been heard. */
     public void noticeHeard(Message message) {
-        message.over = true;
-        journal.done(message);
-        forgetIfSettled(message);
+        heard(message);
+    }
+
+    private void heard(Message message) {
+        message.owed--;
+        if (message.owed == 0) {
+            message.over = true;
+            journal.done(message);
+            forgetIfSettled(message);
+        }
     }
 
     @Override
     public void list(Policy.ListKind kind, long version, List<Target> targets) {
         targets.forEach(target -> destinations.add(target.listed().destination()));
         partners.list(kind, targets);
+        keeper.list(kind, version, targets);
         ready = true;
         listTold |= kind != Policy.ListKind.CACHED;
         add(new Policy.RouteList(kind, version, targets.stream().map(Target::listed).toList()));
--- /dev/null
+++ b/src/main/java/pipitstage/engine/Keeper.java
@@ -0,0 +1,62 @@
+package pipitstage.engine;
+
+import java.util.List;
+import pipitstage.Policy.ListKind;
+
+/**
+ * The port through which messages that could not be delivered are kept, and come back to be sent again. To be called
+ * on the event loop only; {@link Engine#kept} answers {@link #keep} and {@link #resent}, then or later.
+ */
+public interface Keeper extends Membership {
+    /** Keeps nothing. */
+    Keeper NONE = new Keeper() {
+        @Override
+        public boolean takes(Message message) {
+            return false;
+        }
+
+        @Override
+        public boolean refuses(Message.Content content) {
+            return false;
+        }
+
+        @Override
+        public void keep(Message message) {
+            throw new IllegalStateException("nothing is kept");
+        }
+
+        @Override
+        public void resumed(Message message) {
+            throw new IllegalStateException("nothing is sent again");
+        }
+
+        @Override
+        public void resent(Message message) {
+            throw new IllegalStateException("nothing is sent again");
+        }
+
+        @Override
+        public void learnt(Message.Attempt attempt) { }
+
+        @Override
+        public void list(ListKind kind, long version, List<Target> targets) { }
+    };
+
+    /** True where a message that its client was told is taken on, and that ends undelivered, is to be kept. */
+    boolean takes(Message message);
+
+    /** True where work of that class is refused, since what it might leave could not be kept. */
+    boolean refuses(Message.Content content);
+
+    /** Keeps a message that has ended; {@link Engine#kept} is called once it outlasts the process there. */
+    void keep(Message message);
+
+    /** A restart has brought back a message that is being sent again, before {@link #resent} or the next round. */
+    void resumed(Message message);
+
+    /** A message that was sent again has ended; {@link Engine#kept} is called once that outlasts the process. */
+    void resent(Message message);
+
+    /** More has become known of an attempt whose message has ended or been kept. */
+    void learnt(Message.Attempt attempt);
+}
--- a/src/main/java/pipitstage/engine/Message.java
+++ b/src/main/java/pipitstage/engine/Message.java
@@ -71,12 +71,31 @@
     Timers.Timer endWatch;
     /** Nothing more is owed. */
     boolean over;
+    /** How many have still to hear how it ended. */
+    int owed = 1;
+    private final long entry;
     private int out;
 
     /** A message with the number that it has in this relay's journal. */
     public Message(long number, Content content) {
+        this(number, content, 0);
+    }
+
+    /** A message that was kept as an entry of the {@link Keeper} and is sent again; 0 for one from a client. */
+    public Message(long number, Content content, long entry) {
         this.number = number;
         this.content = content;
+        this.entry = entry;
+    }
+
+    /** The entry that this message sends again; 0 where a client handed it in. */
+    public long entry() {
+        return entry;
+    }
+
+    /** True where some attempt is known to have taken effect. */
+    public boolean isDelivered() {
+        return attempts.stream().anyMatch(attempt -> attempt.result == Policy.Result.OK);
     }
 
     public long number() {
--- a/src/main/java/pipitstage/engine/Partners.java
+++ b/src/main/java/pipitstage/engine/Partners.java
@@ -21,6 +21,9 @@
          */
         void ended(Message.Attempt attempt, Result result, boolean over, long wait, LimitReport report);
 
+        /** A partner has answered, after its attempt ended as timed out, that the message took effect. */
+        void late(Message.Attempt attempt);
+
         /** A probe ended after so many microseconds; {@code wait} as above. */
         void probed(String route, Result result, long wait, long elapsed, LimitReport report);
     }
--- a/src/main/java/pipitstage/journal/Journal.java
+++ b/src/main/java/pipitstage/journal/Journal.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +48,8 @@
     private static final int RESULT = 3;
     private static final int DECIDED = 4;
     private static final int DONE = 5;
+    /** Accepted to be sent again, with the attempts that bind it: in one record, since none may be without the others. */
+    private static final int RESENT = 6;
 
     private interface Payload {
         void write(DataOutputStream out) throws IOException;
@@ -251,7 +254,8 @@
     private static byte[] recordsOf(Message message) throws IOException {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         all.write(record(accepted(message)));
-        for (Message.Attempt attempt : message.attempts()) {
+        // The record of one that is sent again holds its attempts.
+        for (Message.Attempt attempt : message.entry() == 0 ? message.attempts() : List.<Message.Attempt>of()) {
             all.write(record(attempt(message, attempt)));
             if (attempt.result() != null) {
                 all.write(record(result(message, attempt)));
@@ -266,8 +270,11 @@
     private static Payload accepted(Message message) {
         Message.Content content = message.content();
         return out -> {
-            out.writeByte(ACCEPTED);
+            out.writeByte(message.entry() == 0 ? ACCEPTED : RESENT);
             out.writeLong(message.number());
+            if (message.entry() != 0) {
+                writePast(out, message);
+            }
             out.writeUTF(content.callId());
             out.writeUTF(content.requestClass());
             writeOptional(out, content.tenant());
@@ -279,6 +286,31 @@
         };
     }
 
+    private static void writePast(DataOutputStream out, Message message) throws IOException {
+        out.writeLong(message.entry());
+        out.writeInt(message.attempts().size());
+        for (Message.Attempt attempt : message.attempts()) {
+            out.writeUTF(attempt.route());
+            out.writeLong(attempt.sentAt());
+            writeOptional(out, attempt.result() == null ? null : attempt.result().name());
+        }
+    }
+
+    private static Message readResent(DataInputStream in, long number) throws IOException {
+        long entry = in.readLong();
+        int count = in.readInt();
+        List<Policy.PastAttempt> past = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String route = in.readUTF();
+            long sentAt = in.readLong();
+            String result = readOptional(in);
+            past.add(new Policy.PastAttempt(route, sentAt, result == null ? null : Policy.Result.valueOf(result)));
+        }
+        Message message = new Message(number, readContent(in), entry);
+        past.forEach(p -> message.addAttempt(p.route(), p.sentAt()).result(p.result()));
+        return message;
+    }
+
     private static Payload attempt(Message message, Message.Attempt attempt) {
         return out -> {
             out.writeByte(ATTEMPT);
@@ -364,6 +396,10 @@
                 add(new Message(number, readContent(in)), payload.length + HEAD);
                 return true;
             }
+            if (type == RESENT) {
+                add(readResent(in, number), payload.length + HEAD);
+                return true;
+            }
             lastNumber = Math.max(lastNumber, number);
             Open entry = open.get(number);
             if (entry == null) {
--- a/src/main/java/pipitstage/partner/http/HostCall.java
+++ b/src/main/java/pipitstage/partner/http/HostCall.java
@@ -55,6 +55,12 @@
 
         void toldToWait(long span);
 
+        /** An attempt that ended as timed out has turned out to have taken effect. */
+        void late(Message.Attempt attempt);
+
+        /** True where a connection may stay open for the late answer of a call. */
+        boolean mayListenOn();
+
         /** Idle connections to the host are not worth trusting any more. */
         void closeIdle();
     }
@@ -62,6 +68,9 @@
     /** What carries a call once it has a connection. */
     interface Carrier {
         void close();
+
+        /** Stays open for a late answer, and carries nothing more. */
+        void listenOn();
     }
 
     private static final JsonFactory JSON = new JsonFactory();
@@ -92,6 +101,8 @@
     private LimitReport report = LimitReport.NONE;
     private long wait;
     private boolean slotsTaken;
+    /** The attempt whose late answer is listened for; null where none is. */
+    private Message.Attempt late;
     private final ByteBuf body = Unpooled.buffer(0, MOST_ANSWER);
 
     /** A call for one or more attempts. */
@@ -206,6 +217,11 @@
     void firstLine(int code) {
         if (probePath == null && !several && code == HttpResponseStatus.OK.code()) {
             end(Result.OK, true);
+            if (late != null) {
+                Message.Attempt proven = late;
+                late = null;
+                owner.late(proven);
+            }
         }
     }
 
@@ -228,6 +244,10 @@
 
     /** The answer is whole. */
     void complete() {
+        if (late != null) {
+            firstLine(status);
+            return;
+        }
         if (wait > 0) {
             owner.toldToWait(wait);
         }
@@ -355,9 +375,16 @@
             end(owner.unqueue(this));
             return;
         }
+        boolean listens = sent && result == Result.TIMEOUT && parts.size() == 1 && !several && owner.mayListenOn();
+        Message.Attempt only = listens ? parts.keySet().iterator().next() : null;
         end(sent ? result : Result.CONNECT_FAILED);
         owner.closeIdle();
-        connection.close();
+        if (listens) {
+            late = only;
+            connection.listenOn();
+        } else {
+            connection.close();
+        }
     }
 
     private static long waitOf(String text) {
--- a/src/main/java/pipitstage/partner/http/HostClient.java
+++ b/src/main/java/pipitstage/partner/http/HostClient.java
@@ -34,6 +34,8 @@
     private static final long PROBE_TIMEOUT = 1_500_000;
     private static final long SECOND = 1_000_000;
     private static final int MOST_BODY = 64 << 10;
+    /** One connection in so many may listen for a late answer. */
+    private static final int LISTENING_PART = 4;
 
     /**
      * How partners are called.
@@ -41,8 +43,9 @@
      * @param reports whether answers may tell of limits, so that a probe asks for the same
      * @param idleSpan microseconds after which a host closes a connection that stands idle, at the latest
      * @param mostConnections how many connections to all hosts there may be
+     * @param listenOn microseconds for which a late answer is listened for after a time-out; 0 for not at all
      */
-    public record Options(boolean reports, long idleSpan, int mostConnections) { }
+    public record Options(boolean reports, long idleSpan, int mostConnections, long listenOn) { }
 
     /** Until when a destination, or a route apart, has told this relay to wait. */
     private static final class Wait {
@@ -135,6 +138,24 @@
             List.copyOf(idle).forEach(HostConnection::close);
         }
 
+        @Override
+        public void late(Message.Attempt attempt) {
+            results.late(attempt);
+        }
+
+        @Override
+        public boolean mayListenOn() {
+            // Guards against late answers that take the connections from calls that are not late.
+            return listenOn > 0 && crowdedOut.isEmpty()
+                    && listening.size() < Math.max(1, mostConnections / LISTENING_PART);
+        }
+
+        @Override
+        public long listensOn(HostConnection connection) {
+            listening.add(connection);
+            return listenOn;
+        }
+
         /** A connection can carry a call: one that waits for it, or a later one. */
         @Override
         public void free(HostConnection connection) {
@@ -155,6 +176,7 @@
         public void closed(HostConnection connection) {
             idle.remove(connection);
             allIdle.remove(connection);
+            listening.remove(connection);
         }
 
         private void begin(HostConnection connection, HostCall call) {
@@ -187,6 +209,9 @@
     private final boolean reports;
     private final long idleSpan;
     private final int mostConnections;
+    private final long listenOn;
+    /** Connections that listen for a late answer, the one that has listened longest first. */
+    private final Set<HostConnection> listening = new LinkedHashSet<>();
     private final Map<String, Policy.Kind> kinds = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
     private final Map<Integer, Wait> waits = new HashMap<>();
@@ -206,6 +231,7 @@
         // Guards against a call on a connection that the host is just closing: it would end as a reset.
         idleSpan = Math.max(options.idleSpan() / 2, options.idleSpan() - SECOND);
         mostConnections = options.mostConnections();
+        listenOn = options.listenOn();
         settings.kinds().forEach(kind -> kinds.put(kind.name(), kind));
         long connectTimeout = settings.limits().connectTimeout();
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -312,6 +338,8 @@
     private void connect(Host host) {
         if (connections.size() >= mostConnections && !allIdle.isEmpty()) {
             allIdle.iterator().next().close();
+        } else if (connections.size() >= mostConnections && !listening.isEmpty()) {
+            listening.iterator().next().close();
         }
         // Guards against more descriptors than there are, where nothing is idle: the calls wait.
         if (connections.size() >= mostConnections) {
--- a/src/main/java/pipitstage/partner/http/HostConnection.java
+++ b/src/main/java/pipitstage/partner/http/HostConnection.java
@@ -32,6 +32,9 @@
         void closed(HostConnection connection);
 
         Future<?> after(long micros, Runnable task);
+
+        /** The connection listens for a late answer from now on; for how many microseconds. */
+        long listensOn(HostConnection connection);
     }
 
     /** Guards against an answer that begins and never ends: hosts write theirs in one go. */
@@ -46,6 +49,8 @@
     private boolean reusable;
     private boolean informational;
     private boolean answered;
+    /** The call is over; only a late answer is awaited. */
+    private boolean listening;
     private Future<?> timer;
 
     HostConnection(Owner owner) {
@@ -78,6 +83,12 @@
         });
     }
 
+    @Override
+    public void listenOn() {
+        listening = true;
+        startTimer(owner.listensOn(this), this::close);
+    }
+
     void retireAfter(long micros) {
         startTimer(micros, this::close);
     }
@@ -164,7 +175,7 @@
         if (answered) {
             answered = false;
             // Guards against what came with the answer and does not belong to it.
-            if (reusable && !decoder.hasLeftover()) {
+            if (reusable && !listening && !decoder.hasLeftover()) {
                 int breaks = owner.breaks();
                 startTimer(REST, () -> free(breaks));
             } else {
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -36,6 +36,8 @@
     private final Notices notices;
     /** Null where the list of hosts is in the configuration. */
     private final Discovery discovery;
+    /** Null where nothing is kept of what can't be delivered. */
+    private final Keeping keeping;
     private final List<ClientServer> fronts = new ArrayList<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private long stopAt;
@@ -44,13 +46,15 @@
     Relay(EventLoop loop, Config config, Runnable discoveryIsSilent) throws IOException {
         this.loop = loop;
         this.config = config;
-        Clock clock = new Clock();
+        Clock clock = Clock.system();
         Timers timers = new LoopTimers(loop);
         Journal journal = new Journal(config.state(), config.diskBytes());
         engine = new Engine(timers, clock, config.settings(), config.period(), journal, Logic::new);
         notices = config.notices() == null ? null : new Notices(loop, config.notices(), engine::noticeHeard);
+        keeping = config.keeping() == null ? null : new Keeping(loop, timers, clock, engine, config);
+        long listenOn = config.keeping() == null ? 0 : config.keeping().listenOn();
         engine.attach(new HostClient(loop, clock, config.settings(), new HostClient.Options(config.reports(),
-                config.idleSpan(), config.hostConnections()), engine), notices != null ? notices
+                config.idleSpan(), config.hostConnections(), listenOn), engine), notices != null ? notices
                 : new EndsFile(config.state(), config.diskBytes() / EndsFile.DISK_PART, engine::noticeHeard));
         discovery = config.discovery() == null ? null
                 : new Discovery(loop, config.discovery(), engine, discoveryIsSilent);
@@ -68,6 +72,9 @@
             loop.submit(() -> {
                 pulse.start();
                 engine.start(config.knownKind(), config.knownVersion(), config.known());
+                if (keeping != null) {
+                    keeping.start();
+                }
                 if (discovery != null) {
                     discovery.start();
                 }
@@ -113,6 +120,9 @@
         boolean idle = fronts.stream().allMatch(ClientServer::isIdle);
         if (idle && done || late && fronts.stream().noneMatch(ClientServer::isAnswering)) {
             fronts.forEach(ClientServer::stopListening);
+            if (keeping != null) {
+                keeping.close();
+            }
             stopped.countDown();
         } else {
             loop.schedule(this::endWhenDone, LOOK_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/pipitstage/standin/StandInPartner.java
+++ b/src/main/java/pipitstage/standin/StandInPartner.java
@@ -22,7 +22,9 @@
         /** The message runs, and the connection closes with no answer. */
         RESETS,
         /** The message runs, and no answer comes. */
-        SILENT
+        SILENT,
+        /** The message runs at once, and its 200 comes after the time of {@link #lateBy}. */
+        LATE
     }
 
     /** A call that came whole. */
@@ -38,6 +40,7 @@
     private final Map<String, Integer> effects = new HashMap<>();
     private final List<Long> taken = new ArrayList<>();
     private Mood mood = Mood.WELL;
+    private long lateMillis;
 
     /**
      * An endpoint on a free port.
@@ -60,6 +63,12 @@
         mood = next;
     }
 
+    /** Answers so many milliseconds late from now on. */
+    public synchronized void lateBy(long millis) {
+        lateMillis = millis;
+        mood = Mood.LATE;
+    }
+
     /** Every call so far. */
     public synchronized List<Posting> postings() {
         return List.copyOf(postings);
@@ -82,7 +91,7 @@
             now = mood;
             boolean full = limit > 0 && !hasRoom();
             boolean ran = now != Mood.SHUT && !full;
-            int status = !ran ? 503 : now == Mood.WELL ? 200 : NO_ANSWER;
+            int status = !ran ? 503 : now == Mood.WELL || now == Mood.LATE ? 200 : NO_ANSWER;
             postings.add(new Posting(request.id(), request.headers().get(
                     Headers.KEY.toLowerCase(java.util.Locale.ROOT)), System.nanoTime(), ran, status));
             if (!ran) {
@@ -96,7 +105,7 @@
         if (now == Mood.SILENT) {
             return StubPeer.SILENCE;
         }
-        pause();
+        pause(now == Mood.LATE ? late() : responseMillis);
         return StubPeer.status(200);
     }
 
@@ -110,9 +119,13 @@
         return true;
     }
 
-    private void pause() {
+    private synchronized long late() {
+        return lateMillis;
+    }
+
+    private static void pause(long millis) {
         try {
-            Thread.sleep(responseMillis);
+            Thread.sleep(millis);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- /dev/null
+++ b/src/main/java/pipitstage/undeliverable/Desk.java
@@ -0,0 +1,346 @@
+package pipitstage.undeliverable;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import pipitstage.Policy;
+import pipitstage.Policy.ListKind;
+import pipitstage.Policy.Result;
+import pipitstage.engine.Clock;
+import pipitstage.engine.Engine;
+import pipitstage.engine.Keeper;
+import pipitstage.engine.Message;
+import pipitstage.engine.Target;
+import pipitstage.engine.Timers;
+import pipitstage.log.Log;
+
+/**
+ * Keeps what could not be delivered and brings it back: takes ended messages to the shelf, looks for entries that are
+ * due, asks {@link Rules} and hands them to the engine at a pace of each destination's own. Everything happens on the
+ * event loop; the shelf is reached through a queue.
+ */
+public final class Desk implements Keeper {
+    /**
+     * How it is set.
+     *
+     * @param shelves the classes, by name, with their shelf lives
+     * @param pace messages a second sent again to one destination at the most
+     * @param high bytes from which on the shelf is full
+     * @param low bytes below which it is not full any more
+     * @param most entries from which on it is full
+     * @param refuseWhenFull new work is refused then; otherwise it goes on, and what fails is logged as lost
+     * @param age microseconds after which entries that are over are removed
+     */
+    public record Options(Map<String, Rules.Shelved> shelves, Rules rules, double pace, long high, long low,
+            long most, boolean refuseWhenFull, long age) { }
+
+    private static final long LOOK = 100_000;
+    private static final int MOST_DUE = 64;
+    private static final long SECOND = 1_000_000;
+    private static final int MOST_REMOVED = 500;
+
+    /** A destination's pace: when the next one may go, and how many are out. */
+    private static final class Lane {
+        private long next;
+        private int out;
+    }
+
+    private final Timers timers;
+    private final Clock clock;
+    private final Engine engine;
+    private final ShelfQueue shelf;
+    private final Options options;
+    private final Map<Integer, Lane> lanes = new HashMap<>();
+    private final Map<String, String> buildings = new HashMap<>();
+    /** What is being sent again, by entry. */
+    private final Map<Long, Message> sending = new HashMap<>();
+    /** What the shelf has not taken yet, since its queue was full or it failed; the journal holds all of it. */
+    private final ArrayDeque<Runnable> again = new ArrayDeque<>();
+    private boolean full;
+    private boolean looking;
+    private boolean paused;
+    private long lost;
+
+    /** A desk; {@link #start} sets it going. */
+    public Desk(Timers timers, Clock clock, Engine engine, ShelfQueue shelf, Options options) {
+        this.timers = timers;
+        this.clock = clock;
+        this.engine = engine;
+        this.shelf = shelf;
+        this.options = options;
+    }
+
+    /** Takes back what a crash left between the shelf and the journal, then looks for what is due again and again. */
+    public void start() {
+        List<Long> journaled = List.copyOf(sending.keySet());
+        submit(s -> {
+            for (Entry entry : s.list(new Shelf.Filter(Entry.State.RESENDING, null, null, null, null, 0, 0), 0,
+                    Integer.MAX_VALUE, false)) {
+                // Guards against a kill after the shelf was told and before the journal was: no attempt was made.
+                if (!journaled.contains(entry.id())) {
+                    s.move(entry.id(), Entry.State.RESENDING, Entry.State.KEPT, 0);
+                }
+            }
+            return s.size();
+        }, this::measured);
+        look();
+    }
+
+    @Override
+    public void resumed(Message message) {
+        sending.put(message.entry(), message);
+        lane(message.content().destination()).out++;
+    }
+
+    // ---- what ends
+
+    @Override
+    public boolean takes(Message message) {
+        boolean takes = !full || options.refuseWhenFull();
+        if (!takes) {
+            lost++;
+            Log.line("undeliverable: the store is full, " + message.content().callId() + " is lost, the " + lost + ". one");
+        }
+        return takes;
+    }
+
+    @Override
+    public boolean refuses(Message.Content content) {
+        return full && options.refuseWhenFull();
+    }
+
+    @Override
+    public void keep(Message message) {
+        Entry entry = entry(message);
+        insist(s -> {
+            s.put(entry);
+            return s.size();
+        }, size -> {
+            measured(size);
+            engine.kept(message);
+        });
+    }
+
+    private Entry entry(Message message) {
+        List<Entry.Try> tries = tries(message, 0);
+        boolean did = tries.stream().anyMatch(t -> t.ran() == Ran.DID);
+        long now = clock.micros();
+        Result last = tries.isEmpty() ? null : tries.get(tries.size() - 1).result();
+        String why = tries.isEmpty() ? "no attempt" : last == null ? "no outcome" : last.name().toLowerCase(
+                java.util.Locale.ROOT);
+        return new Entry(0, message.content(), now, why, "failed", did ? Entry.State.DELIVERED : Entry.State.KEPT,
+                now + options.rules().pause(), null, 0, tries);
+    }
+
+    private List<Entry.Try> tries(Message message, int from) {
+        List<Entry.Try> tries = new ArrayList<>();
+        for (Message.Attempt attempt : message.attempts().subList(from, message.attempts().size())) {
+            tries.add(toTry(attempt));
+        }
+        return tries;
+    }
+
+    private Entry.Try toTry(Message.Attempt attempt) {
+        return new Entry.Try(attempt.route(), buildings.getOrDefault(attempt.route(), ""), attempt.sentAt(),
+                attempt.result());
+    }
+
+    @Override
+    public void learnt(Message.Attempt attempt) {
+        Message message = attempt.message();
+        Entry.Try more = toTry(attempt);
+        insist(s -> {
+            long id = message.entry() != 0 ? message.entry()
+                    : s.find(message.content().callId(), message.content().deadline()).orElse(0);
+            if (id != 0) {
+                s.learn(id, more);
+            }
+            return id;
+        }, id -> {
+            Message again = sending.get(id);
+            // Guards against a second posting of what has just been proven to be posted.
+            if (again != null && again != message && more.ran() == Ran.DID) {
+                engine.recall(again);
+            }
+        });
+    }
+
+    // ---- what comes back
+
+    private void look() {
+        timers.after(LOOK, this::look);
+        while (!again.isEmpty()) {
+            Runnable first = again.poll();
+            int before = again.size();
+            first.run();
+            if (again.size() > before) {
+                break;
+            }
+        }
+        if (!looking && !paused) {
+            looking = true;
+            long now = clock.micros();
+            boolean taken = submit(s -> {
+                s.removeSettled(now - options.age(), MOST_REMOVED);
+                return s.due(now, MOST_DUE);
+            }, this::release);
+            looking &= taken;
+        }
+    }
+
+    private void release(List<Entry> due) {
+        looking = false;
+        for (Entry entry : due) {
+            Lane lane = lane(entry.content().destination());
+            if (lane.out == 0 && clock.micros() >= lane.next) {
+                tryNow(entry, verdict -> { });
+            }
+        }
+    }
+
+    private Lane lane(int destination) {
+        return lanes.computeIfAbsent(destination, d -> new Lane());
+    }
+
+    /** Decides on an entry, at its turn, and acts on it; the verdict is told. */
+    public void tryNow(Entry entry, Consumer<Rules.Verdict> told) {
+        Rules.Verdict verdict = decide(entry);
+        long now = clock.micros();
+        if (verdict instanceof Rules.Now) {
+            Lane lane = lane(entry.content().destination());
+            lane.out++;
+            lane.next = now + (long) (SECOND / options.pace());
+            boolean taken = submit(s -> s.move(entry.id(), Entry.State.KEPT, Entry.State.RESENDING, 0), won -> {
+                if (won) {
+                    send(entry, told);
+                } else {
+                    lane.out--;
+                    told.accept(new Rules.Later(now, "it is being sent again, or is over"));
+                }
+            }, () -> lane.out--);
+            if (!taken) {
+                lane.out--;
+                told.accept(new Rules.Later(now, "the store is busy"));
+            }
+            return;
+        }
+        long due = verdict instanceof Rules.Later later ? later.at() : Entry.NEVER_DUE;
+        submit(s -> s.move(entry.id(), Entry.State.KEPT, Entry.State.KEPT, due), moved -> { });
+        told.accept(verdict);
+    }
+
+    /** What the rules say of an entry now. */
+    public Rules.Verdict decide(Entry entry) {
+        return options.rules().decide(entry, options.shelves().get(entry.content().requestClass()), clock.micros());
+    }
+
+    private void send(Entry entry, Consumer<Rules.Verdict> told) {
+        // Guards against a window that has closed, and a proof that has come, while the shelf was told.
+        Rules.Verdict verdict = decide(entry);
+        Message message = null;
+        if (verdict instanceof Rules.Now now) {
+            Message.Content c = entry.content();
+            message = engine.resend(entry.id(), new Message.Content(c.callId(), c.requestClass(), c.tenant(), c.key(),
+                    now.deadline(), c.destination(), c.body()), now.past());
+        }
+        if (message != null) {
+            sending.put(entry.id(), message);
+            told.accept(verdict);
+            return;
+        }
+        lane(entry.content().destination()).out--;
+        long due = verdict instanceof Rules.AfterWord ? Entry.NEVER_DUE : clock.micros() + options.rules().pause();
+        insist(s -> s.move(entry.id(), Entry.State.RESENDING, Entry.State.KEPT, due), moved -> { });
+        told.accept(verdict instanceof Rules.Now ? new Rules.Later(due, "the relay has no room for it, or does not know"
+                + " its destination") : verdict);
+    }
+
+    @Override
+    public void resent(Message message) {
+        long id = message.entry();
+        // The attempts that it began with are the entry's already.
+        List<Entry.Try> known = tries(message, 0);
+        long now = clock.micros();
+        insist(s -> {
+            Entry entry = s.get(id).orElse(null);
+            if (entry != null) {
+                List<Entry.Try> more = new ArrayList<>(known);
+                more.removeIf(t -> entry.tries().stream().anyMatch(
+                        e -> e.route().equals(t.route()) && e.sentAt() == t.sentAt()));
+                boolean did = entry.ran() == Ran.DID || more.stream().anyMatch(t -> t.ran() == Ran.DID);
+                Entry.State state = did ? Entry.State.DELIVERED : Entry.State.KEPT;
+                String why = more.isEmpty() ? entry.why() : "sent again: " + more.get(more.size() - 1).result();
+                s.resent(id, more, state, options.rules().nextTry(entry, now), why);
+            }
+            return s.size();
+        }, size -> {
+            measured(size);
+            if (sending.remove(id) != null) {
+                lane(message.content().destination()).out--;
+            }
+            engine.kept(message);
+        });
+    }
+
+    // ---- persons' words
+
+    /** Sends nothing again by itself until told otherwise. */
+    public void pause(boolean on) {
+        paused = on;
+    }
+
+    public boolean isPaused() {
+        return paused;
+    }
+
+    /** How many messages could not be kept since the start. */
+    public long lost() {
+        return lost;
+    }
+
+    // ---- the shelf
+
+    private <T> boolean submit(java.util.function.Function<Shelf, T> task, Consumer<T> then, Runnable failed) {
+        return shelf.submit(task, then, failed);
+    }
+
+    private <T> boolean submit(java.util.function.Function<Shelf, T> task, Consumer<T> then) {
+        return submit(task, then, () -> looking = false);
+    }
+
+    /** Does something with the shelf, and again where it failed or its queue was full: the journal holds it meanwhile. */
+    private <T> void insist(java.util.function.Function<Shelf, T> task, Consumer<T> then) {
+        Runnable later = () -> insist(task, then);
+        if (!submit(task, then, () -> again.add(later))) {
+            again.add(later);
+        }
+    }
+
+    private void measured(Shelf.Size size) {
+        boolean wasFull = full;
+        if (size.bytes() >= options.high() || size.entries() >= options.most()) {
+            full = true;
+        } else if (size.bytes() < options.low() && size.entries() < options.most()) {
+            full = false;
+        }
+        if (full != wasFull) {
+            Log.line("undeliverable: the store is " + (full ? "full: " : "not full any more: ") + size.entries()
+                    + " entries, " + size.bytes() + " bytes");
+        }
+    }
+
+    @Override
+    public void list(ListKind kind, long version, List<Target> targets) {
+        for (Target target : targets) {
+            Policy.Listed listed = target.listed();
+            if (listed.availability() == Policy.Availability.REMOVED) {
+                buildings.remove(listed.route());
+            } else {
+                buildings.put(listed.route(), listed.zone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/undeliverable/Shelf.java
@@ -0,0 +1,70 @@
+package pipitstage.undeliverable;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Where entries are kept. Every call has taken effect, and outlasts the process, when it returns. To be called on one
+ * thread at a time.
+ */
+public interface Shelf extends AutoCloseable {
+    /** A shelf that fails; the message is for staff. */
+    final class ShelfException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        public ShelfException(String message, Throwable cause) {
+            super(message, cause);
+        }
+    }
+
+    /** Which entries are meant; null and 0 mean any. {@code older} and {@code newer} are times when they were kept. */
+    record Filter(Entry.State state, Integer destination, String requestClass, String tenant, Ran ran, long newer,
+            long older) {
+        /** All entries. */
+        public static final Filter ALL = new Filter(null, null, null, null, null, 0, 0);
+    }
+
+    /** How much there is. */
+    record Size(long entries, long bytes, long oldest) { }
+
+    /** Keeps an entry; its number. One with the same message id and deadline is there already: that one's number. */
+    long put(Entry entry);
+
+    Optional<Entry> get(long id);
+
+    /** The number of the entry of a message; the newest where an id was used again. */
+    OptionalLong find(String callId, long deadline);
+
+    /** Entries with or without their bodies, by number from one on, so many at the most. */
+    List<Entry> list(Filter filter, long from, int most, boolean bodies);
+
+    /** Kept entries that are due, the most urgent first, each destination's pause heeded by the caller. */
+    List<Entry> due(long now, int most);
+
+    /** Puts an entry from one state into another; false where it is in another one, and then nothing changes. */
+    boolean move(long id, Entry.State from, Entry.State to, long due);
+
+    /** Takes in that it was sent again: further attempts, where it stands now, when it is looked at next. */
+    void resent(long id, List<Entry.Try> more, Entry.State state, long due, String why);
+
+    /** Takes in what has become known of an attempt; a proof that it ran makes the entry delivered. */
+    void learn(long id, Entry.Try more);
+
+    /** Records a person's word that the partner did not post it; false where it is not kept. */
+    boolean word(long id, Entry.Word word, long due);
+
+    /** Adds to the record of who did what; nothing changes or removes a line of it. */
+    void audit(long at, String who, String what, long id, String detail);
+
+    /** Lines of that record, oldest first. */
+    List<String> audits(long id);
+
+    /** Removes entries that are delivered or discarded, oldest first, so many at the most; how many. */
+    int removeSettled(long olderThan, int most);
+
+    Size size();
+
+    @Override
+    void close();
+}
--- a/src/test/java/pipitstage/RoomsTest.java
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -30,6 +30,8 @@
     private static final String MODULE = "(\\[+L)?pipitstage\\.(Logic|Policy|State)(\\$[^;]*)?;?";
     /** The modules that decide from files: what is derived, and what contradicts what. */
     private static final String PLAN = "pipitstage\\.config\\.(plan|schema)\\..*";
+    /** Whether what could not be delivered may be sent again, and when. */
+    private static final String UNDELIVERABLE = "pipitstage\\.undeliverable\\.[A-Z].*";
     /** Sockets, files, clocks and threads. */
     private static final DescribedPredicate<JavaClass> OUTSIDE = DescribedPredicate.or(
             resideInAnyPackage("java.io..", "java.net..", "java.nio.file..", "java.nio.channels..",
@@ -48,6 +50,7 @@
     void decisionsReachNoSocketFileClockOrThread() {
         module(MODULE).check(ALL);
         module(PLAN).check(ALL);
+        module(UNDELIVERABLE).check(ALL);
         classes().that().haveNameMatching(MODULE).should()
                 .onlyDependOnClassesThat(DescribedPredicate.or(nameMatching(MODULE), DescribedPredicate.not(ours()))).check(ALL);
     }
@@ -71,7 +74,10 @@
         "config.plan | pipitstage.config.plan pipitstage.config.schema pipitstage.config.file",
         "config.tool | pipitstage pipitstage.engine pipitstage.config..",
         "relay | pipitstage pipitstage.relay pipitstage.config pipitstage.engine pipitstage.front.. pipitstage.partner.. "
-            + "pipitstage.platform pipitstage.journal pipitstage.log",
+            + "pipitstage.platform pipitstage.journal pipitstage.log pipitstage.undeliverable.. pipitstage.admin",
+        "undeliverable | pipitstage pipitstage.engine pipitstage.undeliverable pipitstage.log",
+        "undeliverable.store | pipitstage pipitstage.engine pipitstage.undeliverable.. pipitstage.log",
+        "admin | pipitstage pipitstage.admin pipitstage.undeliverable pipitstage.engine pipitstage.log",
         "log | pipitstage.log",
         "http | pipitstage.http",
         "standin | pipitstage.standin pipitstage.http"})
@@ -91,6 +97,8 @@
     void librariesStayInTheirRooms() {
         noClasses().that().resideOutsideOfPackage("pipitstage.cli").should().dependOnClassesThat(
                 resideInAnyPackage("picocli..", "com.github.difflib..")).check(ALL);
+        noClasses().that().resideOutsideOfPackage("pipitstage.undeliverable.store").should().dependOnClassesThat(
+                resideInAnyPackage("org.sqlite..", "java.sql..")).check(ALL);
         noClasses().that().doNotHaveSimpleName("TomlFile").should().dependOnClassesThat(
                 resideInAnyPackage("org.tomlj..", "org.antlr..")).check(ALL);
     }
--- a/src/test/java/pipitstage/journal/JournalTest.java
+++ b/src/test/java/pipitstage/journal/JournalTest.java
@@ -175,4 +175,34 @@
             assertTrue(journal.open().isEmpty());
         }
     }
+
+    @Test
+    void messageThatIsSentAgainComesBackWithTheAttemptsThatBindIt() throws IOException {
+        Message.Content content = new Message.Content("id1", "unsafe", null, "k", 123, 7, new byte[] {1, 2});
+        try (Journal journal = new Journal(folder, DISK)) {
+            Message again = new Message(1, content, 42);
+            again.addAttempt("r1", 50).result(Result.TIMEOUT);
+            again.addAttempt("r2", 60);
+            assertTrue(journal.accept(again));
+            assertTrue(journal.attempt(again.addAttempt("r1", 70)));
+            again.attempts().get(2).result(Result.FULL);
+            journal.result(again.attempts().get(2));
+        }
+        for (int rewrites = 0; rewrites < 2; rewrites++) {
+            Message back = reopened().get(0);
+            assertEquals(42, back.entry());
+            assertEquals("id1", back.content().callId());
+            assertEquals(Arrays.asList(Result.TIMEOUT, null, Result.FULL),
+                    back.attempts().stream().map(Message.Attempt::result).toList());
+            assertEquals(List.of(50L, 60L, 70L), back.attempts().stream().map(Message.Attempt::sentAt).toList());
+            try (Journal journal = new Journal(folder, DISK)) {
+                for (int i = 0; i < 60; i++) {
+                    Message other = message(100 + i, 8_000);
+                    assertTrue(journal.accept(other));
+                    journal.done(other);
+                }
+            }
+        }
+        assertTrue(!segment().getFileName().toString().equals("journal-0000000000.log"), "it was written anew");
+    }
 }
--- a/src/test/java/pipitstage/relay/RelayFileTest.java
+++ b/src/test/java/pipitstage/relay/RelayFileTest.java
@@ -211,7 +211,8 @@
         String loaded = Files.readString(classes);
         assertTrue(loaded.contains("pipitstage.config.Config "), "the log of classes works");
         for (String unused : List.of("org.tomlj", "org.antlr", "picocli", "pipitstage.config.plan",
-                "pipitstage.config.schema", "pipitstage.config.file", "pipitstage.cli.Commands", "EndsFile")) {
+                "pipitstage.config.schema", "pipitstage.config.file", "pipitstage.cli.Commands", "EndsFile",
+                "org.sqlite", "java.sql.", "pipitstage.undeliverable", "pipitstage.admin")) {
             assertFalse(loaded.contains(unused), unused + " is loaded");
         }
     }
--- /dev/null
+++ b/src/test/java/pipitstage/relay/UndeliverableTest.java
@@ -0,0 +1,343 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pipitstage.admin.AdminClient;
+import pipitstage.cli.Main;
+import pipitstage.config.tool.Tool;
+import pipitstage.standin.StandInClient;
+import pipitstage.standin.StandInPartner;
+import pipitstage.standin.StandInPartner.Mood;
+
+/** What could not be delivered, with the real program, real sockets and a partner that records every posting. */
+class UndeliverableTest {
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+
+    @TempDir
+    Path folder;
+    private StandInPartner partner;
+    private Process relay;
+    private Path log;
+    private int starts;
+
+    @BeforeEach
+    void prepare() throws IOException {
+        partner = new StandInPartner(5, 0);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (relay != null) {
+            relay.destroyForcibly().waitFor();
+        }
+        partner.close();
+    }
+
+    private Path state() {
+        return folder.resolve("state");
+    }
+
+    private Path written(String keeping) throws Exception {
+        Path file = Files.writeString(folder.resolve("app.toml"), """
+                format = 1
+                name = "app"
+                [machine]
+                memory = "128MiB"
+                descriptors = 128
+                disk = "16MiB"
+                folder = "%s"
+                [[front]]
+                listen = "127.0.0.1:0"
+                [undeliverable]
+                keep = true
+                pace = "20/s"
+                limit = "4MiB"
+                %s
+                [[class]]
+                name = "settlement"
+                repeat = "once"
+                wanted = "500ms"
+                deadline = "1500ms"
+                peak-rate = "20/s"
+                [[class]]
+                name = "car-order"
+                repeat = "by-key"
+                key-window = "2s"
+                wanted = "500ms"
+                deadline = "1500ms"
+                peak-rate = "20/s"
+                [[partner]]
+                name = "elevator"
+                number = 7
+                kind = "elevators"
+                response = "20ms"
+                [[partner.endpoint]]
+                id = "elevator-1"
+                address = "%s"
+                """.formatted(state(), keeping, partner.address()));
+        Tool.Outcome outcome = Tool.write(file, folder, false);
+        assertEquals(Tool.Written.NEW, outcome.written(), outcome.findings().toString());
+        return outcome.file();
+    }
+
+    private void start(Path file) throws IOException {
+        log = folder.resolve("log" + starts++);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-XX:TieredStopAtLevel=1", "-Xmx48m", "-cp", System.getProperty("java.class.path"),
+                Main.class.getName(), "serve", "--config", file.toString()).redirectErrorStream(true)
+                .redirectOutput(log.toFile());
+        builder.environment().remove("TMPDIR");
+        relay = builder.start();
+        await(() -> SERVING.matcher(log()).find());
+    }
+
+    private String log() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private int handIn(String id, String type) throws IOException {
+        Matcher at = SERVING.matcher(log());
+        assertTrue(at.find());
+        try (StandInClient client = new StandInClient(at.group(1), Integer.parseInt(at.group(2)))) {
+            return client.handIn(id, type, null, "key-" + id, 7, 1500, "body of " + id);
+        }
+    }
+
+    private List<String> ask(String... members) {
+        Map<String, String> request = new LinkedHashMap<>();
+        for (int i = 0; i < members.length; i += 2) {
+            request.put(members[i], members[i + 1]);
+        }
+        List<String> lines = new ArrayList<>();
+        try {
+            assertTrue(AdminClient.ask(state(), request, lines::add), "a relay listens");
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+        return lines;
+    }
+
+    private boolean lists(String... parts) {
+        return ask("command", "list").stream().anyMatch(line -> List.of(parts).stream().allMatch(line::contains));
+    }
+
+    private String id(String ref) {
+        Matcher id = Pattern.compile("\"id\":(\\d+),\"ref\":\"" + ref + "\"").matcher(
+                String.join("\n", ask("command", "list")));
+        assertTrue(id.find(), ref);
+        return id.group(1);
+    }
+
+    @Test
+    void settlementWithAnUnknownOutcomeIsKeptAndNotSentAgainByItself() throws Exception {
+        start(written(""));
+        partner.be(Mood.RESETS);
+        assertEquals(202, handIn("s1", "settlement"));
+        await(() -> lists("\"ref\":\"s1\"", "\"state\":\"kept\"", "\"ran\":\"maybe\"", "after a person's word"));
+        partner.be(Mood.WELL);
+        assertEquals(202, handIn("s2", "settlement"));
+        await(() -> partner.effects().containsKey("s2"));
+        String refused = ask("command", "resend", "id", id("s1"), "by", "clerk").get(0);
+        assertTrue(refused.contains("after a person's word: an attempt may have run") && refused.contains(
+                "\"done\":false"), refused);
+        assertEquals(1, partner.postings().stream().filter(p -> p.id().equals("s1")).count());
+        assertEquals("rw-------", PosixFilePermissions.toString(Files.getPosixFilePermissions(
+                state().resolve("admin.sock"))));
+    }
+
+    @Test
+    void lateAnswerAfterItWasStoredProvesItDelivered() throws Exception {
+        start(written(""));
+        partner.lateBy(4_000);
+        assertEquals(202, handIn("s1", "settlement"));
+        await(() -> lists("\"ref\":\"s1\"", "\"state\":\"kept\"", "\"ran\":\"maybe\""));
+        await(() -> lists("\"ref\":\"s1\"", "\"state\":\"delivered\"", "\"ran\":\"did\"", "a late answer"));
+        assertTrue(ask("command", "confirm", "id", id("s1"), "by", "clerk", "reason", "none").get(0)
+                .contains("proven to be delivered"));
+        assertEquals(1, partner.effects().get("s1"));
+    }
+
+    @Test
+    void lateAnswerWhileAPersonsResendWaitsEndsIt() throws Exception {
+        start(written(""));
+        partner.lateBy(5_000);
+        assertEquals(202, handIn("s1", "settlement"));
+        await(() -> lists("\"ref\":\"s1\"", "\"state\":\"kept\""));
+        // The partner turns everything away, so that the resend is under way, with nothing run, when the proof comes.
+        partner.be(Mood.SHUT);
+        ask("command", "confirm", "id", id("s1"), "by", "clerk", "reason", "says the partner");
+        await(() -> lists("\"ref\":\"s1\"", "\"state\":\"delivered\"", "a late answer"));
+        partner.be(Mood.WELL);
+        assertEquals(202, handIn("s2", "settlement"));
+        await(() -> partner.effects().containsKey("s2"));
+        assertEquals(1, partner.effects().get("s1"));
+    }
+
+    @Test
+    void whatNeverRanIsSentAgainOnceThePartnerIsBack() throws Exception {
+        start(written(""));
+        partner.be(Mood.SHUT);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(202, handIn("s" + i, "settlement"));
+        }
+        await(() -> ask("command", "list").size() == 5);
+        await(() -> lists("\"ran\":\"never\"", "\"told\":\"failed\""));
+        partner.be(Mood.WELL);
+        await(() -> partner.effects().size() == 5);
+        await(() -> ask("command", "list", "state", "delivered").size() == 5);
+        assertTrue(partner.effects().values().stream().allMatch(n -> n == 1), partner.effects().toString());
+    }
+
+    @Test
+    void carOrderWhoseWindowIsOverNeedsAWord() throws Exception {
+        start(written("pause = \"3s\""));
+        partner.be(Mood.RESETS);
+        assertEquals(202, handIn("c1", "car-order"));
+        await(() -> lists("\"ref\":\"c1\"", "after a person's word: an attempt may have run, and its key window is over"));
+        int before = partner.postings().size();
+        partner.be(Mood.WELL);
+        String answer = ask("command", "resend", "id", id("c1"), "by", "clerk").get(0);
+        assertTrue(answer.contains("\"done\":false"), answer);
+        assertEquals(before, partner.postings().size());
+        ask("command", "confirm", "id", id("c1"), "by", "clerk", "reason", "not in their books");
+        await(() -> lists("\"ref\":\"c1\"", "\"state\":\"delivered\""));
+        assertEquals(before + 1, partner.postings().size());
+    }
+
+    @Test
+    void wordsAndResendsAreAuditedAndTwoAtOnceAreOne() throws Exception {
+        start(written(""));
+        partner.be(Mood.RESETS);
+        assertEquals(202, handIn("s1", "settlement"));
+        await(() -> lists("\"ref\":\"s1\"", "\"ran\":\"maybe\""));
+        partner.be(Mood.WELL);
+        String id = id("s1");
+        ask("command", "confirm", "id", id, "by", "clerk", "reason", "not in their books");
+        ask("command", "resend", "id", id, "by", "clerk");
+        ask("command", "resend", "id", id, "by", "other");
+        await(() -> lists("\"ref\":\"s1\"", "\"state\":\"delivered\""));
+        assertEquals(2, partner.postings().stream().filter(p -> p.id().equals("s1")).count(),
+                "the first attempt and one resend");
+        String shown = ask("command", "show", "id", id).get(0);
+        assertTrue(shown.contains("clerk confirm not posted: not in their books"), shown);
+        assertFalse(shown.contains("\"body\""), "bodies are shown only when asked for");
+        assertTrue(ask("command", "show", "id", id, "body", "yes").get(0).contains("\"body\":\"Ym9keSBvZiBzMQ==\""));
+        assertTrue(ask("command", "discard", "id", id, "by", "clerk", "reason", "over").get(0).contains(
+                "\"done\":false"));
+        assertTrue(ask("command", "confirm", "id", id, "by", "clerk").get(0).contains("--reason"));
+        assertTrue(ask("command", "nosuch").get(0).contains("unknown command"));
+    }
+
+    @Test
+    void killsAtAnyMomentLoseAndDoubleNothing() throws Exception {
+        Path file = written("");
+        Random random = new Random(7);
+        Mood[] moods = {Mood.SHUT, Mood.RESETS, Mood.WELL, Mood.SHUT};
+        List<String> taken = new ArrayList<>();
+        for (int round = 0; round < 4; round++) {
+            partner.be(moods[round]);
+            start(file);
+            for (int i = 0; i < 6; i++) {
+                String id = "s" + round + "-" + i;
+                if (handIn(id, "settlement") == 202) {
+                    taken.add(id);
+                }
+            }
+            Thread.sleep(300 + random.nextInt(2_500));
+            relay.destroyForcibly().waitFor();
+        }
+        partner.be(Mood.WELL);
+        start(file);
+        await(() -> taken.stream().allMatch(id -> partner.effects().containsKey(id) || lists("\"ref\":\"" + id + "\"",
+                "\"state\":\"kept\"", "\"ran\":\"maybe\"")));
+        partner.effects().forEach((id, times) -> assertEquals(1, times, id));
+        assertTrue(taken.size() >= 20, "taken: " + taken.size());
+    }
+
+    @Test
+    void stoppedRelaysFileIsReadByTheCommand() throws Exception {
+        start(written(""));
+        partner.be(Mood.RESETS);
+        assertEquals(202, handIn("s1", "settlement"));
+        await(() -> lists("\"ref\":\"s1\"", "\"state\":\"kept\""));
+        relay.destroyForcibly().waitFor();
+        assertEquals(0, command("list"));
+        assertTrue(Files.readString(folder.resolve("out")).contains("settlement"));
+        assertEquals(0, command("show", "1"));
+        assertEquals(0, command("stats"));
+        assertEquals(2, command("discard", "1", "--by", "clerk", "--reason", "x"), "no relay listens");
+        assertEquals(2, command("show", "99"));
+        assertEquals(2, command("resend", "--by", "clerk"), "nothing is meant");
+    }
+
+    private int command(String... words) throws Exception {
+        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-cp", System.getProperty("java.class.path"), Main.class.getName(), "undeliverable"));
+        line.addAll(List.of(words));
+        line.addAll(2 + 3, List.of(words[0], "--folder", state().toString()));
+        line.remove(8);
+        Process process = new ProcessBuilder(line).redirectErrorStream(true)
+                .redirectOutput(folder.resolve("out").toFile()).start();
+        int code = process.waitFor();
+        String out = Files.readString(folder.resolve("out"));
+        assertFalse(out.contains("\tat "), out);
+        return code;
+    }
+
+    @Test
+    void fullStoreRefusesNewWorkAndSaysSo() throws Exception {
+        start(written("entries = 3"));
+        partner.be(Mood.RESETS);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(202, handIn("s" + i, "settlement"));
+        }
+        await(() -> log().contains("the store is full"));
+        assertEquals(503, handIn("s9", "settlement"));
+        ask("command", "discard", "id", id("s0"), "by", "clerk", "reason", "posted by hand");
+        assertTrue(ask("command", "stats").get(0).contains("\"entries\":3"));
+    }
+
+    @Test
+    void damagedStoreIsSetAsideAndServiceGoesOn() throws Exception {
+        Files.createDirectories(state());
+        Files.writeString(state().resolve("undeliverable.db"), "no database".repeat(1_000));
+        start(written(""));
+        assertTrue(log().contains("is damaged") && log().contains("set aside"), log());
+        assertEquals(202, handIn("s1", "settlement"));
+        await(() -> partner.effects().containsKey("s1"));
+    }
+
+    @Test
+    void storeThatCannotBeOpenedEndsTheStartWithAPlainLine() throws Exception {
+        Path file = written("");
+        Files.createDirectories(state().resolve("undeliverable.db"));
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(), "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config", file.toString())
+                .redirectErrorStream(true).redirectOutput(folder.resolve("out").toFile()).start();
+        assertEquals(System.getenv("TMPDIR") == null ? 1 : 2, process.waitFor());
+        String out = Files.readString(folder.resolve("out"));
+        assertTrue(out.contains("undeliverable") && !out.contains("\tat "), out);
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/undeliverable/Measure.java
@@ -0,0 +1,255 @@
+package pipitstage.undeliverable;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import pipitstage.Policy.Result;
+import pipitstage.cli.Main;
+import pipitstage.config.tool.Tool;
+import pipitstage.engine.Message;
+import pipitstage.standin.StandInClient;
+import pipitstage.standin.StandInPartner;
+import pipitstage.undeliverable.store.SqliteShelf;
+
+/**
+ * Measurements of keeping, each a command: {@code store} (entries a second, lists over 100,000, memory), {@code cost}
+ * (a relay with the store on against off, in turns), {@code cold} (a backlog of 10,000 for one destination that returns).
+ */
+public final class Measure {
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+    private static final int LIMIT = 20;
+
+    private Measure() { }
+
+    /** Runs one of them. */
+    public static void main(String[] args) throws Exception {
+        Path folder = Files.createTempDirectory("measure");
+        try {
+            switch (args.length == 1 ? args[0] : "") {
+                case "store" -> store(folder);
+                case "cost" -> cost(folder);
+                case "cold" -> cold(folder);
+                default -> System.out.println("store, cost or cold");
+            }
+        } finally {
+            try (var files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            }
+        }
+    }
+
+    private static Entry entry(int i, int destination) {
+        long now = System.currentTimeMillis() * 1000;
+        return new Entry(0, new Message.Content("m" + i, i % 2 == 0 ? "settlement" : "car-order", "acme", "k" + i,
+                now + i, destination, new byte[300]), now + i, "full", "failed", Entry.State.KEPT, now, null, 0,
+                List.of(new Entry.Try("elevator-1", "main", now - 1_000_000, Result.FULL)));
+    }
+
+    private static void say(String form, Object... values) {
+        System.out.println(String.format(Locale.ROOT, form, values));
+    }
+
+    private static void store(Path folder) {
+        try (Shelf shelf = SqliteShelf.open(folder)) {
+            long start = System.nanoTime();
+            for (int i = 0; i < 100_000; i++) {
+                shelf.put(entry(i, i % 500));
+            }
+            say("%.0f entries a second taken in, each a transaction", 100_000 / ((System.nanoTime() - start) / 1e9));
+            for (Shelf.Filter filter : List.of(Shelf.Filter.ALL, new Shelf.Filter(Entry.State.KEPT, 7, null, null, null,
+                    0, 0), new Shelf.Filter(null, null, "settlement", "acme", Ran.NEVER, 0, 0))) {
+                start = System.nanoTime();
+                int found = shelf.list(filter, 0, 500, false).size();
+                say("%s: %d in %.0f ms", filter, found, (System.nanoTime() - start) / 1e6);
+            }
+            start = System.nanoTime();
+            int all = shelf.list(Shelf.Filter.ALL, 0, Integer.MAX_VALUE, false).size();
+            say("all %d with their attempts in %.0f ms", all, (System.nanoTime() - start) / 1e6);
+            start = System.nanoTime();
+            int due = shelf.due(Long.MAX_VALUE - 1, 64).size();
+            say("the %d most urgent of 500 destinations in %.1f ms; %s", due, (System.nanoTime() - start) / 1e6,
+                    shelf.size());
+        }
+    }
+
+    private static Path application(Path folder, String name, boolean keep, StandInPartner partner, double pace)
+            throws Exception {
+        Path file = Files.writeString(folder.resolve(name + ".toml"), """
+                format = 1
+                name = "%s"
+                [machine]
+                memory = "192MiB"
+                descriptors = 256
+                disk = "128MiB"
+                folder = "%s"
+                [[front]]
+                listen = "127.0.0.1:0"
+                [undeliverable]
+                keep = %s
+                limit = "32MiB"
+                pace = "%.0f/s"
+                [[class]]
+                name = "settlement"
+                repeat = "once"
+                wanted = "1s"
+                deadline = "5s"
+                peak-rate = "60/s"
+                [[partner]]
+                name = "elevator"
+                number = 7
+                kind = "elevators"
+                response = "100ms"
+                [[partner.endpoint]]
+                id = "elevator-1"
+                address = "%s"
+                """.formatted(name, folder.resolve(name), keep, pace, partner.address()));
+        Tool.Outcome outcome = Tool.write(file, folder, true);
+        if (outcome.after() == null) {
+            throw new IOException(outcome.findings().toString());
+        }
+        return outcome.file();
+    }
+
+    private static Process start(Path folder, Path file) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-Xmx72m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                Main.class.getName(), "serve", "--config", file.toString()).redirectErrorStream(true)
+                .redirectOutput(new java.io.File(file + ".log"));
+        builder.environment().remove("TMPDIR");
+        Process relay = builder.start();
+        while (!SERVING.matcher(Files.readString(Path.of(file + ".log"))).find()) {
+            Thread.sleep(20);
+        }
+        return relay;
+    }
+
+    private static StandInClient client(Path file) throws IOException {
+        Matcher at = SERVING.matcher(Files.readString(Path.of(file + ".log")));
+        if (!at.find()) {
+            throw new IOException("it does not serve");
+        }
+        return new StandInClient(at.group(1), Integer.parseInt(at.group(2)));
+    }
+
+    private static double cpu(Process process) throws IOException {
+        String[] parts = Files.readString(Path.of("/proc/" + process.pid() + "/stat")).replaceAll("^.*\\)", "").split(" ");
+        return (Long.parseLong(parts[12]) + Long.parseLong(parts[13])) / 100.0;
+    }
+
+    private static long rss(Process process) throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(l -> l.startsWith("VmRSS")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
+    }
+
+    private static void cost(Path folder) throws Exception {
+        try (StandInPartner partner = new StandInPartner(1, 0)) {
+            Map<Boolean, Process> relays = new HashMap<>();
+            Map<Boolean, Path> files = new HashMap<>();
+            for (boolean keep : new boolean[] {false, true}) {
+                files.put(keep, application(folder, keep ? "on" : "off", keep, partner, 1));
+                relays.put(keep, start(folder, files.get(keep)));
+            }
+            double[][] sums = new double[2][2];
+            for (int round = 0; round < 9; round++) {
+                for (boolean keep : new boolean[] {round % 2 == 0, round % 2 != 0}) {
+                    double before = cpu(relays.get(keep));
+                    AtomicLong taken = new AtomicLong();
+                    long end = System.nanoTime() + 2_500_000_000L;
+                    List<Thread> threads = new ArrayList<>();
+                    for (int t = 0; t < 24; t++) {
+                        String prefix = round + "-" + keep + "-" + t + "-";
+                        Thread thread = new Thread(() -> push(files.get(keep), prefix, end, taken));
+                        threads.add(thread);
+                        thread.start();
+                    }
+                    for (Thread thread : threads) {
+                        thread.join();
+                    }
+                    // The first round warms both up.
+                    if (round > 0) {
+                        sums[keep ? 1 : 0][0] += taken.get();
+                        sums[keep ? 1 : 0][1] += cpu(relays.get(keep)) - before;
+                    }
+                }
+            }
+            say("off: %.0f messages a second, %.0f us CPU each; on: %.0f a second, %.0f us; ratio of rates %.3f, of CPU %.3f",
+                    sums[0][0] / 20, sums[0][1] * 1e6 / sums[0][0], sums[1][0] / 20, sums[1][1] * 1e6 / sums[1][0],
+                    sums[1][0] / sums[0][0], sums[1][1] / sums[1][0] / (sums[0][1] / sums[0][0]));
+            say("resident: off %d kB, on %d kB", rss(relays.get(false)), rss(relays.get(true)));
+            for (Process relay : relays.values()) {
+                relay.destroyForcibly().waitFor();
+            }
+        }
+    }
+
+    private static void push(Path file, String prefix, long end, AtomicLong taken) {
+        try (StandInClient client = client(file)) {
+            for (int i = 0; System.nanoTime() < end; i++) {
+                if (client.handIn(prefix + i, "settlement", null, null, 7, 5000, "x") == 202) {
+                    taken.incrementAndGet();
+                }
+            }
+        } catch (IOException e) {
+            say("%s", e);
+        }
+    }
+
+    private static void cold(Path folder) throws Exception {
+        for (boolean backlog : new boolean[] {false, true}) {
+            try (StandInPartner partner = new StandInPartner(40, LIMIT)) {
+                String name = backlog ? "backlog" : "none";
+                Path file = application(folder, name, true, partner, 5);
+                Files.createDirectories(folder.resolve(name));
+                if (backlog) {
+                    try (Shelf shelf = SqliteShelf.open(folder.resolve(name))) {
+                        for (int i = 0; i < 10_000; i++) {
+                            shelf.put(entry(2 * i, 7));
+                        }
+                    }
+                }
+                partner.be(StandInPartner.Mood.SHUT);
+                Process relay = start(folder, file);
+                Thread.sleep(8_000);
+                partner.be(StandInPartner.Mood.WELL);
+                Thread.sleep(backlog ? 20_000 : 8_000);
+                Map<String, Long> handed = new HashMap<>();
+                try (StandInClient client = client(file)) {
+                    for (int i = 0; i < 300; i++) {
+                        handed.put("live" + i, System.nanoTime());
+                        client.handIn("live" + i, "settlement", null, null, 7, 5000, "x");
+                        Thread.sleep(100);
+                    }
+                }
+                Thread.sleep(6_000);
+                report(name, partner, handed, rss(relay));
+                relay.destroyForcibly().waitFor();
+            }
+        }
+    }
+
+    private static void report(String name, StandInPartner partner, Map<String, Long> handed, long rss) {
+        List<StandInPartner.Posting> calls = partner.postings();
+        int most = 0;
+        for (int from = 0, to = 0; to < calls.size(); to++) {
+            while (calls.get(to).atNanos() - calls.get(from).atNanos() >= 1_000_000_000L) {
+                from++;
+            }
+            most = Math.max(most, to - from + 1);
+        }
+        List<Double> spans = calls.stream().filter(c -> c.ran() && handed.containsKey(c.id()))
+                .map(c -> (c.atNanos() - handed.get(c.id())) / 1e6).sorted().toList();
+        say("%s: busiest second %d calls of %d allowed, %d resends, %d of 300 live, p50 %.1f ms, p99 %.1f ms, %d twice,"
+                + " %d kB", name, most, LIMIT, partner.effects().keySet().stream().filter(i -> i.startsWith("m")).count(),
+                spans.size(), spans.get(spans.size() / 2), spans.get((int) (spans.size() * 0.99)),
+                partner.effects().values().stream().filter(n -> n > 1).count(), rss);
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/undeliverable/SqliteShelfTest.java
@@ -0,0 +1,151 @@
+package pipitstage.undeliverable;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pipitstage.Policy.Result;
+import pipitstage.engine.Message;
+import pipitstage.undeliverable.store.SqliteShelf;
+
+class SqliteShelfTest {
+    @TempDir
+    Path folder;
+    private Shelf shelf;
+
+    private Shelf open() {
+        shelf = SqliteShelf.open(folder);
+        return shelf;
+    }
+
+    @AfterEach
+    void end() {
+        if (shelf != null) {
+            shelf.close();
+        }
+    }
+
+    private static Entry entry(String id, int destination, long due, Result... results) {
+        List<Entry.Try> tries = java.util.stream.IntStream.range(0, results.length)
+                .mapToObj(i -> new Entry.Try("r" + i, "b0", 100 + i, results[i])).toList();
+        return new Entry(0, new Message.Content(id, "unsafe", "acme", null, 500, destination, new byte[] {1, 2, 3}), 400,
+                "timeout", "failed", Entry.State.KEPT, due, null, 0, tries);
+    }
+
+    @Test
+    void entryComesBackWholeAfterAReopening() {
+        long id = open().put(entry("m1", 7, 900, Result.FULL, null, Result.TIMEOUT));
+        shelf.close();
+        Entry back = open().get(id).orElseThrow();
+        assertEquals("m1", back.content().callId());
+        assertEquals(3, back.content().body().length);
+        assertEquals(entry("m1", 7, 900, Result.FULL, null, Result.TIMEOUT).tries(), back.tries());
+        assertEquals(Ran.MAYBE, back.ran());
+        assertEquals(0, shelf.list(Shelf.Filter.ALL, 0, 9, false).get(0).content().body().length, "bodies when asked");
+    }
+
+    @Test
+    void sameMessageTwiceIsOneEntry() {
+        long id = open().put(entry("m1", 7, 900, Result.TIMEOUT));
+        assertEquals(id, shelf.put(entry("m1", 7, 900, Result.TIMEOUT)));
+        assertEquals(1, shelf.size().entries());
+        assertEquals(1, shelf.get(id).orElseThrow().tries().size());
+    }
+
+    @Test
+    void onlyOneOfTwoMovesWins() {
+        long id = open().put(entry("m1", 7, 900));
+        assertTrue(shelf.move(id, Entry.State.KEPT, Entry.State.RESENDING, 0));
+        assertFalse(shelf.move(id, Entry.State.KEPT, Entry.State.RESENDING, 0));
+    }
+
+    @Test
+    void proofDeliversAndIsNeverTakenBack() {
+        long id = open().put(entry("m1", 7, 900, Result.TIMEOUT));
+        shelf.learn(id, new Entry.Try("r0", "b0", 100, Result.OK));
+        shelf.learn(id, new Entry.Try("r0", "b0", 100, Result.NOT_SENT));
+        shelf.resent(id, List.of(), Entry.State.KEPT, 0, "");
+        assertEquals(Entry.State.DELIVERED, shelf.get(id).orElseThrow().state());
+        assertEquals(Ran.DID, shelf.get(id).orElseThrow().ran());
+        assertEquals(List.of(), shelf.due(Long.MAX_VALUE - 1, 9));
+    }
+
+    @Test
+    void backlogOfOneDestinationDoesNotHideTheOthers() {
+        open();
+        for (int i = 0; i < 100; i++) {
+            shelf.put(entry("a" + i, 1, i));
+        }
+        shelf.put(entry("b", 2, 500));
+        shelf.put(entry("c", 3, 5_000));
+        assertEquals(List.of("a0", "b"), shelf.due(1_000, 64).stream().map(e -> e.content().callId()).toList());
+    }
+
+    @Test
+    void auditIsNeitherChangedNorRemoved() throws SQLException {
+        open().audit(1, "clerk", "discard", 7, "posted by hand");
+        assertEquals(1, shelf.audits(7).size());
+        try (Connection db = DriverManager.getConnection("jdbc:sqlite:" + folder.resolve(SqliteShelf.NAME));
+                Statement statement = db.createStatement()) {
+            assertThrows(SQLException.class, () -> statement.execute("UPDATE audit SET who = 'nobody'"));
+            assertThrows(SQLException.class, () -> statement.execute("DELETE FROM audit"));
+        }
+        assertTrue(shelf.audits(7).get(0).endsWith("clerk discard: posted by hand"), shelf.audits(7).toString());
+    }
+
+    @Test
+    void fileThatIsNoDatabaseIsSetAsideWhole() throws IOException {
+        Path file = folder.resolve(SqliteShelf.NAME);
+        Files.writeString(file, "no database ".repeat(1_000));
+        assertEquals(0, open().size().entries());
+        try (var files = Files.list(folder)) {
+            Path aside = files.filter(f -> f.toString().contains(".damaged-")).findFirst().orElseThrow();
+            assertTrue(Files.readString(aside).startsWith("no database"));
+        }
+    }
+
+    @Test
+    void damagedPageIsFoundAtTheStartAndSetAside() throws IOException {
+        open();
+        for (int i = 0; i < 200; i++) {
+            shelf.put(entry("m" + i, 7, 900, Result.TIMEOUT));
+        }
+        shelf.close();
+        Path file = folder.resolve(SqliteShelf.NAME);
+        byte[] bytes = Files.readAllBytes(file);
+        java.util.Arrays.fill(bytes, 4_096, bytes.length, (byte) 0x5a);
+        Files.write(file, bytes);
+        assertEquals(0, open().size().entries());
+        assertEquals(1, shelf.put(entry("new", 7, 1)));
+    }
+
+    @Test
+    void folderThatIsNoneEndsWithAPlainLine() throws IOException {
+        Path file = Files.writeString(folder.resolve("taken"), "");
+        String message = assertThrows(Shelf.ShelfException.class, () -> SqliteShelf.open(file)).getMessage();
+        assertTrue(message.startsWith("undeliverable: "), message);
+        assertEquals(1, message.lines().count());
+    }
+
+    @Test
+    void settledEntriesGoByAgeAndKeptOnesStay() {
+        open();
+        long delivered = shelf.put(entry("m1", 7, 900, Result.OK));
+        long kept = shelf.put(entry("m2", 7, 900, Result.TIMEOUT));
+        shelf.move(delivered, Entry.State.KEPT, Entry.State.DELIVERED, 0);
+        assertEquals(1, shelf.removeSettled(1_000, 10));
+        assertTrue(shelf.get(kept).isPresent() && shelf.get(delivered).isEmpty());
+    }
+}
