Trust no key window across a clock that was set, and resend no entry beside itself

Reading Desk for it showed a second way: after a restart the store's end of a resend can come late, and a new resend could begin beside one whose attempt it did not know.

The store is looked at ever less often where nothing is due, goes round all destinations, and reads attempts of a page by one query. The campaign's partners go on in their own time while a relay is down (its delay there made doubles that were none).

DeskTest has the cases of both causes.

--- a/src/main/java/pipitstage/engine/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -91,9 +91,7 @@
         }
         for (Message message : journal.open()) {
             remember(message);
-            if (message.entry() != 0) {
-                keeper.resumed(message);
-            }
+            keeper.resumed(message);
             if (message.entry() != 0 && (message.end != null || message.isDelivered())) {
                 keeper.resent(message);
             } else if (message.end != null) {
--- a/src/main/java/pipitstage/engine/Keeper.java
+++ b/src/main/java/pipitstage/engine/Keeper.java
@@ -26,9 +26,7 @@
         }
 
         @Override
-        public void resumed(Message message) {
-            throw new IllegalStateException("nothing is sent again");
-        }
+        public void resumed(Message message) { }
 
         @Override
         public void resent(Message message) {
@@ -51,7 +49,7 @@
     /** Keeps a message that has ended; {@link Engine#kept} is called once it outlasts the process there. */
     void keep(Message message);
 
-    /** A restart has brought back a message that is being sent again, before {@link #resent} or the next round. */
+    /** A restart has brought back a message from the journal, before anything else is told of it. */
     void resumed(Message message);
 
     /** A message that was sent again has ended; {@link Engine#kept} is called once that outlasts the process. */
--- a/src/main/java/pipitstage/relay/Keeping.java
+++ b/src/main/java/pipitstage/relay/Keeping.java
@@ -35,7 +35,7 @@
             throw new IOException(e.getMessage(), e);
         }
         desk = new Desk(timers, clock, engine, thread, new Desk.Options(shelves,
-                new Rules(clock.micros(), k.clockMargin(), k.pause()), k.pace(), (long) (k.limit() * k.high()),
+                new Rules(k.clockMargin(), k.pause()), k.pace(), (long) (k.limit() * k.high()),
                 (long) (k.limit() * k.low()), k.entries(), k.refuseWhenFull(), k.age()));
         engine.keepBy(desk);
         admin = new AdminServer(config.state(), new UndeliverableDesk(desk, thread, clock, loop));
--- a/src/main/java/pipitstage/undeliverable/Desk.java
+++ b/src/main/java/pipitstage/undeliverable/Desk.java
@@ -39,6 +39,7 @@
 
     private static final long LOOK = 100_000;
     private static final int MOST_DUE = 64;
+    private static final int MOST_IDLE_DOUBLINGS = 3;
     private static final long SECOND = 1_000_000;
     private static final int MOST_REMOVED = 500;
 
@@ -62,7 +63,12 @@
     private boolean full;
     private boolean looking;
     private boolean paused;
+    private int lastLane = Integer.MIN_VALUE;
+    private int idleLooks;
     private long lost;
+    /** Nothing is steady until the store has told how far earlier processes have come. */
+    private long steadySince = Long.MAX_VALUE;
+    private long newestJournaled;
 
     /** A desk; {@link #start} sets it going. */
     public Desk(Timers timers, Clock clock, Engine engine, ShelfQueue shelf, Options options) {
@@ -76,7 +82,7 @@
     /** Takes back what a crash left between the shelf and the journal, then looks for what is due again and again. */
     public void start() {
         List<Long> journaled = List.copyOf(sending.keySet());
-        submit(s -> {
+        insist(s -> {
             for (Entry entry : s.list(new Shelf.Filter(Entry.State.RESENDING, null, null, null, null, 0, 0), 0,
                     Integer.MAX_VALUE, false)) {
                 // Guards against a kill after the shelf was told and before the journal was: no attempt was made.
@@ -84,15 +90,23 @@
                     s.move(entry.id(), Entry.State.RESENDING, Entry.State.KEPT, 0);
                 }
             }
-            return s.size();
-        }, this::measured);
+            return s.newest();
+        }, newest -> {
+            // Guards against a clock that was set back between two processes: what is older than anything that the
+            // earlier one has left may in truth be older still.
+            steadySince = Math.max(clock.micros(), Math.max(newest, newestJournaled) + 1);
+            insist(Shelf::size, this::measured);
+        });
         look();
     }
 
     @Override
     public void resumed(Message message) {
-        sending.put(message.entry(), message);
-        lane(message.content().destination()).out++;
+        message.attempts().forEach(a -> newestJournaled = Math.max(newestJournaled, a.sentAt()));
+        if (message.entry() != 0) {
+            sending.put(message.entry(), message);
+            lane(message.content().destination()).out++;
+        }
     }
 
     // ---- what ends
@@ -171,7 +185,8 @@
     // ---- what comes back
 
     private void look() {
-        timers.after(LOOK, this::look);
+        // Where nothing is due the store is looked at ever less often.
+        timers.after(LOOK << Math.min(MOST_IDLE_DOUBLINGS, idleLooks), this::look);
         while (!again.isEmpty()) {
             Runnable first = again.poll();
             int before = again.size();
@@ -185,7 +200,7 @@
             long now = clock.micros();
             boolean taken = submit(s -> {
                 s.removeSettled(now - options.age(), MOST_REMOVED);
-                return s.due(now, MOST_DUE);
+                return s.due(now, lastLane, MOST_DUE);
             }, this::release);
             looking &= taken;
         }
@@ -193,6 +208,9 @@
 
     private void release(List<Entry> due) {
         looking = false;
+        // The next look goes on behind the last destination of this one, or begins anew.
+        lastLane = due.size() < MOST_DUE ? Integer.MIN_VALUE : due.get(due.size() - 1).content().destination();
+        idleLooks = due.isEmpty() ? idleLooks + 1 : 0;
         for (Entry entry : due) {
             Lane lane = lane(entry.content().destination());
             if (lane.out == 0 && clock.micros() >= lane.next) {
@@ -207,8 +225,11 @@
 
     /** Decides on an entry, at its turn, and acts on it; the verdict is told. */
     public void tryNow(Entry entry, Consumer<Rules.Verdict> told) {
-        Rules.Verdict verdict = decide(entry);
         long now = clock.micros();
+        // Guards against a second resend beside one whose end the store has not taken yet, as after a restart: the
+        // store would count it as kept, and know nothing of an attempt that is out.
+        Rules.Verdict verdict = sending.containsKey(entry.id()) ? new Rules.Later(now + options.rules().pause(),
+                "it is being sent again") : decide(entry);
         if (verdict instanceof Rules.Now) {
             Lane lane = lane(entry.content().destination());
             lane.out++;
@@ -234,7 +255,7 @@
 
     /** What the rules say of an entry now. */
     public Rules.Verdict decide(Entry entry) {
-        return options.rules().decide(entry, options.shelves().get(entry.content().requestClass()), clock.micros());
+        return options.rules().decide(entry, options.shelves().get(entry.content().requestClass()), clock.micros(), steadySince);
     }
 
     private void send(Entry entry, Consumer<Rules.Verdict> told) {
--- a/src/main/java/pipitstage/undeliverable/Rules.java
+++ b/src/main/java/pipitstage/undeliverable/Rules.java
@@ -20,12 +20,10 @@
  * <li>Anything else: after a person's word that the partner did not post it, which speaks of the attempts until then.
  * </ul>
  *
- * @param steadySince wall time from which on spans can be measured: the process's start. Before it, the wall clock may
- *     have been set, and a key window that began then can't be told to be open
  * @param margin microseconds by which clocks may differ
  * @param pause microseconds between tries of one entry at the least; doubles with each, 64 times at the most
  */
-public record Rules(long steadySince, long margin, long pause) {
+public record Rules(long margin, long pause) {
     private static final int MOST_DOUBLINGS = 6;
     /**
      * A message that is sent again has so long at the least, since nobody waits for it: enough for the module to let it
@@ -60,8 +58,11 @@
      * Decides on an entry.
      *
      * @param now wall time
+     * @param steadySince wall time from which on spans can be measured: no earlier than the process's start, nor than
+     *     anything that an earlier process has left. The wall clock may have been set between, forward or back, so that a
+     *     key window that began before can't be told to be open
      */
-    public Verdict decide(Entry entry, Shelved shelved, long now) {
+    public Verdict decide(Entry entry, Shelved shelved, long now, long steadySince) {
         if (entry.state() == Entry.State.DELIVERED || entry.ran() == Ran.DID) {
             return new Over("it was delivered");
         }
@@ -91,11 +92,11 @@
         if (type.repeat() == Repeat.ONCE) {
             return new AfterWord("an attempt may have run");
         }
-        return keyed(entry, type, unproven, now, clockIsBack);
+        return keyed(entry, type, unproven, now, clockIsBack, steadySince);
     }
 
     private Verdict keyed(Entry entry, Policy.RequestClass type, List<Entry.Try> unproven, long now,
-            boolean clockIsBack) {
+            boolean clockIsBack, long steadySince) {
         Entry.Try first = unproven.stream().min(Comparator.comparingLong(Entry.Try::sentAt)).orElseThrow();
         long closes = first.sentAt() + type.keyWindow() - margin;
         if (first.sentAt() < steadySince) {
--- a/src/main/java/pipitstage/undeliverable/Shelf.java
+++ b/src/main/java/pipitstage/undeliverable/Shelf.java
@@ -39,8 +39,11 @@
     /** Entries with or without their bodies, by number from one on, so many at the most. */
     List<Entry> list(Filter filter, long from, int most, boolean bodies);
 
-    /** Kept entries that are due, the most urgent first, each destination's pause heeded by the caller. */
-    List<Entry> due(long now, int most);
+    /** The most urgent kept entry that is due of each destination with a number above one, so many at the most. */
+    List<Entry> due(long now, int after, int most);
+
+    /** The newest time of anything that is known: when an entry was kept, or tried. */
+    long newest();
 
     /** Puts an entry from one state into another; false where it is in another one, and then nothing changes. */
     boolean move(long id, Entry.State from, Entry.State to, long due);
--- a/src/main/java/pipitstage/undeliverable/store/SqliteShelf.java
+++ b/src/main/java/pipitstage/undeliverable/store/SqliteShelf.java
@@ -10,7 +10,9 @@
 import java.sql.SQLException;
 import java.sql.Statement;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.sqlite.SQLiteConfig;
@@ -262,23 +264,31 @@
                         r.getString("tenant"), r.getString("key"), r.getLong("deadline"), r.getInt("destination"),
                         body == null ? new byte[0] : body), r.getLong("kept_at"), r.getString("why"),
                         r.getString("told"), Entry.State.valueOf(r.getString("state")), r.getLong("due"), word,
-                        r.getInt("resends"), tries(id)));
+                        r.getInt("resends"), new ArrayList<>()));
             }
         }
+        if (!entries.isEmpty()) {
+            addTries(entries);
+        }
         return entries;
     }
 
-    private List<Entry.Try> tries(long id) throws SQLException {
-        List<Entry.Try> tries = new ArrayList<>();
-        try (PreparedStatement statement = prepare("SELECT route, building, sent_at, result FROM try WHERE entry = ?"
-                + " ORDER BY n", id); ResultSet r = statement.executeQuery()) {
+    /** Fills the attempts of entries, which are in the order of their numbers, by one query. */
+    private void addTries(List<Entry> entries) throws SQLException {
+        Map<Long, Entry> byId = new HashMap<>();
+        entries.forEach(e -> byId.put(e.id(), e));
+        try (PreparedStatement statement = prepare("SELECT entry, route, building, sent_at, result FROM try WHERE"
+                + " entry BETWEEN ? AND ? ORDER BY entry, n", entries.get(0).id(),
+                entries.get(entries.size() - 1).id()); ResultSet r = statement.executeQuery()) {
             while (r.next()) {
-                String result = r.getString(4);
-                tries.add(new Entry.Try(r.getString(1), r.getString(2), r.getLong(3),
-                        result == null ? null : Result.valueOf(result)));
+                Entry entry = byId.get(r.getLong(1));
+                if (entry != null) {
+                    String result = r.getString(5);
+                    entry.tries().add(new Entry.Try(r.getString(2), r.getString(3), r.getLong(4),
+                            result == null ? null : Result.valueOf(result)));
+                }
             }
         }
-        return tries;
     }
 
     @Override
@@ -314,27 +324,40 @@
         }
     }
 
-    /** The most urgent of each destination: the backlog of one must not hide the others. */
+    /** By destination, so that the backlog of one does not hide the others. */
     @Override
-    public List<Entry> due(long now, int most) {
+    public List<Entry> due(long now, int after, int most) {
         return whole(() -> {
             List<Entry> due = new ArrayList<>();
-            long destination = Long.MIN_VALUE;
-            while (due.size() < most) {
-                try (PreparedStatement next = prepare("SELECT min(destination) FROM entry WHERE state = 'KEPT' AND"
-                        + " destination > ?", destination); ResultSet r = next.executeQuery()) {
-                    if (!r.next() || r.getObject(1) == null) {
-                        break;
+            long destination = after;
+            try (PreparedStatement next = db.prepareStatement("SELECT min(destination) FROM entry WHERE state = 'KEPT'"
+                    + " AND destination > ?")) {
+                while (due.size() < most) {
+                    next.setLong(1, destination);
+                    try (ResultSet r = next.executeQuery()) {
+                        if (!r.next() || r.getObject(1) == null) {
+                            break;
+                        }
+                        destination = r.getLong(1);
                     }
-                    destination = r.getLong(1);
+                    due.addAll(read(prepare(COLUMNS + "body FROM entry WHERE state = 'KEPT' AND destination = ? AND"
+                            + " due <= ? ORDER BY due, id LIMIT 1", destination, now)));
                 }
-                due.addAll(read(prepare(COLUMNS + "body FROM entry WHERE state = 'KEPT' AND destination = ? AND due <= ?"
-                        + " ORDER BY due, id LIMIT 1", destination, now)));
             }
             return due;
         });
     }
 
+    @Override
+    public long newest() {
+        return whole(() -> {
+            try (Statement statement = db.createStatement(); ResultSet r = statement.executeQuery("SELECT max(coalesce("
+                    + "(SELECT max(kept_at) FROM entry), 0), coalesce((SELECT max(sent_at) FROM try), 0))")) {
+                return r.next() ? r.getLong(1) : 0;
+            }
+        });
+    }
+
     @Override
     public boolean move(long id, Entry.State from, Entry.State to, long due) {
         return whole(() -> change("UPDATE entry SET state = ?, due = ? WHERE id = ? AND state = ?", to.name(), due, id,
@@ -372,7 +395,7 @@
 
     /** What is known of all attempts together, for filters. */
     private void settleRan(long id) throws SQLException {
-        Ran ran = tries(id).stream().map(Entry.Try::ran).max(Enum::compareTo).orElse(Ran.NEVER);
+        Ran ran = one(id).map(Entry::ran).orElse(Ran.NEVER);
         change("UPDATE entry SET ran = ? WHERE id = ?", ran.name(), id);
     }
 
--- a/src/test/java/pipitstage/undeliverable/Campaign.java
+++ b/src/test/java/pipitstage/undeliverable/Campaign.java
@@ -67,6 +67,7 @@
         private final Map<String, Integer> effects = new HashMap<>();
         private final Map<String, List<long[]>> keys = new HashMap<>();
         private final Map<String, Integer> pending = new HashMap<>();
+        private final List<String> postings = new ArrayList<>();
         private final Map<String, String> types = new HashMap<>();
 
         void post(String id, String type, String key, int building, long now) {
@@ -78,6 +79,7 @@
                 seen.add(new long[] {now, building});
             }
             effects.merge(id, 1, Integer::sum);
+            postings.add(id + " at " + now);
         }
     }
 
@@ -101,6 +103,7 @@
     private int words;
     private int mostKills;
     private boolean outage;
+    private boolean down;
     /** When persons have gone home. */
     private long ends = Long.MAX_VALUE;
     private Journal journal;
@@ -165,6 +168,20 @@
         now = Math.max(now, end);
     }
 
+    /** Partners go on with what they were sent before the kill, in their own time. */
+    private void passWithoutARelay(long end) {
+        down = true;
+        while (!queue.isEmpty() && queue.peek().at() <= end) {
+            Due due = queue.poll();
+            if (due.life() == 0) {
+                now = Math.max(now, due.at());
+                due.task().run();
+            }
+        }
+        now = end;
+        down = false;
+    }
+
     private void restart() {
         kills++;
         life++;
@@ -174,7 +191,7 @@
         } catch (IOException e) {
             throw new AssertionError(e);
         }
-        now += random.nextInt(3_000_000);
+        passWithoutARelay(now + random.nextInt(3_000_000));
         while (true) {
             try {
                 start();
@@ -224,8 +241,8 @@
         engine = new Engine(timers, clock, settings, 5_000, new KillableJournal(), Logic::new);
         Map<String, Rules.Shelved> shelves = new HashMap<>();
         settings.classes().forEach(t -> shelves.put(t.name(), new Rules.Shelved(t, 60 * SECOND)));
-        desk = new Desk(timers, clock, engine, new Queue(mine), new Desk.Options(shelves, new Rules(clock.micros(),
-                SECOND / 2, SECOND), 2, 1 << 30, 1 << 29, 1_000_000, true, 3_600 * SECOND));
+        desk = new Desk(timers, clock, engine, new Queue(mine), new Desk.Options(shelves, new Rules(SECOND / 2,
+                SECOND), 2, 1 << 30, 1 << 29, 1_000_000, true, 3_600 * SECOND));
         engine.keepBy(desk);
         engine.attach(new SimPartners(mine), message -> at(random.nextInt(50_000), () -> {
             if (message.end().refused()) {
@@ -462,7 +479,7 @@
             restart();
         }
         ends = now + 80 * SECOND;
-        drain(now + 100 * SECOND);
+        drain(now + 130 * SECOND);
         Count count = count();
         journal.close();
         shelf.close();
@@ -470,6 +487,9 @@
     }
 
     private void handIn(String id, String type, int destination) {
+        if (down) {
+            return;
+        }
         Message.Content content = new Message.Content(id, type, null, type.equals("keyed") ? "key-" + id : null,
                 now + skew + 4 * SECOND, destination, new byte[10]);
         engine.takeOn(content, now + skew, new Message.ClientReply() {
@@ -511,7 +531,8 @@
             boolean isDelivered = effects > 0 && !isKept && !isGone && !isRefused;
             if (!forgetful && (effects > 1 && !world.types.get(id).equals("safe") || open.contains(id))) {
                 System.out.println("seed " + seed + ": " + id + " " + world.types.get(id) + " effects " + effects
-                        + " open " + open.contains(id) + " " + entry + " " + (entry == null ? "" : entry.tries()));
+                        + world.postings.stream().filter(p -> p.startsWith(id + " ")).toList() + " open "
+                        + open.contains(id) + " " + entry + " " + (entry == null ? "" : entry.tries()));
             }
             // Said to be delivered, and never posted, is lost too.
             lost += !isDelivered && !isKept && !isGone && !isRefused && !open.contains(id) ? 1 : 0;
--- /dev/null
+++ b/src/test/java/pipitstage/undeliverable/DeskTest.java
@@ -0,0 +1,369 @@
+package pipitstage.undeliverable;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pipitstage.Logic;
+import pipitstage.Policy;
+import pipitstage.Policy.LimitReport;
+import pipitstage.Policy.ListKind;
+import pipitstage.Policy.Result;
+import pipitstage.engine.Engine;
+import pipitstage.engine.Message;
+import pipitstage.engine.Partners;
+import pipitstage.engine.Target;
+import pipitstage.engine.WriteAhead;
+import pipitstage.undeliverable.store.SqliteShelf;
+
+/** The desk between a real engine, module and store, in a time that the test moves. */
+class DeskTest {
+    private static final long SECOND = 1_000_000;
+    private static final long WINDOW = 30 * SECOND;
+
+    private record Due(long at, long order, Runnable task) { }
+
+    @TempDir
+    Path folder;
+    private final PriorityQueue<Due> queue = new PriorityQueue<>(
+            Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final List<String> sent = new ArrayList<>();
+    private final List<Long> sentAt = new ArrayList<>();
+    private final Set<Long> done = new HashSet<>();
+    private final ArrayDeque<Runnable> held = new ArrayDeque<>();
+    private BiFunction<String, Message.Attempt, Result> fate = (route, attempt) -> Result.OK;
+    private long now = 1_000_000 * SECOND;
+    private long order;
+    private boolean storeFails;
+    private boolean storeHolds;
+    private Shelf shelf;
+    private Engine engine;
+    private Desk desk;
+
+    @BeforeEach
+    void prepare() {
+        shelf = SqliteShelf.open(folder);
+        Policy.Settings settings = new Policy.Settings(3, 0, 1, "b0", List.of(
+                new Policy.RequestClass("keyed", Policy.Repeat.BY_KEY, Policy.KeyScope.ZONE, WINDOW, SECOND, 2 * SECOND,
+                        1, 0.5, false),
+                new Policy.RequestClass("unsafe", Policy.Repeat.ONCE, Policy.KeyScope.ALL, 0, SECOND, 2 * SECOND, 5, 0.3,
+                        false)), List.of(), List.of(new Policy.Kind("k", false, 1)), List.of(),
+                new Policy.Limits(8, 50, 12, true, false, false, false, true, SECOND),
+                new Policy.Rules(0, SECOND / 2, 2.5, 2 * SECOND, 0.2, 5 * SECOND, 0, 0), 1, false, false,
+                Policy.RateHint.NONE, 0);
+        engine = new Engine((micros, task) -> {
+            boolean[] off = new boolean[1];
+            queue.add(new Due(now + micros, order++, () -> {
+                if (!off[0]) {
+                    task.run();
+                }
+            }));
+            return () -> off[0] = true;
+        }, () -> now, settings, 1_000, new Memory(), Logic::new);
+        Map<String, Rules.Shelved> shelves = Map.of("keyed", new Rules.Shelved(settings.classes().get(0), 3_600 * SECOND),
+                "unsafe", new Rules.Shelved(settings.classes().get(1), 3_600 * SECOND));
+        desk = new Desk((micros, task) -> {
+            queue.add(new Due(now + micros, order++, task));
+            return () -> { };
+        }, () -> now, engine, new Queue(), new Desk.Options(shelves, new Rules(SECOND, SECOND), 2, 1 << 30, 1 << 29,
+                1_000, true, 3_600 * SECOND));
+        engine.keepBy(desk);
+        engine.attach(new Calls(), message -> engine.noticeHeard(message));
+        engine.start(ListKind.FULL, 1, List.of(target("r0", "b0"), target("r1", "b1")));
+        desk.start();
+        pass(SECOND);
+    }
+
+    @AfterEach
+    void end() {
+        shelf.close();
+    }
+
+    private static Target target(String route, String building) {
+        return new Target(new Policy.Listed(route, 7, "k", building, Policy.Availability.LISTED, 0), null);
+    }
+
+    private void pass(long span) {
+        long end = now + span;
+        while (!queue.isEmpty() && queue.peek().at() <= end) {
+            Due due = queue.poll();
+            now = Math.max(now, due.at());
+            due.task().run();
+        }
+        now = end;
+    }
+
+    private final class Queue implements ShelfQueue {
+        @Override
+        public <T> boolean submit(Function<Shelf, T> task, Consumer<T> then, Runnable failed) {
+            Runnable work = () -> {
+                if (storeFails) {
+                    failed.run();
+                } else {
+                    then.accept(task.apply(shelf));
+                }
+            };
+            if (storeHolds) {
+                held.add(work);
+            } else {
+                queue.add(new Due(now + 100, order++, work));
+            }
+            return true;
+        }
+    }
+
+    private final class Calls implements Partners {
+        @Override
+        public void list(ListKind kind, List<Target> targets) { }
+
+        @Override
+        public void send(String route, List<Outgoing> outgoing) {
+            for (Outgoing o : outgoing) {
+                sent.add(o.attempt().message().content().callId() + "@" + route);
+                sentAt.add(now);
+                Result result = fate.apply(route, o.attempt());
+                long after = result == Result.TIMEOUT ? o.timeout() : 10_000;
+                queue.add(new Due(now + after, order++, () -> engine.ended(o.attempt(), result, result == Result.OK, 0,
+                        LimitReport.NONE)));
+            }
+        }
+
+        @Override
+        public void cancel(Message.Attempt attempt) { }
+
+        @Override
+        public void probe(String route) { }
+
+        @Override
+        public void closeIdle(String route) { }
+    }
+
+    /** A journal that holds what it is told and remembers what is done. */
+    private final class Memory implements WriteAhead {
+        @Override
+        public long nextNumber() {
+            return 1;
+        }
+
+        @Override
+        public List<Message> open() {
+            return List.of();
+        }
+
+        @Override
+        public boolean accept(Message message) {
+            return true;
+        }
+
+        @Override
+        public boolean attempt(Message.Attempt attempt) {
+            return true;
+        }
+
+        @Override
+        public void result(Message.Attempt attempt) { }
+
+        @Override
+        public void decided(Message message) { }
+
+        @Override
+        public void done(Message message) {
+            done.add(message.number());
+        }
+    }
+
+    private void handIn(String id, String type) {
+        engine.takeOn(new Message.Content(id, type, null, "key-" + id, now + 2 * SECOND, 7, new byte[1]), now,
+                new Message.ClientReply() {
+                    @Override
+                    public void taken() { }
+
+                    @Override
+                    public void refused(long retryIn) {
+                        throw new AssertionError("refused");
+                    }
+
+                    @Override
+                    public void failed() {
+                        throw new AssertionError("failed");
+                    }
+                });
+    }
+
+    private Entry entry(String id) {
+        return shelf.list(Shelf.Filter.ALL, 0, 100, false).stream().filter(e -> e.content().callId().equals(id))
+                .findFirst().orElseThrow();
+    }
+
+    @Test
+    void journalForgetsOnlyWhatTheStoreHas() {
+        fate = (route, attempt) -> Result.RESET;
+        storeFails = true;
+        handIn("m1", "unsafe");
+        pass(5 * SECOND);
+        assertFalse(done.contains(1L), "the store does not have it yet");
+        storeFails = false;
+        pass(SECOND);
+        assertTrue(done.contains(1L));
+        assertEquals(Ran.MAYBE, entry("m1").ran());
+    }
+
+    @Test
+    void keyedGoesOnlyToTheBuildingThatMayKnowItsKey() {
+        fate = (route, attempt) -> route.equals("r0") ? Result.RESET : Result.OK;
+        for (int i = 0; i < 6; i++) {
+            handIn("k" + i, "keyed");
+            pass(3 * SECOND);
+        }
+        pass(60 * SECOND);
+        Set<String> first = new HashSet<>();
+        for (String one : sent) {
+            String id = one.substring(0, one.indexOf('@'));
+            if (one.endsWith("@r0")) {
+                first.add(id);
+            }
+            assertTrue(!one.endsWith("@r1") || !first.contains(id), "sent in another building: " + sent);
+        }
+        assertFalse(first.isEmpty(), "some went to r0 first: " + sent);
+        for (String id : first) {
+            assertEquals(Entry.State.KEPT, entry(id).state());
+            assertTrue(desk.decide(entry(id)) instanceof Rules.AfterWord, "its window is over now");
+        }
+    }
+
+    @Test
+    void windowThatClosesBeforeItsTurnComesSendsNothing() {
+        fate = (route, attempt) -> Result.RESET;
+        handIn("k1", "keyed");
+        pass(3 * SECOND);
+        desk.pause(true);
+        pass(10 * SECOND);
+        Entry kept = entry("k1");
+        assertEquals(Entry.State.KEPT, kept.state());
+        assertTrue(desk.decide(kept) instanceof Rules.Now, "open at decision: " + desk.decide(kept));
+        int before = sent.size();
+        storeHolds = true;
+        List<Rules.Verdict> told = new ArrayList<>();
+        desk.tryNow(kept, told::add);
+        // The store has its turn only when the window is over.
+        now += WINDOW;
+        storeHolds = false;
+        held.poll().run();
+        pass(5 * SECOND);
+        assertEquals(before, sent.size());
+        assertTrue(told.get(0) instanceof Rules.AfterWord, told.toString());
+        assertEquals(Entry.State.KEPT, entry("k1").state());
+        assertEquals(Entry.NEVER_DUE, entry("k1").due());
+    }
+
+    @Test
+    void nothingIsSentAgainWhileTheRelayDrains() {
+        fate = (route, attempt) -> Result.FULL;
+        handIn("m1", "unsafe");
+        pass(2_500_000);
+        engine.freeze();
+        fate = (route, attempt) -> Result.OK;
+        int before = sent.size();
+        pass(40 * SECOND);
+        assertEquals(before, sent.size());
+        assertEquals(Ran.NEVER, entry("m1").ran());
+    }
+
+    @Test
+    void messageThatThePartnerNeverTakesStaysKeptAndItsPausesGrow() {
+        fate = (route, attempt) -> Result.NOT_SENT; // as 413 is taken
+        handIn("m1", "unsafe");
+        pass(60 * SECOND);
+        assertEquals(Entry.State.KEPT, entry("m1").state());
+        int first = entry("m1").resends();
+        pass(240 * SECOND);
+        assertTrue(first >= 1 && entry("m1").resends() > first && entry("m1").resends() < 14,
+                first + " then " + entry("m1").resends());
+    }
+
+    @Test
+    void backlogGoesOutOneAtATimeAtItsPace() {
+        long kept = now;
+        for (int i = 0; i < 40; i++) {
+            shelf.put(new Entry(0, new Message.Content("m" + i, "unsafe", null, null, kept + i, 7, new byte[1]), kept, "",
+                    "failed", Entry.State.KEPT, kept, null, 0, List.of()));
+        }
+        pass(12 * SECOND);
+        assertTrue(sent.size() >= 20 && sent.size() <= 26, "two a second for 12 s: " + sent.size());
+        for (int i = 1; i < sentAt.size(); i++) {
+            assertTrue(sentAt.get(i) - sentAt.get(i - 1) >= SECOND / 2, "no closer than the pace");
+        }
+        pass(20 * SECOND);
+        assertEquals(40, new HashSet<>(sent).size());
+        assertEquals(40, sent.size());
+    }
+
+    @Test
+    void recalledResendIsNotTriedAnyMore() {
+        fate = (route, attempt) -> Result.RESET;
+        handIn("m1", "unsafe");
+        pass(3 * SECOND);
+        Entry kept = entry("m1");
+        shelf.word(kept.id(), new Entry.Word("clerk", "not in their books", 9, now), now);
+        fate = (route, attempt) -> Result.FULL;
+        pass(2 * SECOND);
+        assertEquals(Entry.State.RESENDING, entry("m1").state());
+        Message first = new Message(1, kept.content());
+        Message.Attempt late = first.addAttempt(kept.tries().get(0).route(), kept.tries().get(0).sentAt());
+        engine.late(late);
+        pass(SECOND);
+        int before = sent.size();
+        fate = (route, attempt) -> Result.OK;
+        pass(60 * SECOND);
+        assertEquals(Entry.State.DELIVERED, entry("m1").state());
+        assertEquals(before, sent.size());
+    }
+
+    @Test
+    void windowIsNotTrustedWhereTheClockWasSetBackWhileTheRelayWasDown() {
+        long ahead = now + 20 * SECOND;
+        shelf.put(new Entry(0, new Message.Content("k1", "keyed", null, "k", ahead, 7, new byte[1]), ahead, "timeout",
+                "failed", Entry.State.KEPT, Entry.NEVER_DUE, null, 0, List.of(new Entry.Try("r0", "b0", ahead - SECOND,
+                        Result.TIMEOUT))));
+        Desk next = new Desk((micros, task) -> {
+            queue.add(new Due(now + micros, order++, task));
+            return () -> { };
+        }, () -> now, engine, new Queue(), new Desk.Options(Map.of("keyed", new Rules.Shelved(new Policy.RequestClass(
+                "keyed", Policy.Repeat.BY_KEY, Policy.KeyScope.ZONE, WINDOW, SECOND, 2 * SECOND, 1, 0.5, false),
+                3_600 * SECOND)), new Rules(SECOND, SECOND), 2, 1 << 30, 1 << 29, 1_000, true, 3_600 * SECOND));
+        next.start();
+        pass(25 * SECOND);
+        Rules.Verdict verdict = next.decide(entry("k1"));
+        assertTrue(verdict instanceof Rules.AfterWord after && after.why().contains("restart"), verdict.toString());
+    }
+
+    @Test
+    void entryWhoseEndTheStoreHasNotTakenIsNotSentBesideItself() {
+        fate = (route, attempt) -> Result.FULL;
+        handIn("m1", "unsafe");
+        pass(4 * SECOND);
+        assertEquals(Entry.State.RESENDING, entry("m1").state());
+        // As after a restart: the store says kept, and a resend of it is out.
+        shelf.move(entry("m1").id(), Entry.State.RESENDING, Entry.State.KEPT, now);
+        List<Rules.Verdict> told = new ArrayList<>();
+        desk.tryNow(entry("m1"), told::add);
+        assertTrue(told.get(0) instanceof Rules.Later, told.toString());
+        assertEquals(Entry.State.KEPT, entry("m1").state());
+    }
+}
--- a/src/test/java/pipitstage/undeliverable/Measure.java
+++ b/src/test/java/pipitstage/undeliverable/Measure.java
@@ -75,7 +75,7 @@
             int all = shelf.list(Shelf.Filter.ALL, 0, Integer.MAX_VALUE, false).size();
             say("all %d with their attempts in %.0f ms", all, (System.nanoTime() - start) / 1e6);
             start = System.nanoTime();
-            int due = shelf.due(Long.MAX_VALUE - 1, 64).size();
+            int due = shelf.due(Long.MAX_VALUE - 1, 100, 64).size();
             say("the %d most urgent of 500 destinations in %.1f ms; %s", due, (System.nanoTime() - start) / 1e6,
                     shelf.size());
         }
--- a/src/test/java/pipitstage/undeliverable/RulesTest.java
+++ b/src/test/java/pipitstage/undeliverable/RulesTest.java
@@ -16,7 +16,7 @@
     private static final long SECOND = 1_000_000;
     private static final long T = 1_000_000 * SECOND;
     private static final long DAY = 86_400 * SECOND;
-    private static final Rules RULES = new Rules(T - DAY, SECOND, SECOND);
+    private static final Rules RULES = new Rules(SECOND, SECOND);
 
     private static Rules.Shelved shelved(Policy.Repeat repeat, Policy.KeyScope scope) {
         return new Rules.Shelved(new Policy.RequestClass("c", repeat, scope, repeat == Policy.Repeat.BY_KEY
@@ -52,7 +52,7 @@
     @ParameterizedTest
     @EnumSource(Result.class)
     void unsafeGoesByItselfOnlyWhereEveryAttemptIsProvenNeverToHaveRun(Result result) {
-        Rules.Verdict verdict = RULES.decide(entry(null, tried(Result.FULL), tried(result)), UNSAFE, T + 5 * SECOND);
+        Rules.Verdict verdict = RULES.decide(entry(null, tried(Result.FULL), tried(result)), UNSAFE, T + 5 * SECOND, T - DAY);
         switch (result) {
             case FULL, CONNECT_FAILED, NOT_SENT -> now(verdict);
             case OK -> assertInstanceOf(Rules.Over.class, verdict);
@@ -63,63 +63,63 @@
     @Test
     void unknownOutcomeNeverBecomesNeverByAgeOrRestart() {
         for (long age : new long[] {SECOND, DAY / 2, 30 * DAY}) {
-            afterWord(RULES.decide(entry(null, tried(null)), UNSAFE, T + age), "");
-            afterWord(new Rules(T + age, SECOND, SECOND).decide(entry(null, tried(Result.TIMEOUT)), UNSAFE, T + age), "");
+            afterWord(RULES.decide(entry(null, tried(null)), UNSAFE, T + age, T - DAY), "");
+            afterWord(RULES.decide(entry(null, tried(Result.TIMEOUT)), UNSAFE, T + age, T + age), "");
         }
     }
 
     @Test
     void wordOfAPersonSpeaksOfTheAttemptsUntilThenAlone() {
         Entry.Word word = new Entry.Word("clerk", "not in the books", 1, T + SECOND);
-        now(RULES.decide(entry(word, tried(Result.TIMEOUT)), UNSAFE, T + 2 * SECOND));
+        now(RULES.decide(entry(word, tried(Result.TIMEOUT)), UNSAFE, T + 2 * SECOND, T - DAY));
         afterWord(RULES.decide(entry(word, tried(Result.TIMEOUT), tried(T + 3 * SECOND, Result.RESET, "b0")), UNSAFE,
-                T + 9 * SECOND), "may have run");
+                T + 9 * SECOND, T - DAY), "may have run");
         now(RULES.decide(entry(word, tried(Result.TIMEOUT), tried(T + 3 * SECOND, Result.FULL, "b0")), UNSAFE,
-                T + 9 * SECOND));
+                T + 9 * SECOND, T - DAY));
     }
 
     @Test
     void lateProofEndsIt() {
         Entry.Word word = new Entry.Word("clerk", "not in the books", 1, T + SECOND);
-        assertInstanceOf(Rules.Over.class, RULES.decide(entry(word, tried(Result.OK)), UNSAFE, T + 2 * SECOND));
+        assertInstanceOf(Rules.Over.class, RULES.decide(entry(word, tried(Result.OK)), UNSAFE, T + 2 * SECOND, T - DAY));
     }
 
     @Test
     void keyedGoesWithinItsWindowLessTheMarginFromTheFirstPossibleEffect() {
         Entry one = entry(null, tried(T - 20 * SECOND, Result.TIMEOUT, "b0"), tried(T, Result.RESET, "b0"));
-        Rules.Now now = assertInstanceOf(Rules.Now.class, RULES.decide(one, KEYED, T + 8 * SECOND));
+        Rules.Now now = assertInstanceOf(Rules.Now.class, RULES.decide(one, KEYED, T + 8 * SECOND, T - DAY));
         assertEquals(T - 20 * SECOND + 30 * SECOND - SECOND, now.deadline(), "the window is the deadline");
         assertEquals(List.of(new Policy.PastAttempt("r-b0", T - 20 * SECOND, Result.TIMEOUT)), now.past());
-        afterWord(RULES.decide(one, KEYED, T + 9 * SECOND), "key window is over");
+        afterWord(RULES.decide(one, KEYED, T + 9 * SECOND, T - DAY), "key window is over");
     }
 
     @Test
     void keyedThatNeverRanIsNotBoundByTheWindow() {
-        now(RULES.decide(entry(null, tried(Result.FULL)), KEYED, T + DAY / 2));
+        now(RULES.decide(entry(null, tried(Result.FULL)), KEYED, T + DAY / 2, T - DAY));
     }
 
     @Test
     void keysThatSeveralBuildingsMayHaveSeenNeedAWord() {
         Entry two = entry(null, tried(T - SECOND, Result.TIMEOUT, "b0"), tried(T, Result.TIMEOUT, "b1"));
-        afterWord(RULES.decide(two, KEYED, T + SECOND), "several places");
-        now(RULES.decide(two, shelved(Policy.Repeat.BY_KEY, Policy.KeyScope.ALL), T + SECOND));
-        afterWord(RULES.decide(entry(null, tried(T, Result.TIMEOUT, "")), KEYED, T + SECOND), "several places");
+        afterWord(RULES.decide(two, KEYED, T + SECOND, T - DAY), "several places");
+        now(RULES.decide(two, shelved(Policy.Repeat.BY_KEY, Policy.KeyScope.ALL), T + SECOND, T - DAY));
+        afterWord(RULES.decide(entry(null, tried(T, Result.TIMEOUT, "")), KEYED, T + SECOND, T - DAY), "several places");
     }
 
     @Test
     void windowIsNotMeasuredAcrossARestartNorByAClockThatWasSetBack() {
         Entry one = entry(null, tried(T, Result.TIMEOUT, "b0"));
-        afterWord(new Rules(T + SECOND, SECOND, SECOND).decide(one, KEYED, T + 2 * SECOND), "restart");
-        afterWord(RULES.decide(one, KEYED, T - 5 * SECOND), "clock");
-        afterWord(RULES.decide(one, KEYED, T + DAY), "over");
+        afterWord(RULES.decide(one, KEYED, T + 2 * SECOND, T + SECOND), "restart");
+        afterWord(RULES.decide(one, KEYED, T - 5 * SECOND, T - DAY), "clock");
+        afterWord(RULES.decide(one, KEYED, T + DAY, T - DAY), "over");
     }
 
     @Test
     void shelfLifeEndsWhatGoesByItself() {
-        now(RULES.decide(entry(null, tried(Result.TIMEOUT)), SAFE, T + DAY - 1));
-        afterWord(RULES.decide(entry(null, tried(Result.TIMEOUT)), SAFE, T + DAY + 1), "shelf life");
-        afterWord(RULES.decide(entry(null, tried(Result.FULL)), UNSAFE, T + DAY + 1), "shelf life");
-        now(RULES.decide(entry(new Entry.Word("clerk", "still wanted", 1, T), tried(Result.FULL)), UNSAFE, T + 2 * DAY));
+        now(RULES.decide(entry(null, tried(Result.TIMEOUT)), SAFE, T + DAY - 1, T - DAY));
+        afterWord(RULES.decide(entry(null, tried(Result.TIMEOUT)), SAFE, T + DAY + 1, T - DAY), "shelf life");
+        afterWord(RULES.decide(entry(null, tried(Result.FULL)), UNSAFE, T + DAY + 1, T - DAY), "shelf life");
+        now(RULES.decide(entry(new Entry.Word("clerk", "still wanted", 1, T), tried(Result.FULL)), UNSAFE, T + 2 * DAY, T - DAY));
     }
 
     @Test
@@ -132,6 +132,6 @@
 
     @Test
     void classThatIsNotKnownAnyMoreNeedsAWord() {
-        afterWord(RULES.decide(entry(null), null, T), "not known any more");
+        afterWord(RULES.decide(entry(null), null, T, T - DAY), "not known any more");
     }
 }
--- a/src/test/java/pipitstage/undeliverable/SqliteShelfTest.java
+++ b/src/test/java/pipitstage/undeliverable/SqliteShelfTest.java
@@ -79,7 +79,7 @@
         shelf.resent(id, List.of(), Entry.State.KEPT, 0, "");
         assertEquals(Entry.State.DELIVERED, shelf.get(id).orElseThrow().state());
         assertEquals(Ran.DID, shelf.get(id).orElseThrow().ran());
-        assertEquals(List.of(), shelf.due(Long.MAX_VALUE - 1, 9));
+        assertEquals(List.of(), shelf.due(Long.MAX_VALUE - 1, Integer.MIN_VALUE, 9));
     }
 
     @Test
@@ -90,7 +90,7 @@
         }
         shelf.put(entry("b", 2, 500));
         shelf.put(entry("c", 3, 5_000));
-        assertEquals(List.of("a0", "b"), shelf.due(1_000, 64).stream().map(e -> e.content().callId()).toList());
+        assertEquals(List.of("a0", "b"), shelf.due(1_000, Integer.MIN_VALUE, 64).stream().map(e -> e.content().callId()).toList());
     }
 
     @Test
