Keep the proof that recalled a resend in the entry's reason

The state itself was right.

Change: an entry that is delivered keeps its reason. SqliteShelfTest fails without it; the test passes.

--- a/src/main/java/pipitstage/undeliverable/store/SqliteShelf.java
+++ b/src/main/java/pipitstage/undeliverable/store/SqliteShelf.java
@@ -370,8 +370,10 @@
             Entry entry = one(id).orElse(null);
             if (entry != null) {
                 add(id, entry.tries().size(), more);
-                change("UPDATE entry SET state = CASE WHEN state = 'DELIVERED' THEN state ELSE ? END, due = ?, why = ?,"
-                        + " resends = resends + 1 WHERE id = ?", state.name(), due, why, id);
+                // Guards against a resend that is recalled and would write over the proof that recalled it.
+                change("UPDATE entry SET state = CASE WHEN state = 'DELIVERED' THEN state ELSE ? END, due = ?,"
+                        + " why = CASE WHEN state = 'DELIVERED' THEN why ELSE ? END, resends = resends + 1 WHERE id = ?",
+                        state.name(), due, why, id);
                 settleRan(id);
             }
             return null;
--- a/src/test/java/pipitstage/undeliverable/SqliteShelfTest.java
+++ b/src/test/java/pipitstage/undeliverable/SqliteShelfTest.java
@@ -76,7 +76,8 @@
         long id = open().put(entry("m1", 7, 900, Result.TIMEOUT));
         shelf.learn(id, new Entry.Try("r0", "b0", 100, Result.OK));
         shelf.learn(id, new Entry.Try("r0", "b0", 100, Result.NOT_SENT));
-        shelf.resent(id, List.of(), Entry.State.KEPT, 0, "");
+        shelf.resent(id, List.of(), Entry.State.KEPT, 0, "sent again: FULL");
+        assertEquals("a late answer", shelf.get(id).orElseThrow().why());
         assertEquals(Entry.State.DELIVERED, shelf.get(id).orElseThrow().state());
         assertEquals(Ran.DID, shelf.get(id).orElseThrow().ran());
         assertEquals(List.of(), shelf.due(Long.MAX_VALUE - 1, Integer.MIN_VALUE, 9));
