Refuse only the class that fails where the store is full, and bound the database itself

A full store refused all new work, stayed full in the desk's eyes where age alone made room, and a full database hid its reason: SQLite had ended the transaction, so the rollback failed and its message was told instead. Now a class is refused only once something of it had to be kept since the store filled; a look that removes measures again; a failed rollback is told beside the cause; and the database has a limit of its own, which the test fills for real. Starting a relay as a process stood five times and stands in pipitstage.standin.ServedRelay now.

--- a/src/main/java/pipitstage/cli/DemoCommand.java
+++ b/src/main/java/pipitstage/cli/DemoCommand.java
@@ -12,13 +12,12 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 import pipitstage.config.tool.Tool;
+import pipitstage.standin.ServedRelay;
 import pipitstage.standin.StandInClient;
 import pipitstage.standin.StandInDiscovery;
 import pipitstage.standin.StandInPartner;
@@ -28,7 +27,6 @@
     "Writes a relay file, starts the relay with two partners and a client on loopback, and tells what became of each"
         + " class.", "One partner has a limit, the other fails for a while. Leaves nothing behind."})
 final class DemoCommand implements Callable<Integer> {
-    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
     private static final int LIMIT = 20;
     private static final int RATE = 20;
     private static final long PATIENCE_S = 20;
@@ -76,49 +74,27 @@
 
     private void run(PrintWriter out, Path folder, Path relayFile, StandInPartner limited, StandInPartner failing,
             StandInDiscovery platform) throws IOException, InterruptedException {
-        Path log = folder.resolve("relay.log");
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx72m",
-                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "serve", "--config", relayFile.toString())
-                .redirectErrorStream(true).redirectOutput(log.toFile());
-        // The demonstration keeps nothing, so its journal may lie among temporary files.
-        builder.environment().remove("TMPDIR");
-        Process relay = builder.start();
+        ServedRelay relay = ServedRelay.start(relayFile, folder.resolve("relay.log"), "-Xmx72m");
         // Guards against a relay that outlives a demonstration that was broken off.
-        Thread ending = new Thread(relay::destroyForcibly);
+        Thread ending = new Thread(relay.process()::destroyForcibly);
         Runtime.getRuntime().addShutdownHook(ending);
         try {
-            Matcher at = serving(relay, log);
-            out.println("the relay serves on " + at.group(1) + ":" + at.group(2));
+            relay.awaitServing();
+            out.println("the relay serves on " + relay.host() + ":" + relay.port());
             out.flush();
             Map<String, Tally> tallies = new LinkedHashMap<>();
             CLASSES.forEach(name -> tallies.put(name, new Tally()));
-            try (StandInClient client = new StandInClient(at.group(1), Integer.parseInt(at.group(2)))) {
+            try (StandInClient client = relay.client()) {
                 handIn(out, client, tallies, limited, failing);
             }
             awaitEnds(tallies, limited, failing, platform);
             report(out, tallies, limited, failing, platform);
         } finally {
-            relay.destroy();
-            if (!relay.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
-                relay.destroyForcibly();
-            }
+            relay.stop();
             Runtime.getRuntime().removeShutdownHook(ending);
         }
     }
 
-    private static Matcher serving(Process relay, Path log) throws IOException, InterruptedException {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
-        while (System.nanoTime() < end && relay.isAlive()) {
-            Matcher at = SERVING.matcher(Files.readString(log));
-            if (at.find()) {
-                return at;
-            }
-            Thread.sleep(20);
-        }
-        throw new IOException("the relay does not serve: " + Files.readString(log).strip());
-    }
-
     private void handIn(PrintWriter out, StandInClient client, Map<String, Tally> tallies, StandInPartner limited,
             StandInPartner failing) throws IOException, InterruptedException {
         long start = System.nanoTime();
--- a/src/main/java/pipitstage/config/schema/Schema.java
+++ b/src/main/java/pipitstage/config/schema/Schema.java
@@ -113,8 +113,8 @@
         may("undeliverable.entries", WHOLE, "100000", 1, 100_000_000, "How many there may be.");
         may("undeliverable.high", NUMBER, "0.9", 0.1, 1, "Share of the limit from which on the store is full.");
         may("undeliverable.low", NUMBER, "0.8", 0.1, 1, "Share of the limit below which it is not full any more.");
-        word("undeliverable.when-full", "refuse", List.of("refuse", "log"), "A full store refuses new work, or lets it go"
-                + " on and logs each message that could not be kept as lost.");
+        word("undeliverable.when-full", "refuse", List.of("refuse", "log"), "A full store refuses new work of each class"
+                + " that fails, or lets it go on and logs each message that could not be kept as lost.");
         may("undeliverable.age", SPAN, "30d", SECOND, YEAR, "Entries that are delivered or discarded are removed then.");
         may("undeliverable.pace", RATE, "1/s", 1e-4, 1_000, "Messages sent again to one destination, at the most.");
         may("undeliverable.pause", SPAN, "1s", 100 * MS, DAY, "Between two tries of one entry; doubles up to 64 times.");
--- a/src/main/java/pipitstage/relay/Keeping.java
+++ b/src/main/java/pipitstage/relay/Keeping.java
@@ -30,7 +30,7 @@
             shelves.put(type.name(), new Rules.Shelved(type, k.shelfLives().get(type.name())));
         }
         try {
-            thread = new ShelfThread(SqliteShelf.open(config.state()), loop);
+            thread = new ShelfThread(SqliteShelf.open(config.state(), k.limit()), loop);
         } catch (Shelf.ShelfException e) {
             throw new IOException(e.getMessage(), e);
         }
--- /dev/null
+++ b/src/main/java/pipitstage/standin/ServedRelay.java
@@ -0,0 +1,109 @@
+package pipitstage.standin;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A relay that serves by its relay file, as a process of its own with the class path of this one. */
+public final class ServedRelay implements AutoCloseable {
+    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+    private static final String MAIN = "pipitstage.cli.Main";
+    private static final int PATIENCE_S = 30;
+    private static final int LOOK_MS = 20;
+
+    private final Process process;
+    private final Path log;
+
+    private ServedRelay(Process process, Path log) {
+        this.process = process;
+        this.log = log;
+    }
+
+    /**
+     * Starts one; it may not serve yet when this returns.
+     *
+     * @param log what it prints goes there
+     * @param options of its virtual machine
+     */
+    public static ServedRelay start(Path file, Path log, String... options) throws IOException {
+        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC"));
+        line.addAll(List.of(options));
+        line.addAll(List.of("-cp", System.getProperty("java.class.path"), MAIN, "serve", "--config", file.toString()));
+        ProcessBuilder builder = new ProcessBuilder(line).redirectErrorStream(true).redirectOutput(log.toFile());
+        // Its folder may lie among temporary files here, which a relay rightly refuses where they may be removed.
+        builder.environment().remove("TMPDIR");
+        return new ServedRelay(builder.start(), log);
+    }
+
+    /**
+     * Waits until it serves.
+     *
+     * @throws IOException with what it printed, where it ended or took too long
+     */
+    public ServedRelay awaitServing() throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!serving().find()) {
+            if (System.nanoTime() > end || !process.isAlive()) {
+                throw new IOException("the relay does not serve: " + log().strip());
+            }
+            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+        }
+        return this;
+    }
+
+    private Matcher serving() throws IOException {
+        return SERVING.matcher(log());
+    }
+
+    private Matcher served() throws IOException {
+        Matcher at = serving();
+        if (!at.find()) {
+            throw new IOException("the relay does not serve: " + log().strip());
+        }
+        return at;
+    }
+
+    /** The address of its first front. */
+    public String host() throws IOException {
+        return served().group(1);
+    }
+
+    /** The port of its first front. */
+    public int port() throws IOException {
+        return Integer.parseInt(served().group(2));
+    }
+
+    /** A new client of its first front, which speaks HTTP/1.1. */
+    public StandInClient client() throws IOException {
+        return new StandInClient(host(), port());
+    }
+
+    /** All that it has printed. */
+    public String log() throws IOException {
+        return Files.readString(log);
+    }
+
+    public Process process() {
+        return process;
+    }
+
+    /** Asks it to end, and ends it where it does not. */
+    public void stop() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+            close();
+        }
+    }
+
+    /** Kills it, and returns when it is gone. */
+    @Override
+    public void close() {
+        process.destroyForcibly().onExit().join();
+    }
+}
--- a/src/main/java/pipitstage/undeliverable/Desk.java
+++ b/src/main/java/pipitstage/undeliverable/Desk.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import pipitstage.Policy;
 import pipitstage.Policy.ListKind;
@@ -31,7 +33,8 @@
      * @param high bytes from which on the shelf is full
      * @param low bytes below which it is not full any more
      * @param most entries from which on it is full
-     * @param refuseWhenFull new work is refused then; otherwise it goes on, and what fails is logged as lost
+     * @param refuseWhenFull new work of a class that has failed meanwhile is refused then; otherwise it goes on, and
+     *        what fails is logged as lost
      * @param age microseconds after which entries that are over are removed
      */
     public record Options(Map<String, Rules.Shelved> shelves, Rules rules, double pace, long high, long low,
@@ -49,6 +52,9 @@
         private int out;
     }
 
+    /** What a look has found: entries that are due, and the size where something was removed. */
+    private record Looked(List<Entry> due, Shelf.Size smaller) { }
+
     private final Timers timers;
     private final Clock clock;
     private final Engine engine;
@@ -61,6 +67,8 @@
     /** What the shelf has not taken yet, since its queue was full or it failed; the journal holds all of it. */
     private final ArrayDeque<Runnable> again = new ArrayDeque<>();
     private boolean full;
+    /** Classes of which something had to be kept since the store was last found not full. */
+    private final Set<String> failing = new HashSet<>();
     private boolean looking;
     private boolean paused;
     private int lastLane = Integer.MIN_VALUE;
@@ -123,12 +131,13 @@
 
     @Override
     public boolean refuses(Message.Content content) {
-        return full && options.refuseWhenFull();
+        return full && options.refuseWhenFull() && failing.contains(content.requestClass());
     }
 
     @Override
     public void keep(Message message) {
         Entry entry = entry(message);
+        failing.add(message.content().requestClass());
         insist(s -> {
             s.put(entry);
             return s.size();
@@ -199,9 +208,15 @@
             looking = true;
             long now = clock.micros();
             boolean taken = submit(s -> {
-                s.removeSettled(now - options.age(), MOST_REMOVED);
-                return s.due(now, lastLane, MOST_DUE);
-            }, this::release);
+                // Guards against a store that stays full in the desk's eyes, where it has become smaller by age alone.
+                Shelf.Size smaller = s.removeSettled(now - options.age(), MOST_REMOVED) > 0 ? s.size() : null;
+                return new Looked(s.due(now, lastLane, MOST_DUE), smaller);
+            }, looked -> {
+                if (looked.smaller() != null) {
+                    measured(looked.smaller());
+                }
+                release(looked.due());
+            });
             looking &= taken;
         }
     }
@@ -346,6 +361,7 @@
             full = true;
         } else if (size.bytes() < options.low() && size.entries() < options.most()) {
             full = false;
+            failing.clear();
         }
         if (full != wasFull) {
             Log.line("undeliverable: the store is " + (full ? "full: " : "not full any more: ") + size.entries()
--- a/src/main/java/pipitstage/undeliverable/store/SqliteShelf.java
+++ b/src/main/java/pipitstage/undeliverable/store/SqliteShelf.java
@@ -10,9 +10,7 @@
 import java.sql.SQLException;
 import java.sql.Statement;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.sqlite.SQLiteConfig;
@@ -32,6 +30,7 @@
     public static final String NAME = "undeliverable.db";
     private static final int VERSION = 1;
     private static final int BUSY_MS = 2_000;
+    private static final byte[] NO_BODY = new byte[0];
 
     private static final String[] TABLES = {
         "CREATE TABLE entry (id INTEGER PRIMARY KEY AUTOINCREMENT, call_id TEXT NOT NULL, class TEXT NOT NULL,"
@@ -61,15 +60,16 @@
      * Opens the file of a folder, or makes it. A file that is no database, or a damaged one, is set aside whole, and
      * service goes on with a new one.
      *
+     * @param most bytes that the database itself never grows beyond: what would is turned away whole
      * @throws ShelfException where there can be none, as on a full or read-only disk
      */
-    public static SqliteShelf open(Path folder) {
+    public static SqliteShelf open(Path folder, long most) {
         Path file = folder.resolve(NAME);
         try {
             Files.createDirectories(folder);
-            return opened(file);
+            return opened(file, most);
         } catch (DamagedException e) {
-            return anew(file, e);
+            return anew(file, most, e);
         } catch (SQLException | IOException e) {
             throw new ShelfException("undeliverable: " + file + " can't be opened: " + e.getMessage(), e);
         }
@@ -83,7 +83,7 @@
         }
     }
 
-    private static SqliteShelf anew(Path file, DamagedException damage) {
+    private static SqliteShelf anew(Path file, long most, DamagedException damage) {
         try {
             Path aside = file.resolveSibling(NAME + ".damaged-" + System.currentTimeMillis());
             Files.move(file, aside, StandardCopyOption.ATOMIC_MOVE);
@@ -95,13 +95,13 @@
             }
             Log.line("undeliverable: " + file + " is damaged (" + damage.getMessage() + ") and set aside as "
                     + aside.getFileName());
-            return opened(file);
+            return opened(file, most);
         } catch (SQLException | IOException | DamagedException e) {
             throw new ShelfException("undeliverable: " + file + " can't be made: " + e.getMessage(), e);
         }
     }
 
-    private static SqliteShelf opened(Path file) throws SQLException, DamagedException {
+    private static SqliteShelf opened(Path file, long most) throws SQLException, DamagedException {
         SQLiteConfig config = new SQLiteConfig();
         config.setJournalMode(SQLiteConfig.JournalMode.WAL);
         config.setSynchronous(SQLiteConfig.SynchronousMode.NORMAL);
@@ -112,6 +112,7 @@
             db = config.createConnection("jdbc:sqlite:" + file);
             SqliteShelf shelf = new SqliteShelf(db);
             shelf.check();
+            shelf.bound(most);
             return shelf;
         } catch (SQLException e) {
             close(db);
@@ -165,6 +166,17 @@
         }
     }
 
+    /** Guards against a database that takes the disk which the journal needs, whatever else fails to bound it. */
+    private void bound(long most) throws SQLException {
+        try (Statement statement = db.createStatement()) {
+            long page;
+            try (ResultSet result = statement.executeQuery("PRAGMA page_size")) {
+                page = result.getLong(1);
+            }
+            statement.execute("PRAGMA max_page_count = " + Math.max(1, most / page));
+        }
+    }
+
     /** Guards, by one transaction, against a kill that leaves half of the tables. */
     private void make(Statement statement) throws SQLException {
         statement.execute("BEGIN IMMEDIATE");
@@ -185,18 +197,34 @@
             try {
                 T result = work.run();
                 db.commit();
+                db.setAutoCommit(true);
                 return result;
             } catch (SQLException | RuntimeException e) {
-                db.rollback();
+                takeBack(e);
                 throw e;
-            } finally {
-                db.setAutoCommit(true);
             }
         } catch (SQLException e) {
             throw new ShelfException("undeliverable: the store fails: " + e.getMessage(), e);
         }
     }
 
+    /**
+     * Ends a failed transaction. Guards against a failure to do so, as where the disk is full and the database has
+     * ended it already, that would hide why it failed.
+     */
+    private void takeBack(Exception why) {
+        try {
+            db.rollback();
+        } catch (SQLException e) {
+            why.addSuppressed(e);
+        }
+        try {
+            db.setAutoCommit(true);
+        } catch (SQLException e) {
+            why.addSuppressed(e);
+        }
+    }
+
     private PreparedStatement prepare(String sql, Object... values) throws SQLException {
         PreparedStatement statement = db.prepareStatement(sql);
         for (int i = 0; i < values.length; i++) {
@@ -252,19 +280,22 @@
     private static final String COLUMNS = "SELECT id, call_id, class, tenant, key, destination, deadline, kept_at, why,"
             + " told, state, due, resends, word_by, word_reason, word_tries, word_at, ";
 
+    /** Reads by number: names are looked up anew for every value. */
+    private static Entry row(ResultSet r) throws SQLException {
+        byte[] body = r.getBytes(18);
+        String by = r.getString(14);
+        Entry.Word word = by == null ? null : new Entry.Word(by, r.getString(15), r.getInt(16), r.getLong(17));
+        return new Entry(r.getLong(1), new Message.Content(r.getString(2), r.getString(3), r.getString(4),
+                r.getString(5), r.getLong(7), r.getInt(6), body == null ? NO_BODY : body), r.getLong(8),
+                r.getString(9), r.getString(10), Entry.State.valueOf(r.getString(11)), r.getLong(12), word,
+                r.getInt(13), new ArrayList<>(1));
+    }
+
     private List<Entry> read(PreparedStatement statement) throws SQLException {
         List<Entry> entries = new ArrayList<>();
         try (statement; ResultSet r = statement.executeQuery()) {
             while (r.next()) {
-                long id = r.getLong("id");
-                byte[] body = r.getBytes("body");
-                Entry.Word word = r.getString("word_by") == null ? null : new Entry.Word(r.getString("word_by"),
-                        r.getString("word_reason"), r.getInt("word_tries"), r.getLong("word_at"));
-                entries.add(new Entry(id, new Message.Content(r.getString("call_id"), r.getString("class"),
-                        r.getString("tenant"), r.getString("key"), r.getLong("deadline"), r.getInt("destination"),
-                        body == null ? new byte[0] : body), r.getLong("kept_at"), r.getString("why"),
-                        r.getString("told"), Entry.State.valueOf(r.getString("state")), r.getLong("due"), word,
-                        r.getInt("resends"), new ArrayList<>()));
+                entries.add(row(r));
             }
         }
         if (!entries.isEmpty()) {
@@ -273,18 +304,20 @@
         return entries;
     }
 
-    /** Fills the attempts of entries, which are in the order of their numbers, by one query. */
+    /** Fills the attempts of entries, which are in the order of their numbers, by one query in the same order. */
     private void addTries(List<Entry> entries) throws SQLException {
-        Map<Long, Entry> byId = new HashMap<>();
-        entries.forEach(e -> byId.put(e.id(), e));
         try (PreparedStatement statement = prepare("SELECT entry, route, building, sent_at, result FROM try WHERE"
                 + " entry BETWEEN ? AND ? ORDER BY entry, n", entries.get(0).id(),
                 entries.get(entries.size() - 1).id()); ResultSet r = statement.executeQuery()) {
+            int at = 0;
             while (r.next()) {
-                Entry entry = byId.get(r.getLong(1));
-                if (entry != null) {
+                long id = r.getLong(1);
+                while (at < entries.size() && entries.get(at).id() < id) {
+                    at++;
+                }
+                if (at < entries.size() && entries.get(at).id() == id) {
                     String result = r.getString(5);
-                    entry.tries().add(new Entry.Try(r.getString(2), r.getString(3), r.getLong(4),
+                    entries.get(at).tries().add(new Entry.Try(r.getString(2), r.getString(3), r.getLong(4),
                             result == null ? null : Result.valueOf(result)));
                 }
             }
--- a/src/test/java/pipitstage/config/WrittenFilesPropertyTest.java
+++ b/src/test/java/pipitstage/config/WrittenFilesPropertyTest.java
@@ -12,24 +12,21 @@
 import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.LongRange;
 import net.jqwik.api.lifecycle.AfterContainer;
-import pipitstage.cli.Main;
 import pipitstage.config.plan.Surroundings;
 import pipitstage.config.tool.CheckedFile;
 import pipitstage.config.tool.Tool;
 import pipitstage.relay.RelayProcess;
+import pipitstage.standin.ServedRelay;
 import pipitstage.standin.StandInClient;
 import pipitstage.standin.StandInPartner;
 
 /** Any application file that the tool accepts gives a relay file that checks clean and a relay that delivers. */
 class WrittenFilesPropertyTest {
-    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
     private static final AtomicInteger ACCEPTED = new AtomicInteger();
     private static final AtomicInteger REFUSED = new AtomicInteger();
 
@@ -133,20 +130,9 @@
 
     private static void serveOneOfEach(Path folder, CheckedFile app, List<StandInPartner> partners) throws Exception {
         Tool.Outcome outcome = Tool.write(folder.resolve("app.toml"), folder, false);
-        Path log = folder.resolve("log");
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-XX:TieredStopAtLevel=1", "-Xmx48m", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "serve", "--config", outcome.file().toString()).redirectErrorStream(true)
-                .redirectOutput(log.toFile());
-        // The folders of tests lie among temporary ones, which the relay would rightly refuse.
-        builder.environment().remove("TMPDIR");
-        Process relay = builder.start();
-        try {
-            RelayProcess.await(() -> SERVING.matcher(read(log)).find());
-            Matcher at = SERVING.matcher(read(log));
-            assertTrue(at.find());
+        try (ServedRelay relay = ServedRelay.start(outcome.file(), folder.resolve("log"), "-Xmx48m").awaitServing()) {
             List<String> ids = new ArrayList<>();
-            try (StandInClient client = new StandInClient(at.group(1), Integer.parseInt(at.group(2)))) {
+            try (StandInClient client = relay.client()) {
                 assertTrue(client.isReady());
                 for (var type : app.declared().classes()) {
                     var partner = app.declared().partners().stream()
@@ -158,15 +144,13 @@
                             return client.handIn(type.name(), type.name(), null, "k-" + type.name(), partner.number(),
                                     type.deadline() / 1000, "body") == 202;
                         } catch (IOException e) {
-                            throw new AssertionError(read(log) + outcome.after(), e);
+                            throw new AssertionError(read(folder.resolve("log")) + outcome.after(), e);
                         }
                     });
                 }
             }
             RelayProcess.await(() -> ids.stream().allMatch(id -> partners.stream()
                     .anyMatch(p -> p.effects().containsKey(id))));
-        } finally {
-            relay.destroyForcibly().waitFor();
         }
     }
 
--- a/src/test/java/pipitstage/relay/RelayFileTest.java
+++ b/src/test/java/pipitstage/relay/RelayFileTest.java
@@ -11,61 +11,42 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pipitstage.cli.Main;
 import pipitstage.config.tool.Tool;
+import pipitstage.standin.ServedRelay;
 import pipitstage.standin.StandInClient;
 import pipitstage.standin.StandInDiscovery;
 import pipitstage.standin.StandInPartner;
 
 /** A relay that runs by a relay file alone, and what it loads. */
 class RelayFileTest {
-    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
 
     @TempDir
     Path folder;
-    private final List<Process> processes = new ArrayList<>();
-    private Path log;
+    private final List<ServedRelay> relays = new ArrayList<>();
 
     @AfterEach
     void end() throws InterruptedException {
-        for (Process process : processes) {
-            process.destroyForcibly().waitFor();
+        for (ServedRelay relay : relays) {
+            relay.close();
         }
     }
 
-    private Process start(Path file, String... options) throws IOException {
-        log = folder.resolve("log" + processes.size());
-        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-XX:TieredStopAtLevel=1", "-Xmx32m"));
-        line.addAll(List.of(options));
-        line.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config",
-                file.toString()));
-        ProcessBuilder builder = new ProcessBuilder(line).redirectErrorStream(true).redirectOutput(log.toFile());
-        // The folders of tests lie among temporary ones, which the relay would rightly refuse.
-        builder.environment().remove("TMPDIR");
-        Process process = builder.start();
-        processes.add(process);
-        return process;
+    private ServedRelay start(Path file, String... options) throws IOException {
+        ServedRelay relay = ServedRelay.start(file, folder.resolve("log" + relays.size()), options);
+        relays.add(relay);
+        return relay;
     }
 
-    private String log() {
-        try {
-            return Files.readString(log);
-        } catch (IOException e) {
-            return "";
-        }
+    private String log() throws IOException {
+        return relays.get(relays.size() - 1).log();
     }
 
-    private StandInClient client() {
-        await(() -> SERVING.matcher(log()).find());
-        Matcher at = SERVING.matcher(log());
-        assertTrue(at.find());
-        return new StandInClient(at.group(1), Integer.parseInt(at.group(2)));
+    private StandInClient client() throws Exception {
+        return relays.get(relays.size() - 1).awaitServing().client();
     }
 
     /** As a client does, again while the relay refuses: one that is short of CPU at its start does. */
@@ -150,11 +131,11 @@
         try (StandInPartner partner = new StandInPartner(5, 0)) {
             Path file = written("", endpoint(partner));
             partner.be(StandInPartner.Mood.SHUT);
-            Process first = start(file);
+            ServedRelay first = start(file);
             try (StandInClient client = client()) {
                 assertEquals(202, handIn(client, "s1", 7));
             }
-            first.destroyForcibly().waitFor();
+            first.close();
             partner.be(StandInPartner.Mood.WELL);
             start(file);
             await(() -> partner.effects().containsKey("s1") || ends().contains("s1"));
@@ -180,6 +161,14 @@
         }
     }
 
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     private static boolean isReady(StandInClient client) {
         try {
             return client.isReady();
@@ -193,14 +182,14 @@
         try (var files = Files.list(Path.of("src/test/resources/config/broken"))) {
             for (Path file : files.filter(f -> f.toString().matches(".*(idle-beyond|slots-below|span-huge).*toml"))
                     .toList()) {
-                Process process = start(file);
+                Process process = start(file).process();
                 assertTrue(process.waitFor(30, TimeUnit.SECONDS));
                 assertEquals(2, process.exitValue());
                 assertEquals("loftflow: " + Tool.check(file).get(0), log().lines().findFirst().orElse(""));
                 assertFalse(log().contains("serving"), log());
             }
         }
-        Process process = start(Path.of("src/test/resources/config/base.toml"));
+        Process process = start(Path.of("src/test/resources/config/base.toml")).process();
         assertTrue(process.waitFor(30, TimeUnit.SECONDS));
         assertTrue(log().contains("is no relay file; loftflow config write makes one"), log());
     }
@@ -215,13 +204,18 @@
                     || log().contains("pipitstage.standin"), "the command line is loaded");
         }
         Path classes = folder.resolve("classes");
+        Path log = folder.resolve("platform");
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
                 "-Xlog:class+load:file=" + classes, "-cp", System.getProperty("java.class.path"), Main.class.getName(),
                 "serve").redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("EDGE_CONFIG", "deploy/training.json");
         builder.environment().put("EDGE_STATE", folder.resolve("training").toString());
-        processes.add(builder.start());
-        await(() -> SERVING.matcher(log()).find());
+        Process relay = builder.start();
+        try {
+            await(() -> read(log).contains("serving on"));
+        } finally {
+            relay.destroyForcibly().waitFor();
+        }
         String loaded = Files.readString(classes);
         assertTrue(loaded.contains("pipitstage.config.Config "), "the log of classes works");
         for (String unused : List.of("org.tomlj", "org.antlr", "picocli", "pipitstage.config.plan",
--- a/src/test/java/pipitstage/relay/UndeliverableTest.java
+++ b/src/test/java/pipitstage/relay/UndeliverableTest.java
@@ -23,19 +23,17 @@
 import pipitstage.admin.AdminClient;
 import pipitstage.cli.Main;
 import pipitstage.config.tool.Tool;
+import pipitstage.standin.ServedRelay;
 import pipitstage.standin.StandInClient;
 import pipitstage.standin.StandInPartner;
 import pipitstage.standin.StandInPartner.Mood;
 
 /** What could not be delivered, with the real program, real sockets and a partner that records every posting. */
 class UndeliverableTest {
-    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
-
     @TempDir
     Path folder;
     private StandInPartner partner;
-    private Process relay;
-    private Path log;
+    private ServedRelay relay;
     private int starts;
 
     @BeforeEach
@@ -46,7 +44,7 @@
     @AfterEach
     void end() throws Exception {
         if (relay != null) {
-            relay.destroyForcibly().waitFor();
+            relay.close();
         }
         partner.close();
     }
@@ -98,20 +96,13 @@
         return outcome.file();
     }
 
-    private void start(Path file) throws IOException {
-        log = folder.resolve("log" + starts++);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-XX:TieredStopAtLevel=1", "-Xmx48m", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "serve", "--config", file.toString()).redirectErrorStream(true)
-                .redirectOutput(log.toFile());
-        builder.environment().remove("TMPDIR");
-        relay = builder.start();
-        await(() -> SERVING.matcher(log()).find());
+    private void start(Path file) throws Exception {
+        relay = ServedRelay.start(file, folder.resolve("log" + starts++), "-Xmx48m").awaitServing();
     }
 
     private String log() {
         try {
-            return Files.readString(log);
+            return relay.log();
         } catch (IOException e) {
             return "";
         }
@@ -132,9 +123,7 @@
     }
 
     private int handInOnce(String id, String type) throws IOException {
-        Matcher at = SERVING.matcher(log());
-        assertTrue(at.find());
-        try (StandInClient client = new StandInClient(at.group(1), Integer.parseInt(at.group(2)))) {
+        try (StandInClient client = relay.client()) {
             return client.handIn(id, type, null, "key-" + id, 7, 3000, "body of " + id);
         }
     }
@@ -280,7 +269,7 @@
                 }
             }
             Thread.sleep(300 + random.nextInt(4_000));
-            relay.destroyForcibly().waitFor();
+            relay.close();
         }
         partner.be(Mood.WELL);
         start(file);
@@ -296,7 +285,7 @@
         partner.be(Mood.RESETS);
         assertEquals(202, handIn("s1", "settlement"));
         await(() -> lists("\"ref\":\"s1\"", "\"state\":\"kept\""));
-        relay.destroyForcibly().waitFor();
+        relay.close();
         assertEquals(0, command("list"));
         assertTrue(Files.readString(folder.resolve("out")).contains("settlement"));
         assertEquals(0, command("show", "1"));
--- a/src/test/java/pipitstage/undeliverable/Campaign.java
+++ b/src/test/java/pipitstage/undeliverable/Campaign.java
@@ -237,7 +237,7 @@
             return () -> off[0] = true;
         };
         journal = new Journal(folder.resolve("journal"), DISK);
-        shelf = SqliteShelf.open(folder);
+        shelf = SqliteShelf.open(folder, 1 << 30);
         engine = new Engine(timers, clock, settings, 5_000, new KillableJournal(), Logic::new);
         Map<String, Rules.Shelved> shelves = new HashMap<>();
         settings.classes().forEach(t -> shelves.put(t.name(), new Rules.Shelved(t, 60 * SECOND)));
--- a/src/test/java/pipitstage/undeliverable/DeskTest.java
+++ b/src/test/java/pipitstage/undeliverable/DeskTest.java
@@ -58,7 +58,7 @@
 
     @BeforeEach
     void prepare() {
-        shelf = SqliteShelf.open(folder);
+        shelf = SqliteShelf.open(folder, 1 << 30);
         Policy.Settings settings = new Policy.Settings(3, 0, 1, "b0", List.of(
                 new Policy.RequestClass("keyed", Policy.Repeat.BY_KEY, Policy.KeyScope.ZONE, WINDOW, SECOND, 2 * SECOND,
                         1, 0.5, false),
@@ -366,4 +366,27 @@
         assertTrue(told.get(0) instanceof Rules.Later, told.toString());
         assertEquals(Entry.State.KEPT, entry("m1").state());
     }
+
+    private static Message.Content content(String type) {
+        return new Message.Content("new", type, null, "key-new", Long.MAX_VALUE, 7, new byte[1]);
+    }
+
+    @Test
+    void fullStoreRefusesTheClassThatFailsAlone() {
+        for (int i = 0; i < 999; i++) {
+            shelf.put(new Entry(0, new Message.Content("old" + i, "unsafe", null, null, i, 7, new byte[1]), now, "",
+                    "failed", Entry.State.DISCARDED, Entry.NEVER_DUE, null, 0, List.of()));
+        }
+        fate = (route, attempt) -> Result.RESET;
+        assertFalse(desk.refuses(content("unsafe")));
+        handIn("m1", "unsafe");
+        pass(3 * SECOND);
+        assertEquals(1_000, shelf.size().entries());
+        assertTrue(desk.refuses(content("unsafe")), "the store is full, and this class is what fills it");
+        assertFalse(desk.refuses(content("keyed")), "nothing of this class has failed");
+        now += 3_600 * SECOND;
+        pass(2 * SECOND);
+        assertTrue(shelf.size().entries() < 1_000, "what is over goes by age");
+        assertFalse(desk.refuses(content("unsafe")), "there is room again, though nothing new was kept");
+    }
 }
--- a/src/test/java/pipitstage/undeliverable/Measure.java
+++ b/src/test/java/pipitstage/undeliverable/Measure.java
@@ -10,23 +10,21 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import pipitstage.Policy.Result;
-import pipitstage.cli.Main;
 import pipitstage.config.tool.Tool;
 import pipitstage.engine.Message;
+import pipitstage.standin.ServedRelay;
 import pipitstage.standin.StandInClient;
 import pipitstage.standin.StandInPartner;
 import pipitstage.undeliverable.store.SqliteShelf;
 
 /**
  * Measurements of keeping, each a command: {@code store} (entries a second, lists over 100,000, memory), {@code cost}
- * (a relay with the store on against off, in turns), {@code cold} (a backlog of 10,000 for one destination that returns).
+ * (a relay with the store on against off, in turns), {@code cold} (a backlog of 10,000 for one destination of that limit a second
+ * that returns).
  */
 public final class Measure {
-    private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
-    private static final int LIMIT = 20;
+    private static final int LIVE = 900;
 
     private Measure() { }
 
@@ -34,11 +32,11 @@
     public static void main(String[] args) throws Exception {
         Path folder = Files.createTempDirectory("measure");
         try {
-            switch (args.length == 1 ? args[0] : "") {
+            switch (args.length >= 1 ? args[0] : "") {
                 case "store" -> store(folder);
                 case "cost" -> cost(folder);
-                case "cold" -> cold(folder);
-                default -> System.out.println("store, cost or cold");
+                case "cold" -> cold(folder, Integer.parseInt(args[1]));
+                default -> System.out.println("store, cost or cold LIMIT");
             }
         } finally {
             try (var files = Files.walk(folder)) {
@@ -61,7 +59,7 @@
     private static void store(Path folder) throws Exception {
         Path kept = folder.resolve("many");
         Files.createDirectories(kept);
-        try (Shelf shelf = SqliteShelf.open(kept)) {
+        try (Shelf shelf = SqliteShelf.open(kept, 1 << 30)) {
             long start = System.nanoTime();
             for (int i = 0; i < 100_000; i++) {
                 shelf.put(entry(i, i % 500));
@@ -83,10 +81,10 @@
         }
         try (StandInPartner partner = new StandInPartner(1, 0)) {
             for (String name : List.of("few", "many")) {
-                Process relay = start(folder, application(folder, name, true, partner, 1));
+                ServedRelay relay = start(application(folder, name, true, partner, 1));
                 Thread.sleep(6_000);
-                say("resident with %s entries: %d kB", name.equals("many") ? "100,000" : "no", rss(relay));
-                relay.destroyForcibly().waitFor();
+                say("resident with %s entries: %d kB", name.equals("many") ? "100,000" : "no", rss(relay.process()));
+                relay.close();
             }
         }
     }
@@ -129,25 +127,8 @@
         return outcome.file();
     }
 
-    private static Process start(Path folder, Path file) throws Exception {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-Xmx72m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "serve", "--config", file.toString()).redirectErrorStream(true)
-                .redirectOutput(new java.io.File(file + ".log"));
-        builder.environment().remove("TMPDIR");
-        Process relay = builder.start();
-        while (!SERVING.matcher(Files.readString(Path.of(file + ".log"))).find()) {
-            Thread.sleep(20);
-        }
-        return relay;
-    }
-
-    private static StandInClient client(Path file) throws IOException {
-        Matcher at = SERVING.matcher(Files.readString(Path.of(file + ".log")));
-        if (!at.find()) {
-            throw new IOException("it does not serve");
-        }
-        return new StandInClient(at.group(1), Integer.parseInt(at.group(2)));
+    private static ServedRelay start(Path file) throws Exception {
+        return ServedRelay.start(file, Path.of(file + ".log"), "-Xmx72m").awaitServing();
     }
 
     private static double cpu(Process process) throws IOException {
@@ -162,22 +143,22 @@
 
     private static void cost(Path folder) throws Exception {
         try (StandInPartner partner = new StandInPartner(1, 0)) {
-            Map<Boolean, Process> relays = new HashMap<>();
+            Map<Boolean, ServedRelay> relays = new HashMap<>();
             Map<Boolean, Path> files = new HashMap<>();
             for (boolean keep : new boolean[] {false, true}) {
                 files.put(keep, application(folder, keep ? "on" : "off", keep, partner, 1));
-                relays.put(keep, start(folder, files.get(keep)));
+                relays.put(keep, start(files.get(keep)));
             }
             double[][] sums = new double[2][2];
             for (int round = 0; round < 9; round++) {
                 for (boolean keep : new boolean[] {round % 2 == 0, round % 2 != 0}) {
-                    double before = cpu(relays.get(keep));
+                    double before = cpu(relays.get(keep).process());
                     AtomicLong taken = new AtomicLong();
                     long end = System.nanoTime() + 2_500_000_000L;
                     List<Thread> threads = new ArrayList<>();
                     for (int t = 0; t < 24; t++) {
                         String prefix = round + "-" + keep + "-" + t + "-";
-                        Thread thread = new Thread(() -> push(files.get(keep), prefix, end, taken));
+                        Thread thread = new Thread(() -> push(relays.get(keep), prefix, end, taken));
                         threads.add(thread);
                         thread.start();
                     }
@@ -187,16 +168,16 @@
                     // The first round warms both up.
                     if (round > 0) {
                         sums[keep ? 1 : 0][0] += taken.get();
-                        sums[keep ? 1 : 0][1] += cpu(relays.get(keep)) - before;
+                        sums[keep ? 1 : 0][1] += cpu(relays.get(keep).process()) - before;
                     }
                 }
             }
             say("off: %.0f messages a second, %.0f us CPU each; on: %.0f a second, %.0f us; ratio of rates %.3f, of CPU %.3f",
                     sums[0][0] / 20, sums[0][1] * 1e6 / sums[0][0], sums[1][0] / 20, sums[1][1] * 1e6 / sums[1][0],
                     sums[1][0] / sums[0][0], sums[1][1] / sums[1][0] / (sums[0][1] / sums[0][0]));
-            say("resident: off %d kB, on %d kB", rss(relays.get(false)), rss(relays.get(true)));
-            for (Process relay : relays.values()) {
-                relay.destroyForcibly().waitFor();
+            say("resident: off %d kB, on %d kB", rss(relays.get(false).process()), rss(relays.get(true).process()));
+            for (ServedRelay relay : relays.values()) {
+                relay.close();
             }
             try (Shelf shelf = SqliteShelf.reading(folder.resolve("on"))) {
                 say("kept meanwhile: %d", shelf.size().entries());
@@ -204,8 +185,8 @@
         }
     }
 
-    private static void push(Path file, String prefix, long end, AtomicLong taken) {
-        try (StandInClient client = client(file)) {
+    private static void push(ServedRelay relay, String prefix, long end, AtomicLong taken) {
+        try (StandInClient client = relay.client()) {
             for (int i = 0; System.nanoTime() < end; i++) {
                 if (client.handIn(prefix + i, "settlement", null, null, 7, 5000, "x") == 202) {
                     taken.incrementAndGet();
@@ -216,40 +197,40 @@
         }
     }
 
-    private static void cold(Path folder) throws Exception {
+    private static void cold(Path folder, int limit) throws Exception {
         for (boolean backlog : new boolean[] {false, true}) {
-            try (StandInPartner partner = new StandInPartner(40, LIMIT)) {
+            try (StandInPartner partner = new StandInPartner(40, limit)) {
                 String name = backlog ? "backlog" : "none";
                 Path file = application(folder, name, true, partner, 5);
                 Files.createDirectories(folder.resolve(name));
                 if (backlog) {
-                    try (Shelf shelf = SqliteShelf.open(folder.resolve(name))) {
+                    try (Shelf shelf = SqliteShelf.open(folder.resolve(name), 1 << 30)) {
                         for (int i = 0; i < 10_000; i++) {
                             shelf.put(entry(2 * i, 7));
                         }
                     }
                 }
                 partner.be(StandInPartner.Mood.SHUT);
-                Process relay = start(folder, file);
+                ServedRelay relay = start(file);
                 Thread.sleep(8_000);
                 partner.be(StandInPartner.Mood.WELL);
                 Thread.sleep(backlog ? 20_000 : 8_000);
                 Map<String, Long> handed = new HashMap<>();
-                try (StandInClient client = client(file)) {
-                    for (int i = 0; i < 300; i++) {
+                try (StandInClient client = relay.client()) {
+                    for (int i = 0; i < LIVE; i++) {
                         handed.put("live" + i, System.nanoTime());
                         client.handIn("live" + i, "settlement", null, null, 7, 5000, "x");
-                        Thread.sleep(100);
+                        Thread.sleep(70 + i * 37 % 60);
                     }
                 }
                 Thread.sleep(6_000);
-                report(name, partner, handed, rss(relay));
-                relay.destroyForcibly().waitFor();
+                report(name, limit, partner, handed, rss(relay.process()));
+                relay.close();
             }
         }
     }
 
-    private static void report(String name, StandInPartner partner, Map<String, Long> handed, long rss) {
+    private static void report(String name, int limit, StandInPartner partner, Map<String, Long> handed, long rss) {
         List<StandInPartner.Posting> calls = partner.postings();
         int most = 0;
         for (int from = 0, to = 0; to < calls.size(); to++) {
@@ -260,9 +241,9 @@
         }
         List<Double> spans = calls.stream().filter(c -> c.ran() && handed.containsKey(c.id()))
                 .map(c -> (c.atNanos() - handed.get(c.id())) / 1e6).sorted().toList();
-        say("%s: busiest second %d calls of %d allowed, %d resends, %d of 300 live, p50 %.1f ms, p99 %.1f ms, %d twice,"
-                + " %d kB", name, most, LIMIT, partner.effects().keySet().stream().filter(i -> i.startsWith("m")).count(),
-                spans.size(), spans.get(spans.size() / 2), spans.get((int) (spans.size() * 0.99)),
+        say("%s: busiest second %d calls of %d allowed, %d resends, %d of %d live, p50 %.1f ms, p99 %.1f ms, %d twice,"
+                + " %d kB", name, most, limit, partner.effects().keySet().stream().filter(i -> i.startsWith("m")).count(),
+                spans.size(), LIVE, spans.get(spans.size() / 2), spans.get((int) (spans.size() * 0.99)),
                 partner.effects().values().stream().filter(n -> n > 1).count(), rss);
     }
 }
--- a/src/test/java/pipitstage/undeliverable/SqliteShelfTest.java
+++ b/src/test/java/pipitstage/undeliverable/SqliteShelfTest.java
@@ -26,7 +26,7 @@
     private Shelf shelf;
 
     private Shelf open() {
-        shelf = SqliteShelf.open(folder);
+        shelf = SqliteShelf.open(folder, 1 << 30);
         return shelf;
     }
 
@@ -135,7 +135,7 @@
     @Test
     void folderThatIsNoneEndsWithAPlainLine() throws IOException {
         Path file = Files.writeString(folder.resolve("taken"), "");
-        String message = assertThrows(Shelf.ShelfException.class, () -> SqliteShelf.open(file)).getMessage();
+        String message = assertThrows(Shelf.ShelfException.class, () -> SqliteShelf.open(file, 1 << 30)).getMessage();
         assertTrue(message.startsWith("undeliverable: "), message);
         assertEquals(1, message.lines().count());
     }
@@ -149,4 +149,32 @@
         assertEquals(1, shelf.removeSettled(1_000, 10));
         assertTrue(shelf.get(kept).isPresent() && shelf.get(delivered).isEmpty());
     }
+
+    /** The database's own full: what a full disk makes of it, at the same place in its code. */
+    @Test
+    void databaseThatCanGrowNoMoreTurnsAwayWholeEntriesAndKeepsTheOthers() {
+        shelf = SqliteShelf.open(folder, 256 << 10);
+        int taken = 0;
+        Shelf.ShelfException full = null;
+        while (full == null) {
+            try {
+                shelf.put(new Entry(0, new Message.Content("m" + taken, "unsafe", null, null, 500 + taken, 7, new byte[3_000]),
+                        400, "timeout", "failed", Entry.State.KEPT, 0, null, 0, List.of(
+                        new Entry.Try("r0", "b0", 100, Result.TIMEOUT))));
+                taken++;
+            } catch (Shelf.ShelfException e) {
+                full = e;
+            }
+        }
+        assertTrue(full.getMessage().contains("full"), full.getMessage());
+        assertTrue(taken > 20, "only " + taken);
+        assertTrue(shelf.find("m" + taken, 500 + taken).isEmpty(), "nothing of what was turned away is left");
+        assertTrue(shelf.size().bytes() <= 256 << 10, shelf.size().toString());
+        assertTrue(shelf.move(1, Entry.State.KEPT, Entry.State.DISCARDED, 0));
+        assertEquals(1, shelf.removeSettled(Long.MAX_VALUE, 9));
+        shelf.put(entry("m-later", 7, 900, Result.FULL));
+        shelf.close();
+        shelf = SqliteShelf.open(folder, 256 << 10);
+        assertEquals(taken, shelf.list(Shelf.Filter.ALL, 0, 10_000, false).size());
+    }
 }
