Speak the frames of AMQP 0-9-1, and stand in for a broker of it

First the wire: frames, methods, properties and tables in pipitstage.amqp.codec, incremental and bounded; connections of both roles in pipitstage.amqp.link; and a broker of our own on loopback with exchanges, queues, confirms, returns, redelivery and scripted faults.

--- /dev/null
+++ b/src/main/java/pipitstage/amqp/codec/AmqpException.java
@@ -0,0 +1,37 @@
+package pipitstage.amqp.codec;
+
+/** What the other side sent breaks the protocol, or asks for what can't be had (AMQP 0-9-1, section 1.2, reply codes). */
+public final class AmqpException extends Exception {
+    public static final int CONTENT_TOO_LARGE = 311;
+    public static final int NO_ROUTE = 312;
+    public static final int CONNECTION_FORCED = 320;
+    public static final int ACCESS_REFUSED = 403;
+    public static final int NOT_FOUND = 404;
+    public static final int PRECONDITION_FAILED = 406;
+    public static final int FRAME_ERROR = 501;
+    public static final int SYNTAX_ERROR = 502;
+    public static final int COMMAND_INVALID = 503;
+    public static final int CHANNEL_ERROR = 504;
+    public static final int UNEXPECTED_FRAME = 505;
+    public static final int NOT_ALLOWED = 530;
+    public static final int NOT_IMPLEMENTED = 540;
+    private static final long serialVersionUID = 1L;
+
+    private final int code;
+
+    /** A fault with its reply code and words for the other side. */
+    public AmqpException(int code, String message) {
+        super(message, null, false, false);
+        this.code = code;
+    }
+
+    /** The reply code. */
+    public int code() {
+        return code;
+    }
+
+    /** True where the code ends the channel alone, and not the connection. */
+    public boolean isOfChannel() {
+        return code == CONTENT_TOO_LARGE || code == NO_ROUTE || code >= ACCESS_REFUSED && code <= PRECONDITION_FAILED;
+    }
+}
--- a/src/test/java/pipitstage/RoomsTest.java
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -80,7 +80,9 @@
         "admin | pipitstage pipitstage.admin pipitstage.undeliverable pipitstage.engine pipitstage.log",
         "log | pipitstage.log",
         "http | pipitstage.http",
-        "standin | pipitstage.standin pipitstage.http"})
+        "amqp.codec | pipitstage.amqp.codec",
+        "amqp.link | pipitstage.amqp.codec pipitstage.amqp.link",
+        "standin | pipitstage.standin pipitstage.http pipitstage.amqp.."})
     void packageUsesOnlyWhatItSays(String name, String allowed) {
         classes().that().resideInAPackage("pipitstage." + name).should().onlyDependOnClassesThat(
                 resideInAnyPackage(allowed.split(" ")).or(DescribedPredicate.not(ours()))).check(ALL);
--- /dev/null
+++ b/src/test/java/pipitstage/standin/StandInBrokerTest.java
@@ -0,0 +1,187 @@
+package pipitstage.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.rabbitmq.client.AMQP;
+import com.rabbitmq.client.AlreadyClosedException;
+import com.rabbitmq.client.Channel;
+import com.rabbitmq.client.Connection;
+import com.rabbitmq.client.ConnectionFactory;
+import com.rabbitmq.client.DefaultConsumer;
+import com.rabbitmq.client.Envelope;
+import com.rabbitmq.client.GetResponse;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import pipitstage.standin.StandInBroker.Fate;
+
+/** The stand-in broker, met by RabbitMQ's own client. */
+@Timeout(60)
+class StandInBrokerTest {
+    private StandInBroker broker;
+    private Connection connection;
+    private Channel channel;
+
+    @BeforeEach
+    void connect() throws Exception {
+        broker = new StandInBroker();
+        connection = factory().newConnection();
+        channel = connection.createChannel();
+    }
+
+    private ConnectionFactory factory() {
+        ConnectionFactory factory = new ConnectionFactory();
+        factory.setHost("127.0.0.1");
+        factory.setPort(broker.port());
+        factory.setAutomaticRecoveryEnabled(false);
+        return factory;
+    }
+
+    @AfterEach
+    void end() {
+        connection.abort(1_000);
+        broker.close();
+    }
+
+    private static AMQP.BasicProperties id(String id) {
+        return new AMQP.BasicProperties.Builder().messageId(id).headers(Map.of("Idempotency-Key", "k-" + id)).build();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void directFanoutAndTopicReachWhatIsBound() throws Exception {
+        for (String queue : List.of("a", "b", "c")) {
+            channel.queueDeclare(queue, true, false, false, null);
+        }
+        channel.exchangeDeclare("d", "direct");
+        channel.exchangeDeclare("f", "fanout");
+        channel.exchangeDeclare("t", "topic");
+        channel.queueBind("a", "d", "one");
+        channel.queueBind("a", "f", "");
+        channel.queueBind("b", "f", "");
+        channel.queueBind("b", "t", "grain.*.north");
+        channel.queueBind("c", "t", "grain.#");
+        channel.confirmSelect();
+        channel.basicPublish("d", "one", id("1"), bytes("x"));
+        channel.basicPublish("f", "any", id("2"), bytes("x"));
+        channel.basicPublish("t", "grain.wheat.north", id("3"), bytes("x"));
+        channel.basicPublish("t", "grain", id("4"), bytes("x"));
+        channel.basicPublish("", "c", id("5"), new byte[200_000]);
+        channel.waitForConfirmsOrDie(5_000);
+        assertEquals(2, broker.size("a"));
+        assertEquals(2, broker.size("b"));
+        assertEquals(3, broker.size("c"));
+        assertEquals(Map.of("1", 1, "2", 2, "3", 2, "4", 1, "5", 1), broker.effects());
+        assertEquals("k-1", broker.postings().get(0).key());
+        assertEquals(200_000, broker.postings().get(broker.postings().size() - 1).body().length);
+    }
+
+    @Test
+    void returnsNacksAndConfirmsForSeveral() throws Exception {
+        channel.queueDeclare("q", true, false, false, null);
+        channel.confirmSelect();
+        ConcurrentLinkedQueue<String> told = new ConcurrentLinkedQueue<>();
+        channel.addReturnListener((code, text, exchange, key, properties, body) -> told.add("return " + code + " "
+                + properties.getMessageId()));
+        channel.addConfirmListener((tag, multiple) -> told.add("ack " + tag + " " + multiple),
+                (tag, multiple) -> told.add("nack " + tag));
+        channel.basicPublish("", "nowhere", true, id("1"), bytes("x"));
+        channel.waitForConfirms(5_000);
+        broker.script(id -> id.equals("2") ? Fate.CONFIRM_WITH_NEXT : id.equals("4") ? Fate.NACK : Fate.CONFIRM);
+        channel.basicPublish("", "q", id("2"), bytes("x"));
+        channel.basicPublish("", "q", id("3"), bytes("x"));
+        channel.basicPublish("", "q", id("4"), bytes("x"));
+        channel.waitForConfirms(5_000);
+        assertEquals(List.of("return 312 1", "ack 1 false", "ack 3 true", "nack 4"), List.copyOf(told));
+        assertEquals(Map.of("2", 1, "3", 1), broker.effects());
+    }
+
+    @Test
+    void prefetchHoldsBackAndWhatIsNotAcknowledgedComesAgainWithItsFlag() throws Exception {
+        channel.queueDeclare("q", true, false, false, null);
+        for (int i = 0; i < 5; i++) {
+            channel.basicPublish("", "q", id("m" + i), bytes("x"));
+        }
+        channel.basicQos(2);
+        LinkedBlockingQueue<Envelope> come = new LinkedBlockingQueue<>();
+        channel.basicConsume("q", false, new DefaultConsumer(channel) {
+            @Override
+            public void handleDelivery(String tag, Envelope envelope, AMQP.BasicProperties properties, byte[] body) {
+                come.add(envelope);
+            }
+        });
+        Envelope first = come.poll(5, TimeUnit.SECONDS);
+        Envelope second = come.poll(5, TimeUnit.SECONDS);
+        assertFalse(first.isRedeliver());
+        assertEquals(5, broker.size("q"));
+        channel.basicAck(first.getDeliveryTag(), false);
+        Envelope third = come.poll(5, TimeUnit.SECONDS);
+        assertEquals(second.getDeliveryTag() + 1, third.getDeliveryTag());
+        assertTrue(come.isEmpty(), "prefetch is 2");
+        channel.basicReject(second.getDeliveryTag(), false);
+        come.poll(5, TimeUnit.SECONDS);
+        connection.close();
+        connection = factory().newConnection();
+        channel = connection.createChannel();
+        GetResponse again = channel.basicGet("q", true);
+        assertTrue(again.getEnvelope().isRedeliver());
+        assertEquals("m2", again.getProps().getMessageId());
+        assertEquals(List.of("m1"), broker.deadLetters());
+        assertEquals(1, broker.acked("q"));
+    }
+
+    @Test
+    void blockedIsToldAndTakenBack() throws Exception {
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch free = new CountDownLatch(1);
+        connection.addBlockedListener(reason -> blocked.countDown(), free::countDown);
+        broker.block(true);
+        assertTrue(blocked.await(5, TimeUnit.SECONDS));
+        broker.block(false);
+        assertTrue(free.await(5, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void missingExchangeClosesTheChannelAndWrongPasswordTheConnection() throws Exception {
+        channel.basicPublish("none", "k", id("1"), bytes("x"));
+        assertThrows(AlreadyClosedException.class, () -> {
+            while (true) {
+                channel.basicPublish("", "k", id("2"), bytes("x"));
+            }
+        });
+        assertTrue(channel.getCloseReason().getMessage().contains("404"), channel.getCloseReason().getMessage());
+        ConnectionFactory wrong = factory();
+        wrong.setPassword("wrong");
+        assertThrows(IOException.class, wrong::newConnection);
+    }
+
+    @Test
+    void cutsEndConnectionsAnywhereAndHeartbeatsKeepThem() throws Exception {
+        broker.cut(new StandInBroker.Cut(() -> 0, () -> 100));
+        assertThrows(IOException.class, () -> factory().newConnection());
+        broker.cut(new StandInBroker.Cut(() -> 300, () -> 0));
+        assertThrows(IOException.class, () -> factory().newConnection());
+        broker.cut(StandInBroker.Cut.NEVER);
+        broker.heartbeat(1);
+        try (Connection beating = factory().newConnection()) {
+            assertEquals(1, beating.getHeartbeat());
+            Thread.sleep(3_500);
+            assertTrue(beating.isOpen());
+        }
+    }
+}
--- a/src/test/java/pipitstage/undeliverable/Measure.java
+++ b/src/test/java/pipitstage/undeliverable/Measure.java
@@ -212,9 +212,15 @@
                 }
                 partner.be(StandInPartner.Mood.SHUT);
                 ServedRelay relay = start(file);
-                Thread.sleep(8_000);
+                // Live traffic meets the outage in both runs, so that both partners return cold to the module.
+                try (StandInClient client = relay.client()) {
+                    for (int i = 0; i < 40; i++) {
+                        client.handIn("early" + i, "settlement", null, null, 7, 5000, "x");
+                        Thread.sleep(200);
+                    }
+                }
                 partner.be(StandInPartner.Mood.WELL);
-                Thread.sleep(backlog ? 20_000 : 8_000);
+                Thread.sleep(20_000);
                 Map<String, Long> handed = new HashMap<>();
                 try (StandInClient client = relay.client()) {
                     for (int i = 0; i < LIVE; i++) {
