--- a/src/main/java/pipitstage/amqp/codec/Property.java
+++ b/src/main/java/pipitstage/amqp/codec/Property.java
@@ -32,6 +32,11 @@
         return label;
     }
 
+    /** True where it is a number, and not text. */
+    public boolean isNumber() {
+        return kind == Kind.OCTET || kind == Kind.TIMESTAMP;
+    }
+
     Kind kind() {
         return kind;
     }
--- a/src/main/java/pipitstage/amqp/link/Link.java
+++ b/src/main/java/pipitstage/amqp/link/Link.java
@@ -4,10 +4,10 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.util.concurrent.Future;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import pipitstage.amqp.codec.AmqpException;
@@ -19,7 +19,7 @@
 import pipitstage.amqp.codec.Properties;
 
 /** One connection, of either role: frames in and out, heartbeats and the end. Everything happens on its event loop. */
-public abstract class Link extends ByteToMessageDecoder {
+public abstract class Link extends ChannelInboundHandlerAdapter {
     /** What a link may hold of bodies that are not whole, where nobody counts. */
     public static final Assembler.Room ANY_ROOM = new Assembler.Room() {
         @Override
@@ -39,12 +39,16 @@
     private final Assembler.Room room;
     private final Map<Integer, Assembler> assemblers = new HashMap<>();
     private ChannelHandlerContext context;
+    /** What has come of a frame that is not whole; null where nothing has. */
+    private ByteBuf half;
     private int frameMax = Frame.LEAST_MAX;
     private Future<?> beat;
     private boolean heard;
     private boolean said;
     private int silentBeats;
     private boolean ending;
+    private boolean reads = true;
+    private boolean flushes;
     private String why = "the connection was closed";
 
     /**
@@ -81,8 +85,30 @@
         connected();
     }
 
+    /**
+     * Puts what comes together itself: the decoder that Netty has for that asks for more bytes on its own account, also
+     * where reading is switched off.
+     */
     @Override
-    protected final void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+    public final void channelRead(ChannelHandlerContext ctx, Object bytes) {
+        half = half == null ? (ByteBuf) bytes
+                : ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), half, (ByteBuf) bytes);
+        decode(half);
+        if (half.isReadable()) {
+            half.discardSomeReadBytes();
+        } else {
+            dropHalf();
+        }
+    }
+
+    private void dropHalf() {
+        if (half != null) {
+            half.release();
+            half = null;
+        }
+    }
+
+    private void decode(ByteBuf in) {
         try {
             if (!opened(in)) {
                 return;
@@ -156,7 +182,8 @@
 
     /** Sends a heartbeat where nothing was sent for half of its interval, and gives up a side silent for two. */
     private void beat() {
-        silentBeats = heard ? 0 : silentBeats + 1;
+        // Guards against giving up one whose beats lie unread, as this side does not read.
+        silentBeats = heard || !reads ? 0 : silentBeats + 1;
         heard = false;
         if (silentBeats >= SILENT_HALVES) {
             close("no heartbeat came");
@@ -189,14 +216,23 @@
         return write(out);
     }
 
+    /** What is sent in one pass of the loop leaves together. */
     private ChannelFuture write(ByteBuf out) {
         said = true;
-        return context.writeAndFlush(out);
+        ChannelFuture written = context.write(out);
+        if (!flushes) {
+            flushes = true;
+            context.executor().execute(() -> {
+                flushes = false;
+                context.flush();
+            });
+        }
+        return written;
     }
 
     /** Sends the protocol's own first bytes. */
-    final void sendRaw(byte[] bytes) {
-        context.writeAndFlush(context.alloc().buffer(bytes.length).writeBytes(bytes));
+    final ChannelFuture sendRaw(byte[] bytes) {
+        return context.writeAndFlush(context.alloc().buffer(bytes.length).writeBytes(bytes));
     }
 
     /** False where the other side does not read what was sent so far. */
@@ -206,6 +242,7 @@
 
     /** Reads on, or no more, so that the other side's sends wait. */
     public final void read(boolean on) {
+        reads = on;
         context.channel().config().setAutoRead(on);
     }
 
@@ -244,7 +281,8 @@
     }
 
     @Override
-    protected final void handlerRemoved0(ChannelHandlerContext ctx) {
+    public final void handlerRemoved(ChannelHandlerContext ctx) {
+        dropHalf();
         if (beat != null) {
             beat.cancel(false);
         }
--- a/src/main/java/pipitstage/amqp/link/ServerLink.java
+++ b/src/main/java/pipitstage/amqp/link/ServerLink.java
@@ -83,8 +83,7 @@
         if (!Arrays.equals(bytes, Arrays.copyOf(ClientLink.GREETING, there))) {
             // As the specification wants it (section 4.2.2): the greeting that would do, and the end.
             in.skipBytes(in.readableBytes());
-            sendRaw(ClientLink.GREETING);
-            close("it does not greet in AMQP 0-9-1");
+            sendRaw(ClientLink.GREETING).addListener(sent -> close("it does not greet in AMQP 0-9-1"));
             return false;
         }
         if (there < ClientLink.GREETING.length) {
--- /dev/null
+++ b/src/main/java/pipitstage/amqp/mapping/Source.java
@@ -0,0 +1,62 @@
+package pipitstage.amqp.mapping;
+
+import java.util.Arrays;
+import pipitstage.amqp.codec.Properties;
+import pipitstage.amqp.codec.Property;
+
+/**
+ * Where a value of a message is taken from: {@code header:NAME}, {@code property:NAME}, {@code routing-key},
+ * {@code exchange} or {@code fixed:VALUE}.
+ */
+public final class Source {
+    private enum Kind { HEADER, PROPERTY, ROUTING_KEY, EXCHANGE, FIXED }
+
+    private final Kind kind;
+    private final String name;
+    private final Property property;
+
+    private Source(Kind kind, String name, Property property) {
+        this.kind = kind;
+        this.name = name;
+        this.property = property;
+    }
+
+    /**
+     * Reads a source as a relay file writes it.
+     *
+     * @throws IllegalArgumentException where it is none, in words for staff
+     */
+    public static Source of(String text) {
+        int colon = text.indexOf(':');
+        String name = colon < 0 ? "" : text.substring(colon + 1);
+        switch (colon < 0 ? text : text.substring(0, colon)) {
+            case "header":
+                return new Source(Kind.HEADER, name, null);
+            case "property":
+                Property property = Arrays.stream(Property.values()).filter(p -> p.label().equals(name)
+                        && p != Property.HEADERS).findFirst().orElseThrow(() -> new IllegalArgumentException("\"" + name
+                        + "\" is no property of a message"));
+                return new Source(Kind.PROPERTY, name, property);
+            case "fixed":
+                return new Source(Kind.FIXED, name, null);
+            case "routing-key":
+                return new Source(Kind.ROUTING_KEY, "", null);
+            case "exchange":
+                return new Source(Kind.EXCHANGE, "", null);
+            default:
+                throw new IllegalArgumentException("\"" + text + "\" is no source");
+        }
+    }
+
+    /** The value in a message; null where it has none. */
+    String value(Properties properties, String exchange, String routingKey) {
+        Object value = switch (kind) {
+            case HEADER -> properties.headers().get(name);
+            case PROPERTY -> property.isNumber() ? properties.number(property) : properties.text(property);
+            case ROUTING_KEY -> routingKey;
+            case EXCHANGE -> exchange;
+            case FIXED -> name;
+        };
+        return value == null ? null : value.toString();
+    }
+}
--- a/src/main/java/pipitstage/config/Config.java
+++ b/src/main/java/pipitstage/config/Config.java
@@ -28,13 +28,14 @@
  * @param knownKind whether the known list is all there is, or an old one that discovery will replace
  * @param knownVersion -1 where no earlier list is known
  * @param known empty where no earlier list is known
+ * @param amqp what is spoken of AMQP; null where nothing is
  * @param keeping what is kept of messages that could not be delivered; null where nothing is
  * @param source the file that all this was read from
  */
 public record Config(List<InetSocketAddress> listen, InetSocketAddress discovery, InetSocketAddress notices,
         Path state, int clientConnections, int hostConnections, long diskBytes, Policy.Settings settings, long period,
         long idleSpan, boolean reports, Policy.ListKind knownKind, long knownVersion, List<Target> known,
-        Keeping keeping, byte[] source) {
+        Keeping keeping, Amqp amqp, byte[] source) {
 
     /**
      * What is kept of messages that could not be delivered: bytes, messages a second, microseconds.
@@ -47,6 +48,36 @@
     public record Keeping(long limit, long entries, double high, double low, boolean refuseWhenFull, long age,
             double pace, long pause, long clockMargin, long listenOn, Map<String, Long> shelfLives) { }
 
+    /**
+     * What is spoken of AMQP 0-9-1.
+     *
+     * @param routes how endpoints that are brokers are reached, by their ids
+     * @param connections that programs may hold at each of the fronts
+     * @param span for which ids are remembered
+     * @param entries ids that are remembered
+     */
+    public record Amqp(Map<String, BrokerRoute> routes, List<AmqpFront> fronts, List<AmqpQueue> queues,
+            List<MappingRule> mappings, int connections, long span, int entries) { }
+
+    /** How to log in at a broker; {@code trust} and {@code tlsName} may be null. The heartbeat is in seconds. */
+    public record Login(String user, String password, String virtualHost, int heartbeat, boolean tls, Path trust,
+            String tlsName) { }
+
+    /** Where messages of an endpoint are published. */
+    public record BrokerRoute(Login login, String exchange, String routingKey) { }
+
+    /** A listener; {@code user} and {@code password} are null where everyone may come in. The heartbeat is in seconds. */
+    public record AmqpFront(String name, InetSocketAddress listen, String exchange, String user, String password,
+            int heartbeat, int channels, int frame, long replyHold) { }
+
+    /** A queue to take messages from; {@code replyQueue} may be null. */
+    public record AmqpQueue(String name, InetSocketAddress address, Login login, String queue, int prefetch,
+            boolean autoAcknowledge, String ends, String replyQueue) { }
+
+    /** Sources of a message's parts, as text; {@code contentType} and those that may be left out may be null. */
+    public record MappingRule(String contentType, String id, String requestClass, String tenant, String key,
+            String destination, String budget) { }
+
     private static final long MIB = 1 << 20;
     /** Descriptors for all but connections: the JVM's own, the journal's, discovery's, and one just accepted. */
     private static final int OTHER_DESCRIPTORS = 36;
@@ -126,7 +157,7 @@
         return new Config(List.of(Target.address(json.text("listen"))), discovery, discovery, state, clients,
                 Math.max(1, connections - clients), (long) (limits.number("disk_mb") * MIB), settings,
                 params.micros("period-s", 0), params.object("limits").micros("conn-idle-s"),
-                how != null && !how.equals("off"), Policy.ListKind.CACHED, version, known, null, source);
+                how != null && !how.equals("off"), Policy.ListKind.CACHED, version, known, null, null, source);
     }
 
     private static int sockets(Fields limits) {
--- a/src/main/java/pipitstage/config/plan/Checks.java
+++ b/src/main/java/pipitstage/config/plan/Checks.java
@@ -28,6 +28,8 @@
     private static final long LARGEST_PORTION = 64 << 10;
     /** The relay gives its last answers by then after SIGTERM. */
     private static final long OWN_STOP = 3_200_000;
+    private static final List<String> AMQP_FRONT = List.of("name", "exchange", "user", "password-file", "heartbeat",
+            "channels", "frame", "reply-hold");
 
     private final Declared declared;
     private final Figures figures;
@@ -51,6 +53,7 @@
         checks.capacity();
         checks.machine();
         checks.undeliverable();
+        checks.amqp();
         return checks.findings;
     }
 
@@ -73,7 +76,7 @@
     // ---- what is named twice, not at all, or nowhere
 
     private void names() {
-        if (declared.fronts().isEmpty()) {
+        if (declared.fronts().isEmpty() && declared.amqp().queues().isEmpty()) {
             findings.add(declared.at().at("front").error("no front: nobody could hand a message in; add a [[front]]"));
         }
         if (declared.classes().isEmpty()) {
@@ -89,7 +92,12 @@
         unique(declared.partners(), p -> Integer.toString(p.number()), p -> p.at(), "number");
         unique(declared.kinds(), k -> k.name(), k -> k.at(), "name");
         unique(declared.endpoints(), e -> e.id(), e -> e.at(), "id");
-        unique(declared.endpoints(), e -> e.address(), e -> e.at(), "address");
+        // One broker may be the way to many: by other exchanges and routing keys it is another endpoint.
+        unique(declared.endpoints(), e -> e.broker() == null ? e.address() : e.address() + " with exchange \"" + e.exchange()
+                + "\" and routing key \"" + e.routingKey() + "\"", e -> e.at(), "address");
+        unique(declared.amqp().brokers(), b -> b.name(), b -> b.at(), "name");
+        unique(declared.amqp().queues(), q -> q.name(), q -> q.at(), "name");
+        unique(declared.fronts().stream().filter(Declared.Front::amqp).toList(), f -> f.name(), f -> f.at(), "name");
         if (declared.fleet().number() >= declared.fleet().relays()) {
             error(declared.fleet().at(), "number", declared.fleet().number() + " is no number of one of fleet.relays = "
                     + declared.fleet().relays() + ": they count from 0");
@@ -335,7 +343,7 @@
             error("calls.connections", figures.connections() + " connections are fewer than calls.slots = "
                     + figures.slots() + "; raise it");
         }
-        int all = figures.connections() + figures.clients() + Planner.OTHER_DESCRIPTORS;
+        int all = figures.connections() + figures.clients() + declared.amqp().queues().size() + Planner.OTHER_DESCRIPTORS;
         if (all > declared.machine().descriptors()) {
             error("clients.connections", figures.clients() + " clients, " + figures.connections()
                     + " connections to partners and " + Planner.OTHER_DESCRIPTORS + " descriptors of the process itself"
@@ -394,6 +402,154 @@
         }
     }
 
+    // ---- AMQP
+
+    private void amqp() {
+        Map<String, Declared.Broker> brokers = new HashMap<>();
+        declared.amqp().brokers().forEach(b -> brokers.put(b.name(), b));
+        Set<String> used = new HashSet<>();
+        for (Declared.Endpoint endpoint : declared.endpoints()) {
+            endpoint(endpoint, brokers, used);
+        }
+        for (Declared.Queue queue : declared.amqp().queues()) {
+            queue(queue, brokers, used);
+        }
+        for (Declared.Broker broker : declared.amqp().brokers()) {
+            if (!used.contains(broker.name())) {
+                warn(broker.at(), "name", "no endpoint and no queue is at broker " + broker.name());
+            } else {
+                heartbeat(broker.at(), broker.heartbeat());
+            }
+            readable(broker.at(), "password-file", broker.passwordFile());
+            readable(broker.at(), "trust-file", broker.trustFile());
+            if (!broker.tls() && (broker.trustFile() != null || broker.tlsName() != null)) {
+                error(broker.at(), broker.trustFile() != null ? "trust-file" : "tls-name", "is for TLS, and tls = false;"
+                        + " set that to true or leave this out");
+            }
+        }
+        for (Declared.Front front : declared.fronts()) {
+            if (front.amqp()) {
+                heartbeat(front.at(), front.heartbeat());
+                readable(front.at(), "password-file", front.passwordFile());
+                if ((front.user() == null) != (front.passwordFile() == null)) {
+                    error(front.at(), front.user() == null ? "password-file" : "user", "user and password-file belong"
+                            + " together; add the other one or leave this one out");
+                }
+            } else {
+                AMQP_FRONT.stream().filter(front.at()::has).forEach(key -> error(front.at(), key,
+                        "is for AMQP, and this front speaks HTTP; set protocol = \"amqp\" or leave it out"));
+            }
+        }
+        mappings();
+        duplicates();
+    }
+
+    private void endpoint(Declared.Endpoint endpoint, Map<String, Declared.Broker> brokers, Set<String> used) {
+        if (endpoint.broker() == null) {
+            for (String key : List.of("exchange", "routing-key")) {
+                if (endpoint.at().has(key)) {
+                    error(endpoint.at(), key, "is for AMQP, and endpoint " + endpoint.id() + " has no broker; name the"
+                            + " [[broker]] or leave it out");
+                }
+            }
+            return;
+        }
+        used.add(endpoint.broker());
+        if (!brokers.containsKey(endpoint.broker())) {
+            error(endpoint.at(), "broker", "no [[broker]] is named " + endpoint.broker());
+        }
+        if (endpoint.exchange().isEmpty() && endpoint.routingKey().isEmpty()) {
+            error(endpoint.at(), "routing-key", "neither exchange nor routing key: no message could be routed; give the"
+                    + " queue's name as the routing key");
+        }
+    }
+
+    private void queue(Declared.Queue queue, Map<String, Declared.Broker> brokers, Set<String> used) {
+        used.add(queue.broker());
+        if (!brokers.containsKey(queue.broker())) {
+            error(queue.at(), "broker", "no [[broker]] is named " + queue.broker());
+        }
+        if (queue.prefetch() > figures.messages()) {
+            error(queue.at(), "prefetch", queue.prefetch() + " is above buffer.messages = " + figures.messages()
+                    + ": the relay would refuse what it asked for; lower it");
+        }
+        for (MessageClass type : declared.classes()) {
+            if (queue.autoAcknowledge() && type.repeat() != Repeat.REPEATABLE) {
+                error(queue.at(), "acknowledge", "auto, and messages of class " + type.name() + " are not repeatable: one"
+                        + " that the broker has forgotten could be lost; set it to manual");
+                break;
+            }
+        }
+        if (queue.ends().equals("always") && queue.replyQueue() == null) {
+            error(queue.at(), "ends", "always, and there is no reply-queue for messages that ask for none; add it");
+        }
+        if (!queue.ends().equals("always") && queue.replyQueue() != null) {
+            error(queue.at(), "reply-queue", "is used with ends = \"always\" alone, and that is " + queue.ends()
+                    + "; change one");
+        }
+    }
+
+    /** A heartbeat longer than a deadline finds a dead connection only when its messages are lost. */
+    private void heartbeat(Section at, long heartbeat) {
+        declared.classes().stream().min(Comparator.comparingLong(MessageClass::deadline)).ifPresent(type -> {
+            if (heartbeat > type.deadline()) {
+                error(at, "heartbeat", span(heartbeat) + " is longer than the deadline of class " + type.name() + ", "
+                        + span(type.deadline()) + ": a dead connection would be found when its messages are over; lower it");
+            }
+        });
+    }
+
+    private void readable(Section at, String key, String file) {
+        if (file != null) {
+            surroundings.unreadable(file).ifPresent(fault -> error(at, key, fault));
+        }
+    }
+
+    private void mappings() {
+        Set<String> seen = new HashSet<>();
+        Declared.Mapping all = null;
+        for (Declared.Mapping mapping : declared.amqp().mappings()) {
+            if (all != null) {
+                error(mapping.at(), "content-type", "is never reached: the mapping in line " + all.at().place().line()
+                        + " is for every content type; put that one last");
+            } else if (mapping.contentType() == null) {
+                all = mapping;
+            } else if (!seen.add(mapping.contentType())) {
+                error(mapping.at(), "content-type", "\"" + mapping.contentType() + "\" stands in a mapping above, which is"
+                        + " used");
+            }
+        }
+        if (!declared.amqp().mappings().isEmpty() && !declared.takesAmqp()) {
+            warn(declared.amqp().mappings().get(0).at(), "class", "nothing comes in over AMQP that could be mapped");
+        }
+    }
+
+    private void duplicates() {
+        if (!declared.takesAmqp()) {
+            return;
+        }
+        Declared.Duplicates d = declared.amqp().duplicates();
+        double entries = declared.classes().stream().mapToDouble(c -> (c.meanRate() > 0 ? c.meanRate() : c.peakRate())
+                * d.span() / 1e6).sum();
+        if (entries > d.entries()) {
+            warn(d.at(), "entries", text("%d ids are fewer than the %.0f messages of %s at the classes' rates: when they are"
+                    + " full, nothing more is taken on over AMQP; raise it or shorten the span", d.entries(), entries,
+                    span(d.span())));
+        }
+        long memory = d.entries() * Planner.SEEN_HELD;
+        if (memory > Planner.SEEN_SHARE * figures.heap()) {
+            error(d.at(), "entries", text("%d ids take some %s, and may take a quarter of process.heap = %s; lower it",
+                    d.entries(), Planner.kib(memory), Units.ofSize(figures.heap())));
+        }
+        long disk = d.entries() * Planner.SEEN_RECORD;
+        long others = figures.journal() + (declared.undeliverable().keep() ? declared.undeliverable().limit() : 0);
+        if (others + disk > declared.machine().disk()) {
+            error(d.at(), "entries", text("%d ids take up to %s, and with %s for the journal and what is kept that is more"
+                    + " than machine.disk = %s; lower it or raise that", d.entries(), Planner.kib(disk),
+                    Units.ofSize(others), Units.ofSize(declared.machine().disk())));
+        }
+    }
+
     private void machine() {
         Declared.Machine machine = declared.machine();
         long memory = figures.heap() + figures.direct() + Planner.JVM_OWN;
--- a/src/main/java/pipitstage/config/plan/Declared.java
+++ b/src/main/java/pipitstage/config/plan/Declared.java
@@ -12,7 +12,7 @@
  */
 public record Declared(Section at, String name, Machine machine, List<Front> fronts, Discovery discovery, Fleet fleet,
         List<Tenant> tenants, List<MessageClass> classes, List<Kind> kinds, List<Partner> partners,
-        Undeliverable undeliverable) {
+        Undeliverable undeliverable, Amqp amqp) {
     /** Where partners close idle connections if nothing else is declared. */
     private static final long USUAL_IDLE = 10_000_000;
 
@@ -23,8 +23,27 @@
     public record Machine(Section at, double cores, long memory, int descriptors, long disk, String folder,
             String building, long stopTime) { }
 
-    /** A door for programs. */
-    public record Front(Section at, String listen) { }
+    /** A door for programs; what is for AMQP is set to its fallbacks with HTTP. Null where no user is needed. */
+    public record Front(Section at, String listen, boolean amqp, String name, String exchange, String user,
+            String passwordFile, long heartbeat, int channels, long frame, long replyHold) { }
+
+    /** What is declared of AMQP beside fronts and endpoints. */
+    public record Amqp(List<Queue> queues, List<Mapping> mappings, List<Broker> brokers, Duplicates duplicates) { }
+
+    /** A queue to take messages from; {@code replyQueue} may be null. */
+    public record Queue(Section at, String name, String broker, String address, String queue, int prefetch,
+            boolean autoAcknowledge, String ends, String replyQueue) { }
+
+    /** How AMQP messages are read, by sources as text; null where there is none. */
+    public record Mapping(Section at, String contentType, String id, String requestClass, String tenant, String key,
+            String destination, String budget) { }
+
+    /** How to log in; files and the name may be null. */
+    public record Broker(Section at, String name, String virtualHost, String user, String passwordFile, long heartbeat,
+            boolean tls, String trustFile, String tlsName) { }
+
+    /** What is remembered of messages that were taken on over AMQP. */
+    public record Duplicates(Section at, long span, int entries) { }
 
     /** Addresses in digits, each null where there is none. */
     public record Discovery(Section at, String agent, String notices) { }
@@ -56,8 +75,9 @@
     public record Partner(Section at, String name, int number, String kind, double limit, long response,
             List<Endpoint> endpoints) { }
 
-    /** Where a partner takes calls. */
-    public record Endpoint(Section at, String id, String address, String building) { }
+    /** Where a partner takes calls; {@code broker} is null where it takes them over HTTP. */
+    public record Endpoint(Section at, String id, String address, String building, String broker, String exchange,
+            String routingKey) { }
 
     /** Reads what is declared out of a file that has no finding yet. */
     public static Declared of(Section top) {
@@ -69,19 +89,48 @@
             partners.add(new Partner(partner, partner.text("name"), (int) partner.whole("number"),
                     partner.text("kind"), partner.number("limit"), partner.whole("response"),
                     partner.tables("endpoint").stream().map(e -> new Endpoint(e, e.text("id"), e.text("address"),
-                            e.has("building") ? e.text("building") : machine.text("building"))).toList()));
+                            e.has("building") ? e.text("building") : machine.text("building"),
+                            e.text("broker"), e.text("exchange"), e.text("routing-key"))).toList()));
         }
         return new Declared(top, top.text("name"),
                 new Machine(machine, machine.number("cores"), machine.whole("memory"),
                         (int) machine.whole("descriptors"), machine.whole("disk"), machine.text("folder"),
                         machine.text("building"), machine.whole("stop-time")),
-                top.tables("front").stream().map(f -> new Front(f, f.text("listen"))).toList(),
+                fronts(top),
                 new Discovery(discovery, discovery.text("agent"), discovery.has("notices")
                         ? discovery.text("notices") : discovery.text("agent")),
                 new Fleet(fleet, (int) fleet.whole("relays"), (int) fleet.whole("number")),
                 top.tables("tenant").stream().map(t -> new Tenant(t, t.text("name"), t.number("rate"))).toList(),
                 top.tables("class").stream().map(Declared::messageClass).toList(),
-                kinds(top, partners), partners, undeliverable(top.table("undeliverable")));
+                kinds(top, partners), partners, undeliverable(top.table("undeliverable")), amqp(top));
+    }
+
+    private static List<Front> fronts(Section top) {
+        List<Front> fronts = new ArrayList<>();
+        for (Section f : top.tables("front")) {
+            fronts.add(new Front(f, f.text("listen"), f.text("protocol").equals("amqp"), f.has("name") ? f.text("name")
+                    : "front-" + (fronts.size() + 1), f.text("exchange"), f.text("user"), f.text("password-file"),
+                    f.whole("heartbeat"), (int) f.whole("channels"), f.whole("frame"), f.whole("reply-hold")));
+        }
+        return fronts;
+    }
+
+    private static Amqp amqp(Section top) {
+        Section d = top.table("duplicates");
+        return new Amqp(top.tables("queue").stream().map(q -> new Queue(q, q.text("name"), q.text("broker"),
+                q.text("address"), q.text("queue"), (int) q.whole("prefetch"), q.text("acknowledge").equals("auto"),
+                q.text("ends"), q.text("reply-queue"))).toList(),
+                top.tables("mapping").stream().map(m -> new Mapping(m, m.text("content-type"), m.text("id"),
+                        m.text("class"), m.text("tenant"), m.text("key"), m.text("destination"), m.text("budget"))).toList(),
+                top.tables("broker").stream().map(b -> new Broker(b, b.text("name"), b.text("virtual-host"),
+                        b.text("user"), b.text("password-file"), b.whole("heartbeat"), b.flag("tls"),
+                        b.text("trust-file"), b.text("tls-name"))).toList(),
+                new Duplicates(d, d.whole("span"), (int) d.whole("entries")));
+    }
+
+    /** True where messages come in over AMQP. */
+    boolean takesAmqp() {
+        return !amqp.queues().isEmpty() || fronts.stream().anyMatch(Front::amqp);
     }
 
     private static Undeliverable undeliverable(Section u) {
@@ -136,7 +185,7 @@
     }
 
     /** The endpoints of all partners. */
-    List<Endpoint> endpoints() {
+    public List<Endpoint> endpoints() {
         return partners.stream().flatMap(p -> p.endpoints().stream()).toList();
     }
 
--- a/src/main/java/pipitstage/config/plan/Planner.java
+++ b/src/main/java/pipitstage/config/plan/Planner.java
@@ -23,6 +23,11 @@
     /** The part of the heap that held messages may take. */
     static final double HELD_SHARE = 0.5;
     static final double JOURNAL_SHARE = 0.8;
+    /** Bytes that a remembered id takes on the heap, and the part of the heap that all may take. */
+    static final long SEEN_HELD = 300;
+    static final double SEEN_SHARE = 0.25;
+    /** Bytes that a remembered id takes on the disk, twice for those that are over and while the file is written anew. */
+    static final long SEEN_RECORD = 3 * 60;
     private static final long LEAST_JOURNAL = 256 << 10;
     private static final double HEAD_ROOM = 1.1;
     private static final double SLOT_ROOM = 2;
@@ -80,7 +85,7 @@
         int slots = whole(Math.max(LEAST_SLOTS, Math.ceil(calls * SLOT_ROOM)));
         why.put("calls.slots", text("Little's law: peak rate times response at the slowest partner keeps %.1f calls"
                 + " out; twice that, %d at least", calls, LEAST_SLOTS));
-        int sockets = Math.max(2, machine.descriptors() - OTHER_DESCRIPTORS);
+        int sockets = Math.max(2, machine.descriptors() - OTHER_DESCRIPTORS - declared.amqp().queues().size());
         int endpoints = declared.endpoints().size();
         int listeners = declared.undeliverable().keep() ? Math.max(2, slots / 3) : 0;
         int connections = Math.max(slots, Math.min(slots + endpoints + listeners, sockets * 45 / 100));
@@ -99,9 +104,11 @@
         boolean copies = declared.classes().stream().anyMatch(Declared.MessageClass::secondCopies);
         why.put("calls.second-copies", copies ? "a class asks for them" : "no class asks for them");
         Declared.Undeliverable kept = declared.undeliverable();
-        long disk = Math.max(0, machine.disk() - (kept.keep() ? kept.limit() : 0));
+        long seen = declared.takesAmqp() ? declared.amqp().duplicates().entries() * SEEN_RECORD : 0;
+        long disk = Math.max(0, machine.disk() - (kept.keep() ? kept.limit() : 0) - seen);
         long journal = Math.max(LEAST_JOURNAL, wholeKib(disk * JOURNAL_SHARE));
         why.put("journal.limit", text("four fifths of machine.disk (%s)" + (kept.keep() ? " less undeliverable.limit" : "")
+                + (seen > 0 ? " less what duplicates.entries take" : "")
                 + "; open messages may take %.0f%% of it and need"
                 + " %s", Units.ofSize(machine.disk()), OPEN_SHARE * 100,
                 kib(bytes(declared, messages, RECORD))));
--- a/src/main/java/pipitstage/config/plan/Surroundings.java
+++ b/src/main/java/pipitstage/config/plan/Surroundings.java
@@ -15,6 +15,11 @@
         public Optional<String> fault(String folder) {
             return Optional.empty();
         }
+
+        @Override
+        public Optional<String> unreadable(String file) {
+            return Optional.empty();
+        }
     };
 
     /** The folder for temporary files ({@code $TMPDIR}), where one is set. */
@@ -22,4 +27,7 @@
 
     /** Why nothing could be kept in a folder, such as that it can't be written; empty where nothing speaks against it. */
     Optional<String> fault(String folder);
+
+    /** Why a file can't be read; empty where it can. */
+    Optional<String> unreadable(String file);
 }
--- a/src/main/java/pipitstage/config/schema/Schema.java
+++ b/src/main/java/pipitstage/config/schema/Schema.java
@@ -8,9 +8,11 @@
 import static pipitstage.config.schema.Setting.Type.NUMBER;
 import static pipitstage.config.schema.Setting.Type.RATE;
 import static pipitstage.config.schema.Setting.Type.SIZE;
+import static pipitstage.config.schema.Setting.Type.SOURCE;
 import static pipitstage.config.schema.Setting.Type.SPAN;
 import static pipitstage.config.schema.Setting.Type.TABLE;
 import static pipitstage.config.schema.Setting.Type.TABLES;
+import static pipitstage.config.schema.Setting.Type.TEXT;
 import static pipitstage.config.schema.Setting.Type.WHOLE;
 import static pipitstage.config.schema.Setting.Type.WORD;
 
@@ -52,8 +54,60 @@
         may("machine.stop-time", SPAN, "4s", SECOND, DAY, "From SIGTERM until the process is ended outright.");
 
         tables("front", "A door through which programs hand messages in; at least one is needed.");
-        word("front[].protocol", "http", List.of("http"), "What programs speak there.");
+        word("front[].protocol", "http", List.of("http", "amqp"), "What programs speak there: HTTP/1.1 or AMQP 0-9-1.");
         need("front[].listen", ADDRESS, 0, ANY, "The address to listen on; port 0 lets the system pick.");
+        may("front[].name", NAME, null, 0, ANY, "AMQP: the name by which the journal knows the front, so that ends find"
+                + " their way after a restart; front-1 for the first one, and so on, if left out.");
+        may("front[].exchange", TEXT, "loftflow", 0, ANY, "AMQP: where programs publish; the nameless exchange does too.");
+        may("front[].user", TEXT, null, 0, ANY, "AMQP: the user that may come in; any if left out.");
+        may("front[].password-file", FOLDER, null, 0, ANY, "AMQP: a file with the user's password.");
+        may("front[].heartbeat", SPAN, "10s", SECOND, 3_600 * SECOND, "AMQP: offered to programs; one silent for two is"
+                + " given up.");
+        may("front[].channels", WHOLE, "64", 1, 65_535, "AMQP: channels that one program may open.");
+        may("front[].frame", SIZE, "128KiB", 4 * KIB, MIB, "AMQP: the largest frame.");
+        may("front[].reply-hold", SPAN, "1h", SECOND, YEAR, "AMQP: how long an end waits for its program, before it is"
+                + " told as it would be with no program that asks.");
+
+        tables("queue", "A queue of an AMQP broker that messages are taken from.");
+        need("queue[].name", NAME, 0, ANY, "The name by which the journal knows it.");
+        need("queue[].broker", NAME, 0, ANY, "The [[broker]] that tells how to log in.");
+        need("queue[].address", ADDRESS, 0, ANY, "Where the broker listens.");
+        need("queue[].queue", TEXT, 0, ANY, "The queue's name at the broker.");
+        may("queue[].prefetch", WHOLE, "32", 1, 65_535, "Messages that the broker hands out ahead of their"
+                + " acknowledgements.");
+        word("queue[].acknowledge", "manual", List.of("manual", "auto"), "Manual: a message leaves the queue once it is"
+                + " taken on. Auto: as it is handed out, so that one that is refused is lost.");
+        word("queue[].ends", "asked", List.of("asked", "always", "never"), "Whether ends are told: to the queue that a"
+                + " message asks for, also of messages that ask for none, or not at all.");
+        may("queue[].reply-queue", TEXT, null, 0, ANY, "Where ends go of messages that ask for no reply.");
+
+        tables("mapping", "How an AMQP message becomes one of the relay's; the first one that fits is used, and one with"
+                + " the fallbacks where there is none. A source is header:NAME, property:NAME, routing-key, exchange or"
+                + " fixed:VALUE.");
+        may("mapping[].content-type", TEXT, null, 0, ANY, "The content type that it is for; every one if left out.");
+        may("mapping[].id", SOURCE, "property:message-id", 0, ANY, "Where the id is taken from.");
+        may("mapping[].class", SOURCE, "property:type", 0, ANY, "Where the class is taken from.");
+        may("mapping[].tenant", SOURCE, null, 0, ANY, "Where the tenant is taken from, if there are any.");
+        may("mapping[].key", SOURCE, "header:Idempotency-Key", 0, ANY, "Where the key is taken from.");
+        may("mapping[].destination", SOURCE, "routing-key", 0, ANY, "Where the destination's number is taken from.");
+        may("mapping[].budget", SOURCE, "property:expiration", 0, ANY, "Where the milliseconds are taken from that a"
+                + " message has; its class's deadline holds where it has none.");
+
+        table("duplicates", "The memory of AMQP messages that were taken on, so that one that comes again is known.");
+        may("duplicates.span", SPAN, "1h", SECOND, YEAR, "How long an id is remembered.");
+        may("duplicates.entries", WHOLE, "20000", 1, 10_000_000, "How many are; when there are so many, nothing more is"
+                + " taken on over AMQP until the oldest is over.");
+
+        tables("broker", "How to log in at brokers of AMQP 0-9-1.");
+        need("broker[].name", NAME, 0, ANY, "The name that endpoints and queues give.");
+        may("broker[].virtual-host", TEXT, "/", 0, ANY, "The virtual host.");
+        may("broker[].user", TEXT, "guest", 0, ANY, "The user.");
+        may("broker[].password-file", FOLDER, null, 0, ANY, "A file with the password; guest if left out.");
+        may("broker[].heartbeat", SPAN, "10s", SECOND, 3_600 * SECOND, "A broker silent for two of them is given up.");
+        may("broker[].tls", FLAG, "false", 0, ANY, "Connect over TLS.");
+        may("broker[].trust-file", FOLDER, null, 0, ANY, "Certificates (PEM) of who signs the broker's; those of the JVM"
+                + " if left out.");
+        may("broker[].tls-name", TEXT, null, 0, ANY, "The name in the broker's certificate; its address if left out.");
 
         table("discovery", "Where partners' endpoints come from, if not from this file alone.");
         may("discovery.agent", ADDRESS, null, 0, ANY, "The agent that tells the list of endpoints and its changes.");
@@ -105,6 +159,12 @@
         tables("partner[].endpoint", "An address at which the partner takes calls; none where discovery tells them.");
         need("partner[].endpoint[].id", NAME, 0, ANY, "A name that is the same at every relay.");
         need("partner[].endpoint[].address", ADDRESS, 0, ANY, "Where it listens.");
+        may("partner[].endpoint[].broker", NAME, null, 0, ANY, "The [[broker]] that tells how to log in, where the endpoint"
+                + " is a broker of AMQP 0-9-1.");
+        may("partner[].endpoint[].exchange", TEXT, "", 0, ANY, "AMQP: the exchange to publish to; the nameless one if left"
+                + " out.");
+        may("partner[].endpoint[].routing-key", TEXT, "", 0, ANY, "AMQP: the routing key; at the nameless exchange a"
+                + " queue's name.");
         may("partner[].endpoint[].building", NAME, "main", 0, ANY, "The building that it stands in.");
 
         table("undeliverable", "Messages that could not be delivered, kept to be inspected and sent again.");
--- a/src/main/java/pipitstage/config/schema/Section.java
+++ b/src/main/java/pipitstage/config/schema/Section.java
@@ -16,6 +16,9 @@
  */
 public final class Section {
     private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,99}";
+    private static final String SOURCE = "header:[^\\p{Cntrl}]{1,200}|fixed:[^\\p{Cntrl}]{1,200}|routing-key|exchange|"
+            + "property:(content-type|content-encoding|delivery-mode|priority|correlation-id|reply-to|expiration|message-id|"
+            + "timestamp|type|user-id|app-id|cluster-id)";
 
     private final String file;
     private final String key;
@@ -179,6 +182,9 @@
             case RATE -> Units.rate(text);
             case ADDRESS -> Addresses.literal(text);
             case WORD -> oneOf(words, text);
+            case TEXT -> matching(text, "[^\\p{Cntrl}]{0,255}", "must be up to 255 characters, none of them control ones");
+            case SOURCE -> matching(text, SOURCE, "must be header:NAME, property:NAME of a property of AMQP's class basic,"
+                    + " routing-key, exchange or fixed:VALUE");
             case FOLDER -> matching(text, "/[^\\p{Cntrl}]*", "must be an absolute path");
             default -> matching(text, NAME, "must be letters, digits and . _ -, 100 at the most, and begin with a"
                     + " letter or digit");
--- a/src/main/java/pipitstage/config/schema/Setting.java
+++ b/src/main/java/pipitstage/config/schema/Setting.java
@@ -20,6 +20,10 @@
     public enum Type {
         /** Short text without spaces. */
         NAME("a name of letters, digits and . _ -"),
+        /** What others gave a name to. */
+        TEXT("text of up to 255 characters"),
+        /** Where a value of a message is taken from. */
+        SOURCE("a source such as header:x, property:type, routing-key, exchange or fixed:x"),
         /** One of a few words. */
         WORD("one of"),
         /** A folder of this machine. */
--- a/src/main/java/pipitstage/config/tool/MachineSurroundings.java
+++ b/src/main/java/pipitstage/config/tool/MachineSurroundings.java
@@ -13,6 +13,12 @@
         return new MachineSurroundings(Optional.ofNullable(environment.get("TMPDIR")).filter(dir -> !dir.isEmpty()));
     }
 
+    @Override
+    public Optional<String> unreadable(String file) {
+        return Files.isReadable(Path.of(file)) && Files.isRegularFile(Path.of(file)) ? Optional.empty()
+                : Optional.of(file + " is no file that this user can read");
+    }
+
     /** A folder that is not there yet is made at the start, so nothing speaks against it here. */
     @Override
     public Optional<String> fault(String folder) {
--- a/src/main/java/pipitstage/config/tool/RelayFile.java
+++ b/src/main/java/pipitstage/config/tool/RelayFile.java
@@ -6,8 +6,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import pipitstage.Policy;
@@ -20,6 +22,9 @@
 
 /** Runs a relay by a relay file: the same checks as the tool's, then what the relay is told. */
 public final class RelayFile {
+    /** What brokers of RabbitMQ's kind let in from their own machine where nobody has set anything. */
+    private static final String USUAL_PASSWORD = "guest";
+
     private RelayFile() { }
 
     /** A relay file as a source of configuration. What is wrong with it is told in the words of {@code config check}. */
@@ -55,17 +60,66 @@
         }
     }
 
-    /** What a relay is told, of a file that has no error. */
-    static Config config(Declared declared, Figures figures, byte[] source) {
+    /**
+     * What a relay is told, of a file that has no error.
+     *
+     * @throws Config.BadConfigException where a password can't be read
+     */
+    static Config config(Declared declared, Figures figures, byte[] source) throws Config.BadConfigException {
         Declared.Discovery discovery = declared.discovery();
         boolean whole = discovery.agent() == null;
         List<Target> known = targets(declared);
-        return new Config(declared.fronts().stream().map(f -> Target.address(f.listen())).toList(),
+        return new Config(declared.fronts().stream().filter(f -> !f.amqp()).map(f -> Target.address(f.listen())).toList(),
                 addressOrNull(discovery.agent()), addressOrNull(discovery.notices()),
                 Path.of(declared.machine().folder()), figures.clients(), figures.connections(), figures.journal(),
                 settings(declared, figures), figures.round(), figures.idle(), figures.reports(),
                 whole ? Policy.ListKind.FULL : Policy.ListKind.CACHED, whole ? 0 : -1, known,
-                keeping(declared), source);
+                keeping(declared), amqp(declared, figures), source);
+    }
+
+    private static Config.Amqp amqp(Declared declared, Figures figures) throws Config.BadConfigException {
+        Map<String, Config.Login> logins = new HashMap<>();
+        for (Declared.Broker b : declared.amqp().brokers()) {
+            logins.put(b.name(), new Config.Login(b.user(), b.passwordFile() == null ? USUAL_PASSWORD
+                    : password(b.passwordFile()), b.virtualHost(), seconds(b.heartbeat()), b.tls(),
+                    b.trustFile() == null ? null : Path.of(b.trustFile()), b.tlsName()));
+        }
+        Map<String, Config.BrokerRoute> routes = new HashMap<>();
+        for (Declared.Endpoint e : declared.endpoints()) {
+            if (e.broker() != null) {
+                routes.put(e.id(), new Config.BrokerRoute(logins.get(e.broker()), e.exchange(), e.routingKey()));
+            }
+        }
+        List<Config.AmqpFront> fronts = new ArrayList<>();
+        for (Declared.Front f : declared.fronts()) {
+            if (f.amqp()) {
+                fronts.add(new Config.AmqpFront(f.name(), Target.address(f.listen()), f.exchange(), f.user(),
+                        f.passwordFile() == null ? null : password(f.passwordFile()), seconds(f.heartbeat()), f.channels(),
+                        (int) f.frame(), f.replyHold()));
+            }
+        }
+        List<Config.AmqpQueue> queues = declared.amqp().queues().stream().map(q -> new Config.AmqpQueue(q.name(),
+                Target.address(q.address()), logins.get(q.broker()), q.queue(), q.prefetch(), q.autoAcknowledge(),
+                q.ends(), q.replyQueue())).toList();
+        if (routes.isEmpty() && fronts.isEmpty() && queues.isEmpty()) {
+            return null;
+        }
+        return new Config.Amqp(routes, fronts, queues, declared.amqp().mappings().stream().map(m -> new Config.MappingRule(
+                m.contentType(), m.id(), m.requestClass(), m.tenant(), m.key(), m.destination(), m.budget())).toList(),
+                Math.max(1, figures.clients() / declared.fronts().size()), declared.amqp().duplicates().span(),
+                declared.amqp().duplicates().entries());
+    }
+
+    private static int seconds(long micros) {
+        return (int) Math.max(1, micros / 1_000_000);
+    }
+
+    private static String password(String file) throws Config.BadConfigException {
+        try {
+            return Files.readString(Path.of(file)).strip();
+        } catch (IOException e) {
+            throw new Config.BadConfigException(file + ": can't be read: " + e.getMessage());
+        }
     }
 
     private static Config.Keeping keeping(Declared declared) {
--- /dev/null
+++ b/src/main/java/pipitstage/duplicates/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The memory of what was taken on, for fronts whose clients hand the same message in again: which ids are known is
+ * decided in {@code SeenIds}, free of files and clocks; {@code SeenFile} lets it outlast the process.
+ *
+ * <p>May use: the log.
+ */
+package pipitstage.duplicates;
--- a/src/main/java/pipitstage/engine/Ends.java
+++ b/src/main/java/pipitstage/engine/Ends.java
@@ -1,6 +1,9 @@
 package pipitstage.engine;
 
-/** The port through which ends other than delivery are told; each is told until it has been heard. */
+/**
+ * The port through which ends are told: those other than delivery, and all of messages whose client asked for a reply.
+ * Each is told until it has been heard.
+ */
 public interface Ends {
     /** Tells how a message ended; {@link Engine#noticeHeard} is called once that is known to have been heard. */
     void send(Message message);
--- a/src/main/java/pipitstage/engine/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -137,7 +137,12 @@
         RequestClass type = classes.get(content.requestClass());
         return type != null && (type.repeat() != Policy.Repeat.BY_KEY || content.key() != null)
                 && (tenants.isEmpty() || tenants.contains(content.tenant()))
-                && (destinations.contains(content.destination()) || !listTold);
+                && reaches(content.destination());
+    }
+
+    @Override
+    public boolean reaches(int destination) {
+        return destinations.contains(destination) || !listTold;
     }
 
     @Override
@@ -317,7 +322,7 @@
             journal.result(attempt);
             endResend(message);
         } else if (over && message.end == null && !message.over) {
-            close(message);
+            finish(message, result == Result.OK);
         } else if (!message.over) {
             journal.result(attempt);
             if (message.end != null) {
@@ -346,8 +351,21 @@
         } else if (!message.over && clock.micros() <= message.content.deadline()) {
             // Guards against a further attempt for what has turned out to be delivered.
             add(new Policy.Withdrawn(message.number));
+            finish(message, true);
+        }
+    }
+
+    /** Nothing more is to be sent: the end is told where its client asked for that, and is the last of it where not. */
+    private void finish(Message message, boolean delivered) {
+        if (message.content.reply() == null) {
             close(message);
+            return;
         }
+        message.end = new Message.End(delivered ? Message.End.Kind.DELIVERED : Message.End.Kind.REFUSED, 0);
+        message.endWatch.cancel();
+        held--;
+        journal.decided(message);
+        ends.send(message);
     }
 
     @Override
@@ -402,7 +420,7 @@
     }
 
     private void tellEnd(Message message) {
-        boolean keeps = !message.end.refused() && keeper.takes(message);
+        boolean keeps = message.end.kind() == Message.End.Kind.FAILED && keeper.takes(message);
         message.owed = keeps ? 2 : 1;
         if (keeps) {
             keeper.keep(message);
--- a/src/main/java/pipitstage/engine/Intake.java
+++ b/src/main/java/pipitstage/engine/Intake.java
@@ -13,6 +13,9 @@
      */
     boolean knows(Message.Content content);
 
+    /** True where the destination is known, or may be once discovery has told its list. */
+    boolean reaches(int destination);
+
     /**
      * Takes a message on, whose bytes may have lain unread since a time, and returns it; its client is answered at
      * the end of the round, so that one who leaves meanwhile is noticed and one whose message ends at once hears
--- a/src/main/java/pipitstage/engine/Message.java
+++ b/src/main/java/pipitstage/engine/Message.java
@@ -10,12 +10,48 @@
  * microseconds. Not safe for use by several threads: everything about a message happens on the event loop.
  */
 public final class Message {
-    /** What a client handed in; {@code tenant} and {@code key} may be null. */
+    /**
+     * Where the end of a message is to be told, whatever it is.
+     *
+     * @param via the front that tells it
+     * @param queue the name that its client listens by
+     * @param correlation what the client knows its message by; may be null
+     */
+    public record Reply(String via, String queue, String correlation) { }
+
+    /**
+     * What a client handed in; {@code tenant} and {@code key} may be null.
+     *
+     * @param reply null where the client asked for none, and hears of ends other than delivery by {@link Ends}' usual way
+     */
     public record Content(String callId, String requestClass, String tenant, String key, long deadline,
-            int destination, byte[] body) { }
+            int destination, byte[] body, Reply reply) {
+        /** A message whose client asked for no reply. */
+        public Content(String callId, String requestClass, String tenant, String key, long deadline, int destination,
+                byte[] body) {
+            this(callId, requestClass, tenant, key, deadline, destination, body, null);
+        }
+    }
+
+    /**
+     * How a message ends, where its end is to be told.
+     *
+     * @param retryIn microseconds after which a refused one may be handed in again; 0 where that is not known
+     */
+    public record End(Kind kind, long retryIn) {
+        /** What an end is: delivered, refused and never run, or failed with what became of it untold. */
+        public enum Kind { FAILED, REFUSED, DELIVERED }
+
+        /** An end that is told as failed, or as refused with a time to come back. */
+        public End(boolean refused, long retryIn) {
+            this(refused ? Kind.REFUSED : Kind.FAILED, retryIn);
+        }
 
-    /** How a message that is not delivered ends. */
-    public record End(boolean refused, long retryIn) { }
+        /** True where it never ran, and may be handed in again. */
+        public boolean refused() {
+            return kind == Kind.REFUSED;
+        }
+    }
 
     /** One attempt; {@code result} stays null while nothing is known. */
     public static final class Attempt {
@@ -111,12 +147,12 @@
         return Collections.unmodifiableList(attempts);
     }
 
-    /** How it ends undelivered, or null where that is not decided. */
+    /** How it ends, or null where that is not decided, or not to be told. */
     public End end() {
         return end;
     }
 
-    /** Takes in that it ends undelivered. */
+    /** Takes in how it ends. */
     public void decide(End decided) {
         end = decided;
     }
--- /dev/null
+++ b/src/main/java/pipitstage/front/Front.java
@@ -0,0 +1,16 @@
+package pipitstage.front;
+
+/** A way in for messages, as the relay's end sees it. To be called on the event loop. */
+public interface Front {
+    /** Takes nothing new where a client can go elsewhere; what a client has begun is still answered. */
+    void drain();
+
+    /** True where everything that was begun has its answer. */
+    boolean isIdle();
+
+    /** True while something that came whole has no answer yet. */
+    boolean isAnswering();
+
+    /** Takes nothing from now on. */
+    void stopListening();
+}
--- /dev/null
+++ b/src/main/java/pipitstage/front/amqp/QueueConsumer.java
@@ -0,0 +1,413 @@
+package pipitstage.front.amqp;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import pipitstage.amqp.codec.AmqpException;
+import pipitstage.amqp.codec.Command;
+import pipitstage.amqp.codec.Method;
+import pipitstage.amqp.codec.Op;
+import pipitstage.amqp.codec.Properties;
+import pipitstage.amqp.codec.Property;
+import pipitstage.amqp.confirm.Confirms;
+import pipitstage.amqp.link.ClientLink;
+import pipitstage.amqp.mapping.Mapping;
+import pipitstage.duplicates.Seen;
+import pipitstage.engine.Clock;
+import pipitstage.engine.Ends;
+import pipitstage.engine.Intake;
+import pipitstage.engine.Message;
+import pipitstage.engine.Pulse;
+import pipitstage.front.Front;
+import pipitstage.log.Log;
+
+/**
+ * Takes messages from a queue of a broker: each is acknowledged once it is taken on, goes back to the queue where it is
+ * refused, and is rejected for good where it can never be taken on. Ends are published to reply queues at the same broker.
+ */
+public final class QueueConsumer implements Front, Replies, ClientLink.Owner {
+    /** Whether ends are told. */
+    public enum Tells {
+        /** To the queue that a message asks for. */
+        ASKED,
+        /** Also of messages that ask for none, to a queue that is set. */
+        ALWAYS,
+        NEVER
+    }
+
+    /**
+     * How it is set.
+     *
+     * @param name by which the journal knows this front
+     * @param tls null where the connection is plain
+     * @param tlsName the name that the broker's certificate has to hold; null for its address
+     * @param prefetch deliveries that may be unacknowledged
+     * @param autoAcknowledge the broker forgets what it hands out, and what is refused is lost
+     * @param replyQueue where ends go of messages that ask for no reply; null where they are not told
+     * @param connectTimeout microseconds until a connection is open in AMQP's sense
+     */
+    public record Options(String name, InetSocketAddress address, ClientLink.Login login, SslContext tls, String tlsName,
+            String queue, int prefetch, boolean autoAcknowledge, Tells tells, String replyQueue, long connectTimeout) { }
+
+    private static final int CONSUMING = 1;
+    private static final int REPLYING = 2;
+    private static final String TAG = "relay";
+    private static final int MOST_BODY = 64 << 10;
+    private static final long FIRST_PAUSE_MS = 100;
+    private static final long LONGEST_PAUSE_MS = 10_000;
+    /** Guards against a broker that hands out again and again, in no time, what is refused. */
+    private static final long LEAST_BACK_MS = 200;
+    private static final long MOST_BACK_MS = 5_000;
+    private static final int OK = 200;
+
+    /** One delivery that awaits its answer, on the link that it came by and no other. */
+    private final class Delivery implements Message.ClientReply {
+        private final ClientLink on;
+        private final long tag;
+        private final String id;
+        private Message message;
+
+        Delivery(ClientLink on, long tag, String id) {
+            this.on = on;
+            this.tag = tag;
+            this.id = id;
+        }
+
+        @Override
+        public void taken() {
+            // On file before the broker hears of it: what it hands out again after a lost acknowledgement is known by then.
+            seen.add(id);
+            answer(Method.of(Op.BASIC_ACK, tag, false));
+        }
+
+        @Override
+        public void refused(long retryIn) {
+            message = null;
+            long wait = Math.max(LEAST_BACK_MS, Math.min(MOST_BACK_MS, retryIn / 1_000));
+            loop.schedule(() -> answer(Method.of(Op.BASIC_REJECT, tag, true)), wait, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void failed() {
+            answer(Method.of(Op.BASIC_REJECT, tag, false));
+        }
+
+        private void answer(Method method) {
+            message = null;
+            deliveries.remove(this);
+            // Guards against a tag of a connection that is gone, which would speak of another message on this one.
+            if (options.autoAcknowledge()) {
+                if (method.op() != Op.BASIC_ACK) {
+                    Log.line("amqp: " + id + " is lost: it was refused, and the broker has forgotten it");
+                }
+            } else if (on == link && on.isOpen()) {
+                on.send(CONSUMING, method);
+            }
+        }
+    }
+
+    private final EventLoop loop;
+    private final Intake intake;
+    private final Clock clock;
+    private final Pulse pulse;
+    private final Mapping mapping;
+    private final Seen seen;
+    private final Options options;
+    private final Consumer<Message> heard;
+    private final Ends others;
+    private final String boot;
+    private final Set<Delivery> deliveries = new HashSet<>();
+    /** Ends that are not published, the oldest first. */
+    private final ArrayDeque<Message> untold = new ArrayDeque<>();
+    private Confirms<Message> confirms = new Confirms<>();
+    private ClientLink link;
+    private Future<?> opening;
+    private boolean replies;
+    /** The broker wants no publishes: ends wait, by either of its two ways to say so. */
+    private boolean blocked;
+    private boolean flowStopped;
+    private boolean draining;
+    private boolean stopped;
+    private long pause = FIRST_PAUSE_MS;
+    private long anonymous;
+
+    /**
+     * A consumer; {@link #start} sets it going.
+     *
+     * @param heard told of each end that the broker has
+     * @param others where ends go whose queue is not there
+     */
+    public QueueConsumer(EventLoop loop, Intake intake, Clock clock, Pulse pulse, Mapping mapping, Seen seen,
+            Options options, Consumer<Message> heard, Ends others) {
+        this.loop = loop;
+        this.intake = intake;
+        this.clock = clock;
+        this.pulse = pulse;
+        this.mapping = mapping;
+        this.seen = seen;
+        this.options = options;
+        this.heard = heard;
+        this.others = others;
+        boot = Long.toString(clock.micros(), Character.MAX_RADIX);
+    }
+
+    /** Connects, and again after pauses that grow, until the end. */
+    public void start() {
+        if (stopped) {
+            return;
+        }
+        ClientLink made = new ClientLink(options.login(), MOST_BODY, this);
+        link = made;
+        ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, options.connectTimeout() / 1_000))
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        if (options.tls() != null) {
+                            String host = options.tlsName() != null ? options.tlsName()
+                                    : options.address().getAddress().getHostAddress();
+                            ch.pipeline().addLast(options.tls().newHandler(ch.alloc(), host, options.address().getPort()));
+                        }
+                        ch.pipeline().addLast(made);
+                    }
+                }).connect(options.address());
+        opening = loop.schedule(() -> {
+            connected.channel().close();
+            made.notConnected("it did not open in time");
+        }, options.connectTimeout(), TimeUnit.MICROSECONDS);
+        connected.addListener(done -> {
+            if (!done.isSuccess()) {
+                loop.execute(() -> made.notConnected(done.cause().getMessage()));
+            }
+        });
+    }
+
+    @Override
+    public void opened() {
+        link.openChannel(CONSUMING);
+        if (options.tells() != Tells.NEVER) {
+            link.openChannel(REPLYING);
+        }
+    }
+
+    @Override
+    public void received(Command command) throws AmqpException {
+        Method m = command.method();
+        switch (m.op()) {
+            case CHANNEL_OPEN_OK -> link.send(command.channel(), command.channel() == CONSUMING
+                    ? Method.of(Op.BASIC_QOS, 0L, options.prefetch(), false) : Method.of(Op.CONFIRM_SELECT, false));
+            case BASIC_QOS_OK -> link.send(CONSUMING, Method.of(Op.BASIC_CONSUME, options.queue(), TAG, false,
+                    options.autoAcknowledge(), false, false,
+                    Map.of()));
+            case BASIC_CONSUME_OK -> {
+                opening.cancel(false);
+                pause = FIRST_PAUSE_MS;
+                Log.line("amqp: consuming queue " + options.queue() + " at " + options.address());
+            }
+            case CONFIRM_SELECT_OK -> {
+                replies = true;
+                tellAll();
+            }
+            case BASIC_DELIVER -> deliver(command);
+            case BASIC_ACK, BASIC_NACK -> confirmed(m);
+            case BASIC_RETURN -> returned(command);
+            case BASIC_CANCEL_OK -> { }
+            case CONNECTION_BLOCKED -> blocked = true;
+            case CONNECTION_UNBLOCKED -> {
+                blocked = false;
+                tellAll();
+            }
+            case CHANNEL_FLOW -> {
+                flowStopped = command.channel() == REPLYING ? !m.flag("active") : flowStopped;
+                link.send(command.channel(), Method.of(Op.CHANNEL_FLOW_OK, m.flag("active")));
+                tellAll();
+            }
+            case BASIC_CANCEL -> link.end(OK, "the queue is gone");
+            case CHANNEL_CLOSE -> {
+                Log.line("amqp: queue " + options.queue() + ": the broker closed channel " + command.channel() + ": "
+                        + m.number("reply-code") + " " + m.text("reply-text"));
+                link.send(command.channel(), Method.of(Op.CHANNEL_CLOSE_OK));
+                link.end(OK, "a channel was closed");
+            }
+            default -> throw new AmqpException(AmqpException.COMMAND_INVALID, m.op() + " was not asked for");
+        }
+    }
+
+    // ---- messages in
+
+    private void deliver(Command command) {
+        Method m = command.method();
+        long tag = m.number("delivery-tag");
+        Properties properties = command.properties();
+        Mapping.Mapped mapped = command.isSkipped() ? new Mapping.Misfits(command.size() + " bytes are more than is taken")
+                : mapping.map(properties, m.text("exchange"), m.text("routing-key"), command.body(), pulse.unreadSince(),
+                        options.name() + "-" + boot + "-" + anonymous++, reply(properties));
+        if (mapped instanceof Mapping.Misfits misfit) {
+            rejectForGood(tag, misfit.reason());
+            return;
+        }
+        Message.Content content = ((Mapping.Fits) mapped).content();
+        if (seen.contains(content.callId())) {
+            // Taken on before, and acknowledged in vain: its end is owed once.
+            answer(Method.of(Op.BASIC_ACK, tag, false));
+            return;
+        }
+        if (!intake.knows(content)) {
+            rejectForGood(tag, "its destination or tenant is not known, or its class needs a key");
+            return;
+        }
+        if (content.deadline() <= clock.micros()) {
+            rejectForGood(tag, "its time is over");
+            return;
+        }
+        Delivery delivery = new Delivery(link, tag, content.callId());
+        deliveries.add(delivery);
+        if (draining || !seen.hasRoom()) {
+            delivery.refused(0);
+        } else {
+            // Null where it has its answer by now.
+            delivery.message = intake.takeOn(content, pulse.unreadSince(), delivery);
+        }
+    }
+
+    private Message.Reply reply(Properties properties) {
+        String asked = properties.text(Property.REPLY_TO);
+        String queue = options.tells() == Tells.NEVER ? null : asked != null ? asked
+                : options.tells() == Tells.ALWAYS ? options.replyQueue() : null;
+        return queue == null ? null : new Message.Reply(options.name(), queue, properties.text(Property.CORRELATION_ID));
+    }
+
+    private void rejectForGood(long tag, String reason) {
+        Log.line("amqp: queue " + options.queue() + ": a message is rejected for good: " + reason);
+        answer(Method.of(Op.BASIC_REJECT, tag, false));
+    }
+
+    private void answer(Method method) {
+        if (!options.autoAcknowledge()) {
+            link.send(CONSUMING, method);
+        }
+    }
+
+    // ---- ends out
+
+    @Override
+    public void tell(Message message) {
+        untold.add(message);
+        tellAll();
+    }
+
+    private void tellAll() {
+        while (replies && !blocked && !flowStopped && !untold.isEmpty() && link.isWritable()) {
+            Message message = untold.poll();
+            long tag = confirms.publish(message);
+            Confirms<Message> current = confirms;
+            link.send(REPLYING, Method.of(Op.BASIC_PUBLISH, "", message.content().reply().queue(), true, false),
+                    ReplyText.properties(message).with(Property.HEADERS, Map.<String, Object>of(Confirms.TAG, tag)),
+                    ReplyText.body(message)).addListener(done -> {
+                        if (done.isSuccess()) {
+                            current.written(tag);
+                            tellAll();
+                        }
+                    });
+        }
+    }
+
+    private void confirmed(Method m) throws AmqpException {
+        List<Confirms.Settled<Message>> settled = confirms.confirmed(m.number("delivery-tag"), m.flag("multiple"),
+                m.op() == Op.BASIC_ACK);
+        if (settled == null) {
+            throw new AmqpException(AmqpException.PRECONDITION_FAILED, m + " speaks of no publish that is open");
+        }
+        settled.forEach(this::settle);
+    }
+
+    /** An end is heard once the broker has it. One that it may have is told again, under the same id. */
+    private void settle(Confirms.Settled<Message> settled) {
+        switch (settled.fate()) {
+            case ACKED -> heard.accept(settled.what());
+            case RETURNED -> {
+                Log.line("amqp: queue " + settled.what().content().reply().queue() + " is not there for the end of "
+                        + settled.what().content().callId());
+                others.send(settled.what());
+            }
+            default -> untold.add(settled.what());
+        }
+    }
+
+    private void returned(Command command) {
+        if (command.properties().headers().get(Confirms.TAG) instanceof Long tag) {
+            confirms.returned(tag).forEach(this::settle);
+        }
+    }
+
+    // ---- the end
+
+    @Override
+    public void closed(String reason) {
+        opening.cancel(false);
+        if (!stopped) {
+            Log.line("amqp: queue " + options.queue() + " at " + options.address() + ": " + reason);
+        }
+        link = null;
+        replies = false;
+        blocked = false;
+        flowStopped = false;
+        // Guards against delivering what the broker now hands out again.
+        for (Delivery delivery : List.copyOf(deliveries)) {
+            Message message = delivery.message;
+            delivery.message = null;
+            deliveries.remove(delivery);
+            if (message != null) {
+                intake.withdraw(message);
+            }
+        }
+        Confirms<Message> last = confirms;
+        confirms = new Confirms<>();
+        last.closed(false).forEach(this::settle);
+        if (!stopped) {
+            loop.schedule(this::start, pause, TimeUnit.MILLISECONDS);
+            pause = Math.min(LONGEST_PAUSE_MS, pause * 2);
+        }
+    }
+
+    @Override
+    public void drain() {
+        draining = true;
+        if (link != null && link.isOpen()) {
+            link.send(CONSUMING, Method.of(Op.BASIC_CANCEL, TAG, false));
+        }
+    }
+
+    @Override
+    public boolean isIdle() {
+        return deliveries.isEmpty();
+    }
+
+    @Override
+    public boolean isAnswering() {
+        return deliveries.stream().anyMatch(d -> d.message != null);
+    }
+
+    @Override
+    public void stopListening() {
+        stopped = true;
+        if (link != null) {
+            link.end(OK, "the relay ends");
+        }
+    }
+}
--- a/src/main/java/pipitstage/front/http/ClientServer.java
+++ b/src/main/java/pipitstage/front/http/ClientServer.java
@@ -18,10 +18,11 @@
 import pipitstage.engine.Clock;
 import pipitstage.engine.Intake;
 import pipitstage.engine.Pulse;
+import pipitstage.front.Front;
 import pipitstage.log.Log;
 
 /** Listens for clients and keeps their connections, and what they have half sent, within bounds. */
-public final class ClientServer {
+public final class ClientServer implements Front {
     private static final int BACKLOG = 1024;
     private static final long PAUSE_MS = 50;
     private static final int MOST_BUFFERED = 4 << 20;
@@ -108,6 +109,7 @@
     }
 
     /** Closes connections as they fall idle; whatever a client has begun to send is still answered. */
+    @Override
     public void drain() {
         draining = true;
         List.copyOf(silent).forEach(ClientConnection::close);
@@ -119,16 +121,19 @@
     }
 
     /** True where every request that was begun has its answer. */
+    @Override
     public boolean isIdle() {
         return connections.stream().allMatch(c -> silent.contains(c) || idle.contains(c) || c.isEnding());
     }
 
     /** True while a request that was read whole has no answer yet. */
+    @Override
     public boolean isAnswering() {
         return connections.stream().anyMatch(ClientConnection::isAnswering);
     }
 
     /** Takes no new connection from now on. */
+    @Override
     public void stopListening() {
         listener.close();
     }
--- /dev/null
+++ b/src/main/java/pipitstage/front/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * What every front is to the relay, whatever its clients speak.
+ *
+ * <p>May use: nothing of the relay.
+ */
+package pipitstage.front;
--- a/src/main/java/pipitstage/journal/Journal.java
+++ b/src/main/java/pipitstage/journal/Journal.java
@@ -50,6 +50,8 @@
     private static final int DONE = 5;
     /** Accepted to be sent again, with the attempts that bind it: in one record, since none may be without the others. */
     private static final int RESENT = 6;
+    /** Accepted from a client that asked for a reply, with where to. */
+    private static final int ACCEPTED_FOR_REPLY = 7;
 
     private interface Payload {
         void write(DataOutputStream out) throws IOException;
@@ -270,10 +272,15 @@
     private static Payload accepted(Message message) {
         Message.Content content = message.content();
         return out -> {
-            out.writeByte(message.entry() == 0 ? ACCEPTED : RESENT);
+            Message.Reply reply = content.reply();
+            out.writeByte(message.entry() != 0 ? RESENT : reply != null ? ACCEPTED_FOR_REPLY : ACCEPTED);
             out.writeLong(message.number());
             if (message.entry() != 0) {
                 writePast(out, message);
+            } else if (reply != null) {
+                out.writeUTF(reply.via());
+                out.writeUTF(reply.queue());
+                writeOptional(out, reply.correlation());
             }
             out.writeUTF(content.callId());
             out.writeUTF(content.requestClass());
@@ -306,7 +313,7 @@
             String result = readOptional(in);
             past.add(new Policy.PastAttempt(route, sentAt, result == null ? null : Policy.Result.valueOf(result)));
         }
-        Message message = new Message(number, readContent(in), entry);
+        Message message = new Message(number, readContent(in, null), entry);
         past.forEach(p -> message.addAttempt(p.route(), p.sentAt()).result(p.result()));
         return message;
     }
@@ -334,7 +341,7 @@
         return out -> {
             out.writeByte(DECIDED);
             out.writeLong(message.number());
-            out.writeBoolean(message.end().refused());
+            out.writeByte(message.end().kind().ordinal());
             out.writeLong(message.end().retryIn());
         };
     }
@@ -393,7 +400,12 @@
             int type = in.readByte();
             long number = in.readLong();
             if (type == ACCEPTED) {
-                add(new Message(number, readContent(in)), payload.length + HEAD);
+                add(new Message(number, readContent(in, null)), payload.length + HEAD);
+                return true;
+            }
+            if (type == ACCEPTED_FOR_REPLY) {
+                Message.Reply reply = new Message.Reply(in.readUTF(), in.readUTF(), readOptional(in));
+                add(new Message(number, readContent(in, reply)), payload.length + HEAD);
                 return true;
             }
             if (type == RESENT) {
@@ -411,7 +423,7 @@
             switch (type) {
                 case ATTEMPT -> replayAttempt(message, in.readInt(), in.readUTF(), in.readLong());
                 case RESULT -> message.attempts().get(in.readInt()).result(Policy.Result.valueOf(in.readUTF()));
-                case DECIDED -> message.decide(new Message.End(in.readBoolean(), in.readLong()));
+                case DECIDED -> message.decide(new Message.End(Message.End.Kind.values()[in.readByte()], in.readLong()));
                 case DONE -> forget(number);
                 default -> throw new IOException("unknown record " + type);
             }
@@ -433,7 +445,7 @@
         message.addAttempt(route, sentAt);
     }
 
-    private static Message.Content readContent(DataInputStream in) throws IOException {
+    private static Message.Content readContent(DataInputStream in, Message.Reply reply) throws IOException {
         String callId = in.readUTF();
         String requestClass = in.readUTF();
         String tenant = readOptional(in);
@@ -442,7 +454,7 @@
         int destination = in.readInt();
         byte[] body = new byte[in.readInt()];
         in.readFully(body);
-        return new Message.Content(callId, requestClass, tenant, key, deadline, destination, body);
+        return new Message.Content(callId, requestClass, tenant, key, deadline, destination, body, reply);
     }
 
     private static void writeOptional(DataOutputStream out, String text) throws IOException {
--- a/src/main/java/pipitstage/platform/EndsFile.java
+++ b/src/main/java/pipitstage/platform/EndsFile.java
@@ -81,7 +81,11 @@
             out.writeStringField("ref", message.content().callId());
             out.writeStringField("class", message.content().requestClass());
             out.writeNumberField("dest", message.content().destination());
-            out.writeStringField("result", message.end().refused() ? "bounced" : "dead");
+            out.writeStringField("result", switch (message.end().kind()) {
+                case REFUSED -> "bounced";
+                case FAILED -> "dead";
+                case DELIVERED -> "done";
+            });
             if (message.end().refused() && message.end().retryIn() > 0) {
                 out.writeNumberField("wait_ms", message.end().retryIn() / 1000);
             }
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -9,9 +9,12 @@
 import pipitstage.Logic;
 import pipitstage.config.Config;
 import pipitstage.engine.Clock;
+import pipitstage.engine.Ends;
 import pipitstage.engine.Engine;
+import pipitstage.engine.Partners;
 import pipitstage.engine.Pulse;
 import pipitstage.engine.Timers;
+import pipitstage.front.Front;
 import pipitstage.front.http.ClientServer;
 import pipitstage.journal.Journal;
 import pipitstage.log.Log;
@@ -38,7 +41,10 @@
     private final Discovery discovery;
     /** Null where nothing is kept of what can't be delivered. */
     private final Keeping keeping;
-    private final List<ClientServer> fronts = new ArrayList<>();
+    /** Null where nothing is spoken of AMQP. */
+    private final Amqp amqp;
+    private final List<ClientServer> servers = new ArrayList<>();
+    private final List<Front> fronts = new ArrayList<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private long stopAt;
 
@@ -53,16 +59,24 @@
         notices = config.notices() == null ? null : new Notices(loop, config.notices(), engine::noticeHeard);
         keeping = config.keeping() == null ? null : new Keeping(loop, timers, clock, engine, config);
         long listenOn = config.keeping() == null ? 0 : config.keeping().listenOn();
-        engine.attach(new HostClient(loop, clock, config.settings(), new HostClient.Options(config.reports(),
-                config.idleSpan(), config.hostConnections(), listenOn), engine), notices != null ? notices
-                : new EndsFile(config.state(), config.diskBytes() / EndsFile.DISK_PART, engine::noticeHeard));
+        Partners partners = new HostClient(loop, clock, config.settings(), new HostClient.Options(config.reports(),
+                config.idleSpan(), config.hostConnections(), listenOn), engine);
+        Ends ends = notices != null ? notices
+                : new EndsFile(config.state(), config.diskBytes() / EndsFile.DISK_PART, engine::noticeHeard);
         discovery = config.discovery() == null ? null
                 : new Discovery(loop, config.discovery(), engine, discoveryIsSilent);
         pulse = new Pulse(timers, clock);
+        amqp = config.amqp() == null ? null : new Amqp(loop, clock, pulse, engine, config, journal, ends);
+        engine.attach(amqp == null ? partners : amqp.partners(partners), amqp == null ? ends : amqp.ends());
         // Guards against fronts that together hold more connections than there are.
-        int each = Math.max(1, config.clientConnections() / config.listen().size());
+        int listeners = config.listen().size() + (amqp == null ? 0 : amqp.listeners());
+        int each = Math.max(1, config.clientConnections() / Math.max(1, listeners));
         for (int i = 0; i < config.listen().size(); i++) {
-            fronts.add(new ClientServer(engine, clock, pulse, each));
+            servers.add(new ClientServer(engine, clock, pulse, each));
+        }
+        fronts.addAll(servers);
+        if (amqp != null) {
+            fronts.addAll(amqp.fronts());
         }
     }
 
@@ -79,10 +93,13 @@
                     discovery.start();
                 }
             }).sync();
-            for (int i = 0; i < fronts.size(); i++) {
-                Log.line("serving on " + fronts.get(i).listen(loop, config.listen().get(i)).sync().channel()
+            for (int i = 0; i < servers.size(); i++) {
+                Log.line("serving on " + servers.get(i).listen(loop, config.listen().get(i)).sync().channel()
                         .localAddress());
             }
+            if (amqp != null) {
+                amqp.start();
+            }
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
         }
@@ -105,7 +122,7 @@
     void stop() {
         stopAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MS);
         loop.schedule(engine::freeze, BEGIN_NOTHING_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> fronts.forEach(ClientServer::drain), SERVE_ON_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> fronts.forEach(Front::drain), SERVE_ON_MS, TimeUnit.MILLISECONDS);
         loop.schedule(this::endWhenDone, SERVE_ON_MS, TimeUnit.MILLISECONDS);
         try {
             stopped.await();
@@ -117,9 +134,9 @@
     private void endWhenDone() {
         boolean late = System.nanoTime() >= stopAt;
         boolean done = engine.isIdle() || engine.isFrozen() && engine.isQuiet();
-        boolean idle = fronts.stream().allMatch(ClientServer::isIdle);
-        if (idle && done || late && fronts.stream().noneMatch(ClientServer::isAnswering)) {
-            fronts.forEach(ClientServer::stopListening);
+        boolean idle = fronts.stream().allMatch(Front::isIdle);
+        if (idle && done || late && fronts.stream().noneMatch(Front::isAnswering)) {
+            fronts.forEach(Front::stopListening);
             if (keeping != null) {
                 keeping.close();
             }
--- a/src/main/java/pipitstage/standin/ServedRelay.java
+++ b/src/main/java/pipitstage/standin/ServedRelay.java
@@ -12,6 +12,8 @@
 /** A relay that serves by its relay file, as a process of its own with the class path of this one. */
 public final class ServedRelay implements AutoCloseable {
     private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+    private static final Pattern SERVING_AMQP = Pattern.compile("serving AMQP on \\S*?([0-9.]+):(\\d+)");
+    private static final Pattern ANY = Pattern.compile("serving (AMQP )?on |amqp: consuming queue");
     private static final String MAIN = "pipitstage.cli.Main";
     private static final int PATIENCE_S = 30;
     private static final int LOOK_MS = 20;
@@ -48,7 +50,7 @@
      */
     public ServedRelay awaitServing() throws IOException, InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
-        while (!serving().find()) {
+        while (!ANY.matcher(log()).find()) {
             if (System.nanoTime() > end || !process.isAlive()) {
                 throw new IOException("the relay does not serve: " + log().strip());
             }
@@ -57,12 +59,8 @@
         return this;
     }
 
-    private Matcher serving() throws IOException {
-        return SERVING.matcher(log());
-    }
-
-    private Matcher served() throws IOException {
-        Matcher at = serving();
+    private Matcher served(Pattern line) throws IOException {
+        Matcher at = line.matcher(log());
         if (!at.find()) {
             throw new IOException("the relay does not serve: " + log().strip());
         }
@@ -71,12 +69,17 @@
 
     /** The address of its first front. */
     public String host() throws IOException {
-        return served().group(1);
+        return served(SERVING).group(1);
     }
 
     /** The port of its first front. */
     public int port() throws IOException {
-        return Integer.parseInt(served().group(2));
+        return Integer.parseInt(served(SERVING).group(2));
+    }
+
+    /** The port of its first front that speaks AMQP. */
+    public int amqpPort() throws IOException {
+        return Integer.parseInt(served(SERVING_AMQP).group(2));
     }
 
     /** A new client of its first front, which speaks HTTP/1.1. */
--- a/src/main/java/pipitstage/standin/StandInBroker.java
+++ b/src/main/java/pipitstage/standin/StandInBroker.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import pipitstage.amqp.codec.AmqpException;
@@ -145,6 +146,7 @@
     private Function<String, Fate> script = id -> Fate.CONFIRM;
     private Cut cut = Cut.NEVER;
     private long lateMillis;
+    private BooleanSupplier losesAck = () -> false;
     private boolean blocked;
     private boolean reading = true;
     private int heartbeat;
@@ -243,11 +245,11 @@
         });
     }
 
-    /** Puts a message into a queue, as if someone had published it. */
-    public void put(String queue, Properties properties, byte[] body) {
+    /** Puts a message into a queue, as if someone had published it under a routing key. */
+    public void put(String queue, String routingKey, Properties properties, byte[] body) {
         run(() -> {
             Queue to = queues.computeIfAbsent(queue, Queue::new);
-            to.ready.add(new Stored("", queue, properties, body));
+            to.ready.add(new Stored("", routingKey, properties, body));
             dispatch(to);
         });
     }
@@ -272,6 +274,11 @@
         run(() -> cut = next);
     }
 
+    /** Loses acknowledgements as drawn: the connection breaks in their place, and what they were for comes again. */
+    public void loseAcks(BooleanSupplier drawn) {
+        run(() -> losesAck = drawn);
+    }
+
     /** Asks for heartbeats of so many seconds of connections from now on. */
     public void heartbeat(int seconds) {
         run(() -> heartbeat = seconds);
@@ -285,6 +292,17 @@
         });
     }
 
+    /** Does nothing at all for so many milliseconds: neither reads, answers nor beats. */
+    public void freeze(long millis) {
+        loop.execute(() -> {
+            try {
+                TimeUnit.MILLISECONDS.sleep(millis);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     /** Tells every connection, also later ones, that publishes must wait, or need not any more. */
     public void block(boolean on) {
         run(() -> {
@@ -624,6 +642,10 @@
 
         private void settle(ChannelState state, long tag, boolean multiple, boolean acks, boolean requeues)
                 throws AmqpException {
+            if (acks && losesAck.getAsBoolean()) {
+                ch.close();
+                return;
+            }
             Map<Long, Delivery> settled = multiple ? new TreeMap<>(state.unacked.headMap(tag == 0 ? Long.MAX_VALUE : tag, true))
                     : state.unacked.containsKey(tag) ? Map.of(tag, state.unacked.get(tag)) : Map.of();
             if (settled.isEmpty() && tag != 0) {
--- a/src/test/java/pipitstage/RoomsTest.java
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -32,6 +32,8 @@
     private static final String PLAN = "pipitstage\\.config\\.(plan|schema)\\..*";
     /** Whether what could not be delivered may be sent again, and when. */
     private static final String UNDELIVERABLE = "pipitstage\\.undeliverable\\.[A-Z].*";
+    /** What confirms prove, what an AMQP message is to the relay, and which ids are known. */
+    private static final String AMQP = "pipitstage\\.(amqp\\.(confirm|mapping)\\..*|duplicates\\.SeenIds)";
     /** Sockets, files, clocks and threads. */
     private static final DescribedPredicate<JavaClass> OUTSIDE = DescribedPredicate.or(
             resideInAnyPackage("java.io..", "java.net..", "java.nio.file..", "java.nio.channels..",
@@ -51,6 +53,7 @@
         module(MODULE).check(ALL);
         module(PLAN).check(ALL);
         module(UNDELIVERABLE).check(ALL);
+        module(AMQP).check(ALL);
         classes().that().haveNameMatching(MODULE).should()
                 .onlyDependOnClassesThat(DescribedPredicate.or(nameMatching(MODULE), DescribedPredicate.not(ours()))).check(ALL);
     }
@@ -64,7 +67,13 @@
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "engine | pipitstage pipitstage.engine pipitstage.log",
-        "front.http | pipitstage.engine pipitstage.front.http pipitstage.http pipitstage.log",
+        "front | pipitstage.front",
+        "front.http | pipitstage.front pipitstage.engine pipitstage.front.http pipitstage.http pipitstage.log",
+        "front.amqp | pipitstage.front pipitstage.front.amqp pipitstage.engine pipitstage.amqp.. pipitstage.duplicates "
+            + "pipitstage.log",
+        "partner.amqp | pipitstage pipitstage.engine pipitstage.partner.amqp pipitstage.amqp.codec pipitstage.amqp.link "
+            + "pipitstage.amqp.confirm pipitstage.http pipitstage.log",
+        "duplicates | pipitstage.duplicates pipitstage.log",
         "partner.http | pipitstage pipitstage.engine pipitstage.partner.http pipitstage.http pipitstage.log",
         "platform | pipitstage pipitstage.engine pipitstage.platform pipitstage.log",
         "journal | pipitstage pipitstage.engine pipitstage.journal pipitstage.log",
@@ -74,7 +83,8 @@
         "config.plan | pipitstage.config.plan pipitstage.config.schema pipitstage.config.file",
         "config.tool | pipitstage pipitstage.engine pipitstage.config..",
         "relay | pipitstage pipitstage.relay pipitstage.config pipitstage.engine pipitstage.front.. pipitstage.partner.. "
-            + "pipitstage.platform pipitstage.journal pipitstage.log pipitstage.undeliverable.. pipitstage.admin",
+            + "pipitstage.platform pipitstage.journal pipitstage.log pipitstage.undeliverable.. pipitstage.admin "
+            + "pipitstage.amqp.. pipitstage.duplicates",
         "undeliverable | pipitstage pipitstage.engine pipitstage.undeliverable pipitstage.log",
         "undeliverable.store | pipitstage pipitstage.engine pipitstage.undeliverable.. pipitstage.log",
         "admin | pipitstage pipitstage.admin pipitstage.undeliverable pipitstage.engine pipitstage.log",
@@ -82,6 +92,8 @@
         "http | pipitstage.http",
         "amqp.codec | pipitstage.amqp.codec",
         "amqp.link | pipitstage.amqp.codec pipitstage.amqp.link",
+        "amqp.confirm | pipitstage.amqp.confirm",
+        "amqp.mapping | pipitstage pipitstage.engine pipitstage.amqp.codec pipitstage.amqp.mapping",
         "standin | pipitstage.standin pipitstage.http pipitstage.amqp.."})
     void packageUsesOnlyWhatItSays(String name, String allowed) {
         classes().that().resideInAPackage("pipitstage." + name).should().onlyDependOnClassesThat(
--- /dev/null
+++ b/src/test/java/pipitstage/amqp/confirm/ConfirmsTest.java
@@ -0,0 +1,137 @@
+package pipitstage.amqp.confirm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import pipitstage.amqp.confirm.Confirms.Fate;
+
+class ConfirmsTest {
+    private final Confirms<String> confirms = new Confirms<>();
+
+    private void publish(String... names) {
+        for (String name : names) {
+            confirms.written(confirms.publish(name));
+        }
+    }
+
+    private static String text(List<Confirms.Settled<String>> settled) {
+        return settled.stream().map(s -> s.what() + " " + s.fate()).collect(Collectors.joining(", "));
+    }
+
+    @Test
+    void confirmIsForOneOrForAllUpToIt() {
+        publish("a", "b", "c", "d");
+        assertEquals("b ACKED", text(confirms.confirmed(2, false, true)));
+        assertEquals("a ACKED, c ACKED", text(confirms.confirmed(3, true, true)));
+        assertEquals("d NACKED", text(confirms.confirmed(0, true, false)));
+        assertEquals(0, confirms.open());
+    }
+
+    @Test
+    void returnedNeverRanAndItsConfirmSaysNothingMore() {
+        publish("a", "b");
+        assertEquals("a RETURNED", text(confirms.returned(1)));
+        assertEquals("", text(confirms.returned(1)));
+        assertEquals("", text(confirms.returned(9)));
+        assertEquals("b ACKED", text(confirms.confirmed(2, true, true)));
+        publish("c");
+        assertEquals("c RETURNED", text(confirms.returned(3)));
+        assertEquals("", text(confirms.closed(false)), "the end says no more of it than the return did");
+    }
+
+    @Test
+    void confirmOfWhatWasNeverPublishedOrNotWrittenOrConfirmedAlreadyProvesNothing() {
+        publish("a");
+        assertNull(confirms.confirmed(2, false, true));
+        assertNull(confirms.confirmed(9, true, true));
+        assertNull(confirms.confirmed(0, false, true));
+        confirms.publish("half");
+        assertNull(confirms.confirmed(2, false, true), "it has not left whole");
+        assertNull(confirms.confirmed(2, true, true));
+        assertEquals(2, confirms.open(), "nothing was settled by any of it");
+        assertEquals("a ACKED", text(confirms.confirmed(1, false, true)));
+        assertNull(confirms.confirmed(1, false, true));
+    }
+
+    @Test
+    void endLeavesWhatWasWrittenWholeUnknownAndNothingElse() {
+        publish("a", "b");
+        confirms.publish("half");
+        assertEquals("a UNKNOWN, b UNKNOWN, half NEVER", text(confirms.closed(false)));
+        assertEquals(0, confirms.open());
+    }
+
+    @Test
+    void publishAtFaultIsTheLastOrAheadOfIt() {
+        publish("a", "b", "c");
+        assertEquals("a UNKNOWN, b UNKNOWN, c NEVER", text(confirms.closed(true)));
+        publish("only");
+        assertEquals("only NEVER", text(confirms.closed(true)));
+        publish("x");
+        confirms.publish("half");
+        assertEquals("x UNKNOWN, half NEVER", text(confirms.closed(true)), "the one at fault may be the half one");
+        publish("y", "z");
+        confirms.confirmed(confirmedTag(), false, true);
+        assertEquals("y UNKNOWN", text(confirms.closed(true)), "a confirmed one is not at fault");
+    }
+
+    private long confirmedTag() {
+        long tag = confirms.publish("probe");
+        confirms.written(tag);
+        assertEquals("probe ACKED", text(confirms.confirmed(tag, false, true)));
+        return tag - 1;
+    }
+
+    /** A broker that goes through a channel in order against what is concluded, over many drawn courses. */
+    @Test
+    void noConclusionContradictsWhatTheBrokerDid() {
+        int never = 0;
+        for (int seed = 0; seed < 5_000; seed++) {
+            Random random = new Random(seed);
+            Confirms<Integer> drawn = new Confirms<>();
+            Set<Integer> ran = new HashSet<>();
+            Map<Integer, Fate> concluded = new HashMap<>();
+            int count = 1 + random.nextInt(8);
+            int whole = random.nextInt(count + 1);
+            int fault = random.nextInt(3) == 0 && whole > 0 ? 1 + random.nextInt(whole) : 0;
+            for (int tag = 1; tag <= count; tag++) {
+                drawn.publish(tag);
+                if (tag <= whole) {
+                    drawn.written(tag);
+                }
+            }
+            for (int tag = 1; tag <= whole && tag != fault; tag++) {
+                if (random.nextInt(4) == 0) {
+                    drawn.returned(tag).forEach(s -> concluded.put(s.what(), s.fate()));
+                } else {
+                    ran.add(tag);
+                }
+                if (random.nextBoolean()) {
+                    drawn.confirmed(tag, random.nextBoolean(), true).forEach(s -> concluded.put(s.what(), s.fate()));
+                }
+            }
+            drawn.closed(fault > 0 && whole == count).forEach(s -> concluded.put(s.what(), s.fate()));
+            assertEquals(count, concluded.size(), "seed " + seed);
+            for (Map.Entry<Integer, Fate> one : concluded.entrySet()) {
+                boolean runs = ran.contains(one.getKey());
+                boolean right = switch (one.getValue()) {
+                    case ACKED -> runs;
+                    case RETURNED, NEVER -> !runs;
+                    default -> true;
+                };
+                never += one.getValue() == Fate.NEVER ? 1 : 0;
+                assertTrue(right, "seed " + seed + ": " + one + ", ran: " + ran);
+            }
+        }
+        assertTrue(never > 1_000, "drawn too seldom: " + never);
+    }
+}
--- a/src/test/java/pipitstage/config/ToolTest.java
+++ b/src/test/java/pipitstage/config/ToolTest.java
@@ -61,6 +61,11 @@
             public Optional<String> fault(String path) {
                 return Optional.ofNullable(fault);
             }
+
+            @Override
+            public Optional<String> unreadable(String file) {
+                return Optional.empty();
+            }
         };
     }
 
--- /dev/null
+++ b/src/test/java/pipitstage/front/amqp/QueueConsumerTest.java
@@ -0,0 +1,263 @@
+package pipitstage.front.amqp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import pipitstage.amqp.codec.Properties;
+import pipitstage.amqp.codec.Property;
+import pipitstage.amqp.link.ClientLink;
+import pipitstage.engine.Message;
+import pipitstage.standin.StandInBroker;
+import pipitstage.standin.StandInBroker.Fate;
+
+/** Messages out of a broker's queue, with the stand-in broker failing as the tests want it. */
+@Timeout(60)
+class QueueConsumerTest extends FrontTestBase {
+    private StandInBroker broker;
+    private QueueConsumer consumer;
+
+    @BeforeEach
+    void prepare() throws IOException {
+        broker = new StandInBroker();
+        broker.declare("in");
+        broker.declare("ends");
+        consumer = consumer(5, false, QueueConsumer.Tells.ASKED, null);
+    }
+
+    private QueueConsumer consumer(int prefetch, boolean auto, QueueConsumer.Tells tells, String replyQueue) {
+        return new QueueConsumer(loop, intake, clock, pulse, mapping(), seen, new QueueConsumer.Options("front",
+                new InetSocketAddress("127.0.0.1", broker.port()), new ClientLink.Login("guest", "guest", "/", 2), null, null,
+                "in", prefetch, auto, tells, replyQueue, SECOND), m -> heard.add(m.content().callId()),
+                m -> otherwise.add(m.content().callId()));
+    }
+
+    private void start() {
+        on(() -> {
+            pulse.start();
+            consumer.start();
+        });
+    }
+
+    @AfterEach
+    void end() {
+        on(consumer::stopListening);
+        broker.close();
+    }
+
+    private static Properties properties(String id) {
+        return Properties.NONE.with(Property.MESSAGE_ID, id).with(Property.TYPE, "unsafe");
+    }
+
+    private void put(String... ids) {
+        for (String id : ids) {
+            put(properties(id));
+        }
+    }
+
+    private void put(Properties properties) {
+        broker.put("in", "7", properties, new byte[] {1});
+    }
+
+    @Test
+    void acknowledgedOnceItIsTakenOnAndNotBefore() {
+        intake.takesAll = false;
+        put("a");
+        start();
+        await(() -> intake.ids().equals(List.of("a")));
+        assertEquals(0, broker.acked("in"));
+        on(() -> intake.handed.get(0).client().taken());
+        await(() -> broker.acked("in") == 1);
+        assertTrue(seen.contains("a"));
+    }
+
+    @Test
+    void refusedGoesBackAndFailedIsRejectedForGood() {
+        intake.takesAll = false;
+        put("a");
+        start();
+        await(() -> intake.handed.size() == 1);
+        on(() -> intake.handed.get(0).client().refused(SECOND));
+        await(() -> intake.handed.size() == 2);
+        assertEquals(List.of("a", "a"), intake.ids());
+        on(() -> intake.handed.get(1).client().failed());
+        await(() -> broker.deadLetters().equals(List.of("a")));
+    }
+
+    @Test
+    void whatCanNeverBeTakenIsRejectedForGood() {
+        put(properties("a").with(Property.TYPE, "unknown"));
+        put(properties(null));
+        put(properties("b").with(Property.HEADERS, Map.of("tenant", "stranger")));
+        put(properties("c").with(Property.TIMESTAMP, 1_000L));
+        broker.put("in", "7", properties("d"), new byte[(64 << 10) + 1]);
+        start();
+        await(() -> broker.deadLetters().size() == 5);
+        assertEquals(0, intake.handed.size());
+    }
+
+    @Test
+    void brokerHandsOutNoMoreThanThePrefetch() {
+        intake.takesAll = false;
+        for (int i = 0; i < 20; i++) {
+            put("m" + i);
+        }
+        start();
+        await(() -> intake.handed.size() == 5);
+        on(() -> intake.handed.get(0).client().taken());
+        await(() -> intake.handed.size() == 6);
+        assertEquals(19, broker.size("in"));
+    }
+
+    /** The tag of a delivery on a connection that is gone would acknowledge another message on the next one. */
+    @Test
+    void lateAnswerAfterItsConnectionIsGoneAcknowledgesNothing() {
+        intake.takesAll = false;
+        put("a", "b");
+        start();
+        await(() -> intake.handed.size() == 2);
+        broker.drop();
+        await(() -> intake.handed.size() == 4);
+        assertEquals(java.util.Set.of("a", "b"), intake.withdrawn, "the broker hands them out again");
+        on(() -> {
+            intake.handed.get(0).client().taken();
+            intake.handed.get(1).client().failed();
+        });
+        on(() -> { });
+        assertEquals(0, broker.acked("in"));
+        assertEquals(2, broker.size("in"));
+        assertEquals(List.of(), broker.deadLetters());
+    }
+
+    @Test
+    void redeliveryAfterALostAcknowledgementIsNoSecondMessage() {
+        broker.freeze(300);
+        put("a");
+        start();
+        await(() -> intake.handed.size() == 1);
+        // Taken on, and the acknowledgement dies with the connection.
+        broker.drop();
+        await(() -> broker.size("in") == 0);
+        put("b");
+        await(() -> intake.ids().contains("b"));
+        assertEquals(List.of("a", "b"), intake.ids());
+    }
+
+    @Test
+    void fullMemoryTakesNothingOnUntilThereIsRoom() {
+        room = false;
+        put("a");
+        start();
+        await(() -> broker.connections() > 0 && broker.size("in") == 1);
+        assertEquals(0, intake.handed.size());
+        room = true;
+        await(() -> broker.acked("in") == 1);
+        assertEquals(List.of("a"), intake.ids());
+    }
+
+    @Test
+    void drainedConsumerTakesNothingNew() {
+        start();
+        put("a");
+        await(() -> broker.acked("in") == 1);
+        on(consumer::drain);
+        on(() -> { });
+        put("b");
+        assertTrue(consumer.isIdle());
+        on(consumer::stopListening);
+        await(() -> broker.connected() == 0);
+        assertEquals(List.of("a"), intake.ids());
+        assertEquals(1, broker.size("in"));
+    }
+
+    @Test
+    void endIsToldToItsQueueAndHeardOnceTheBrokerHasIt() {
+        start();
+        on(() -> consumer.tell(ended("a", "ends", Message.End.Kind.DELIVERED)));
+        await(() -> heard.equals(List.of("a")));
+        var end = broker.ready("ends").get(0);
+        assertEquals("a done a.end", end.getKey().text(Property.CORRELATION_ID) + " " + end.getKey().text(Property.TYPE) + " "
+                + end.getKey().text(Property.MESSAGE_ID));
+        assertEquals("{\"ref\":\"a\",\"result\":\"done\"}", new String(end.getValue(), java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void endWhoseConfirmIsLostIsToldAgainUnderTheSameId() {
+        broker.be(Fate.DROP_AFTER);
+        start();
+        on(() -> consumer.tell(ended("a", "ends", Message.End.Kind.FAILED)));
+        await(() -> broker.size("ends") == 1);
+        assertEquals(List.of(), heard);
+        broker.be(Fate.CONFIRM);
+        await(() -> heard.equals(List.of("a")));
+        assertTrue(broker.ready("ends").stream().allMatch(e -> e.getKey().text(Property.MESSAGE_ID).equals("a.end")));
+    }
+
+    @Test
+    void endWhoseQueueIsGoneGoesWhereOthersGo() {
+        start();
+        on(() -> consumer.tell(ended("a", "nowhere", Message.End.Kind.REFUSED)));
+        await(() -> otherwise.equals(List.of("a")));
+        assertEquals(List.of(), heard);
+    }
+
+    @Test
+    void repliesAreAskedForByTheMessageOrAlwaysOrNever() {
+        start();
+        put(properties("a").with(Property.REPLY_TO, "ends").with(Property.CORRELATION_ID, "c"));
+        put("b");
+        await(() -> intake.handed.size() == 2);
+        assertEquals(new Message.Reply("front", "ends", "c"), intake.handed.get(0).message().content().reply());
+        assertEquals(null, intake.handed.get(1).message().content().reply());
+        on(consumer::stopListening);
+        consumer = consumer(5, false, QueueConsumer.Tells.ALWAYS, "all-ends");
+        start();
+        put("c");
+        await(() -> intake.handed.size() == 3);
+        assertEquals("all-ends", intake.handed.get(2).message().content().reply().queue());
+        on(consumer::stopListening);
+        consumer = consumer(5, false, QueueConsumer.Tells.NEVER, null);
+        start();
+        put(properties("d").with(Property.REPLY_TO, "ends"));
+        await(() -> intake.handed.size() == 4);
+        assertEquals(null, intake.handed.get(3).message().content().reply());
+    }
+
+    @Test
+    void automaticAcknowledgementLosesWhatIsRefusedAndSaysSo() {
+        on(consumer::stopListening);
+        consumer = consumer(5, true, QueueConsumer.Tells.NEVER, null);
+        intake.takesAll = false;
+        put(properties("a").with(Property.TYPE, "any"));
+        start();
+        await(() -> intake.handed.size() == 1);
+        assertEquals(0, broker.size("in"), "the broker has forgotten it");
+        on(() -> intake.handed.get(0).client().failed());
+        on(() -> { });
+        assertEquals(List.of(), broker.deadLetters());
+        assertEquals(1, broker.connected(), "nothing was said that the broker would mind");
+    }
+
+    @Test
+    void queueThatIsMissingOrDeletedIsConsumedOnceItIsThere() throws IOException {
+        broker.remove("in");
+        start();
+        await(() -> broker.connections() >= 2);
+        assertFalse(consumer.isAnswering());
+        put("a");
+        await(() -> intake.ids().equals(List.of("a")));
+        broker.shut();
+        broker.open(false);
+        put("b");
+        await(() -> intake.ids().equals(List.of("a", "b")));
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/pairs/AmqpCampaign.java
@@ -0,0 +1,585 @@
+package pipitstage.pairs;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import pipitstage.Logic;
+import pipitstage.Policy;
+import pipitstage.Policy.Availability;
+import pipitstage.Policy.ListKind;
+import pipitstage.amqp.codec.Command;
+import pipitstage.amqp.codec.Method;
+import pipitstage.amqp.codec.Op;
+import pipitstage.amqp.codec.Properties;
+import pipitstage.amqp.codec.Property;
+import pipitstage.amqp.link.ClientLink;
+import pipitstage.amqp.link.ServerLink;
+import pipitstage.amqp.mapping.Mapping;
+import pipitstage.amqp.mapping.Source;
+import pipitstage.duplicates.Seen;
+import pipitstage.duplicates.SeenFile;
+import pipitstage.engine.Clock;
+import pipitstage.engine.Engine;
+import pipitstage.engine.Message;
+import pipitstage.engine.Pulse;
+import pipitstage.engine.Target;
+import pipitstage.engine.Timers;
+import pipitstage.engine.WriteAhead;
+import pipitstage.front.amqp.AmqpServer;
+import pipitstage.front.amqp.QueueConsumer;
+import pipitstage.front.amqp.Replies;
+import pipitstage.journal.Journal;
+import pipitstage.partner.amqp.Broker;
+import pipitstage.partner.amqp.BrokerClient;
+import pipitstage.standin.StandInBroker;
+import pipitstage.standin.StandInBroker.Fate;
+
+/**
+ * Seeded runs of a relay between AMQP on both sides, on loopback sockets: connections that end at drawn bytes, brokers that
+ * fail by a drawn script, kills and restarts. What took effect is counted by the broker apart from what the relay believes.
+ * As a command: {@code AmqpCampaign RUNS SEED [forgetful]}.
+ */
+public final class AmqpCampaign {
+    /** What runs have come to; a fault names the run that it was first seen in. */
+    record Tally(int runs, int messages, int effects, int kills, int connections, int publishes, int twice, int endless,
+            int contradicted, int waitsBroken, List<String> faults) {
+        Tally plus(Tally o) {
+            List<String> all = new ArrayList<>(faults);
+            all.addAll(o.faults);
+            return new Tally(runs + o.runs, messages + o.messages, effects + o.effects, kills + o.kills,
+                    connections + o.connections, publishes + o.publishes, twice + o.twice, endless + o.endless,
+                    contradicted + o.contradicted, waitsBroken + o.waitsBroken, all.subList(0, Math.min(9, all.size())));
+        }
+    }
+
+    private static final Tally NONE = new Tally(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, List.of());
+    private static final long MS = 1_000;
+    private static final long SECOND = 1_000_000;
+    private static final int MESSAGES = 12;
+    private static final long TROUBLE_MS = 500;
+    private static final long PATIENCE_MS = 20_000;
+    private static final int SIDE_BY_SIDE = 40;
+
+    private AmqpCampaign() { }
+
+    /** Runs so many, from a seed on. */
+    public static void main(String[] args) throws Exception {
+        long start = System.nanoTime();
+        Tally all = run(Integer.parseInt(args[0]), Long.parseLong(args[1]), args.length > 2, SIDE_BY_SIDE);
+        System.out.println(all);
+        System.out.println(String.format(Locale.ROOT, "%.0f s", (System.nanoTime() - start) / 1e9));
+        System.exit(0);
+    }
+
+    static Tally run(int runs, long seed, boolean forgetful, int sideBySide) throws Exception {
+        ExecutorService pool = Executors.newFixedThreadPool(sideBySide);
+        Tally[] sum = {NONE};
+        AtomicInteger done = new AtomicInteger();
+        for (int i = 0; i < runs; i++) {
+            long one = seed + i;
+            pool.execute(() -> {
+                Tally tally;
+                try {
+                    tally = new AmqpCampaign.Run(one, forgetful).play();
+                } catch (Exception | AssertionError e) {
+                    tally = new Tally(1, 0, 0, 0, 0, 0, 0, 1, 0, 0, List.of("run " + one + ": " + e));
+                }
+                synchronized (sum) {
+                    sum[0] = sum[0].plus(tally);
+                }
+                if (done.incrementAndGet() % 1_000 == 0) {
+                    System.out.println(done + " runs");
+                }
+            });
+        }
+        pool.shutdown();
+        if (!pool.awaitTermination(1, TimeUnit.HOURS)) {
+            throw new IOException("it takes more than an hour");
+        }
+        return sum[0];
+    }
+
+    /** One relay's life, from its start to its kill. */
+    private static final class Life {
+        private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        private final EventLoop loop = (EventLoop) group.next();
+        private final Journal journal;
+        private final SeenFile file;
+        private AmqpServer server;
+        private QueueConsumer consumer;
+        private volatile boolean dead;
+        private int port;
+
+        Life(Path folder, int brokerPort, boolean listens, boolean forgetful, int listenPort,
+                Map<String, Set<String>> others) throws Exception {
+            journal = new Journal(folder, 4 << 20);
+            Clock clock = Clock.system();
+            Timers timers = (micros, task) -> {
+                var timer = loop.schedule(task, micros, TimeUnit.MICROSECONDS);
+                return () -> timer.cancel(false);
+            };
+            Policy.Settings settings = settings();
+            Engine engine = new Engine(timers, clock, settings, 2 * MS, gated(), Logic::new);
+            file = new SeenFile(folder, 600 * SECOND, 1_000, clock::micros);
+            for (Message message : journal.open()) {
+                file.add(message.content().callId());
+            }
+            Seen seen = forgetful ? Seen.NOTHING : gatedSeen();
+            ClientLink.Login login = new ClientLink.Login("guest", "guest", "/", 2);
+            BrokerClient partners = new BrokerClient(loop, clock, 300 * MS, Map.of("r0", new Broker(login, "orders", "k", null,
+                    null)), engine);
+            Mapping mapping = new Mapping(List.of(new Mapping.Rule(null, Source.of("property:message-id"),
+                    Source.of("property:type"), null, Source.of("header:Idempotency-Key"), Source.of("fixed:7"),
+                    Source.of("property:expiration"))), settings.classes());
+            Pulse pulse = new Pulse(timers, clock);
+            if (listens) {
+                server = new AmqpServer(engine, clock, pulse, mapping, seen, new AmqpServer.Options("front", "loftflow", null,
+                        null, 20, new ServerLink.Offer("loftflow", 20, 8 << 10, 2), 600 * SECOND), engine::noticeHeard,
+                        message -> { });
+            } else {
+                consumer = new QueueConsumer(loop, engine, clock, pulse, mapping, seen, new QueueConsumer.Options("front",
+                        new InetSocketAddress("127.0.0.1", brokerPort), login, null, null, "in", 5, false,
+                        QueueConsumer.Tells.ASKED, null, 300 * MS), engine::noticeHeard, message -> { });
+            }
+            Replies replies = listens ? server : consumer;
+            engine.attach(partners, message -> {
+                if (message.content().reply() != null) {
+                    replies.tell(message);
+                } else if (!dead) {
+                    others.computeIfAbsent(message.content().callId(), i -> ConcurrentHashMap.newKeySet()).add(
+                            message.end().refused() ? "bounced" : "dead");
+                    engine.noticeHeard(message);
+                }
+            });
+            loop.submit(() -> {
+                pulse.start();
+                engine.start(ListKind.FULL, 1, List.of(new Target(new Policy.Listed("r0", 7, "k", "b0",
+                        Availability.LISTED, 0), new InetSocketAddress("127.0.0.1", brokerPort))));
+            }).sync();
+            if (listens) {
+                var bound = server.listen(loop, new InetSocketAddress("127.0.0.1", listenPort)).await();
+                // Another run may have the port by now.
+                bound = bound.isSuccess() ? bound : server.listen(loop, new InetSocketAddress("127.0.0.1", 0)).sync();
+                port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+            } else {
+                loop.execute(consumer::start);
+            }
+        }
+
+        private static Policy.Settings settings() {
+            return new Policy.Settings(3, 0, 1, "b0", List.of(
+                    new Policy.RequestClass("keyed", Policy.Repeat.BY_KEY, Policy.KeyScope.ALL, 2 * SECOND, SECOND / 5,
+                            SECOND, 1, 0.5, false),
+                    new Policy.RequestClass("unsafe", Policy.Repeat.ONCE, Policy.KeyScope.ALL, 0, SECOND / 5, SECOND, 5, 0.3,
+                            false)), List.of(), List.of(new Policy.Kind("k", false, 1)), List.of(),
+                    new Policy.Limits(8, 200, 12, true, true, false, false, true, 300 * MS),
+                    new Policy.Rules(0, SECOND / 2, 2.5, 2 * SECOND, 0.2, 5 * SECOND, 0, 0), 1, false, false,
+                    Policy.RateHint.NONE, 0);
+        }
+
+        /** A kill ends writes at once, while the rest of the process is still being taken down. */
+        private WriteAhead gated() {
+            return new WriteAhead() {
+                @Override
+                public long nextNumber() {
+                    return journal.nextNumber();
+                }
+
+                @Override
+                public List<Message> open() {
+                    return journal.open();
+                }
+
+                @Override
+                public boolean accept(Message message) {
+                    return !dead && journal.accept(message);
+                }
+
+                @Override
+                public boolean attempt(Message.Attempt attempt) {
+                    return !dead && journal.attempt(attempt);
+                }
+
+                @Override
+                public void result(Message.Attempt attempt) {
+                    if (!dead) {
+                        journal.result(attempt);
+                    }
+                }
+
+                @Override
+                public void decided(Message message) {
+                    if (!dead) {
+                        journal.decided(message);
+                    }
+                }
+
+                @Override
+                public void done(Message message) {
+                    if (!dead) {
+                        journal.done(message);
+                    }
+                }
+            };
+        }
+
+        private Seen gatedSeen() {
+            return new Seen() {
+                @Override
+                public boolean contains(String id) {
+                    return file.contains(id);
+                }
+
+                @Override
+                public boolean hasRoom() {
+                    return !dead && file.hasRoom();
+                }
+
+                @Override
+                public void add(String id) {
+                    if (!dead) {
+                        file.add(id);
+                    }
+                }
+            };
+        }
+
+        /** Ends it with no word to anybody: nothing is written any more, and nothing that is not sent leaves. */
+        void kill() throws Exception {
+            if (dead) {
+                return;
+            }
+            loop.submit(() -> dead = true).sync();
+            group.shutdownGracefully(0, 1, TimeUnit.MILLISECONDS).sync();
+            journal.close();
+            file.close();
+        }
+    }
+
+    /** A program that publishes to the relay's listener, again where it has heard nothing, and takes its ends. */
+    private static final class Publisher implements ClientLink.Owner {
+        private final EventLoop loop;
+        private volatile int port;
+        private final Map<String, Properties> untaken = new LinkedHashMap<>();
+        private final TreeMap<Long, String> out = new TreeMap<>();
+        private final Map<String, Set<String>> ends = new ConcurrentHashMap<>();
+        private final Set<String> taken = ConcurrentHashMap.newKeySet();
+        private ClientLink link;
+        private long published;
+        private boolean ready;
+
+        Publisher(EventLoop loop, int port) {
+            this.loop = loop;
+            this.port = port;
+        }
+
+        void connect() {
+            if (loop.isShuttingDown()) {
+                return;
+            }
+            // While the relay is down another run may have its port.
+            if (port == 0) {
+                loop.schedule(this::connect, 10, TimeUnit.MILLISECONDS);
+                return;
+            }
+            ClientLink made = new ClientLink(new ClientLink.Login("a", "b", "/", 2), 1 << 16, this);
+            link = made;
+            new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(made);
+                }
+            }).connect("127.0.0.1", port).addListener(done -> {
+                if (!done.isSuccess()) {
+                    made.notConnected("refused");
+                }
+            });
+            // A relay that is killed in this same process may leave a socket behind that nobody answers for.
+            loop.schedule(() -> {
+                if (made == link && !ready) {
+                    made.close("it did not open in time");
+                }
+            }, 400, TimeUnit.MILLISECONDS);
+        }
+
+        void drop() {
+            if (link != null) {
+                link.close("dropped");
+            }
+        }
+
+        @Override
+        public void opened() {
+            link.openChannel(1);
+            link.openChannel(2);
+        }
+
+        @Override
+        public void received(Command command) {
+            Method m = command.method();
+            switch (m.op()) {
+                case CHANNEL_OPEN_OK -> link.send(command.channel(), command.channel() == 1 ? Method.of(Op.CONFIRM_SELECT,
+                        false) : Method.of(Op.BASIC_CONSUME, "ends", "t", false, false, false, false, Map.of()));
+                case CONFIRM_SELECT_OK -> {
+                    ready = true;
+                    published = 0;
+                    List.copyOf(untaken.keySet()).forEach(this::publish);
+                }
+                case BASIC_ACK -> {
+                    String id = out.remove(m.number("delivery-tag"));
+                    untaken.remove(id);
+                    taken.add(id);
+                }
+                case BASIC_NACK -> {
+                    String id = out.remove(m.number("delivery-tag"));
+                    loop.schedule(() -> publish(id), 50, TimeUnit.MILLISECONDS);
+                }
+                case BASIC_DELIVER -> {
+                    ends.computeIfAbsent(command.properties().text(Property.CORRELATION_ID),
+                            i -> ConcurrentHashMap.newKeySet()).add(command.properties().text(Property.TYPE));
+                    link.send(2, Method.of(Op.BASIC_ACK, m.number("delivery-tag"), false));
+                }
+                default -> { }
+            }
+        }
+
+        void add(String id, Properties properties) {
+            untaken.put(id, properties);
+            publish(id);
+        }
+
+        private void publish(String id) {
+            if (ready && untaken.containsKey(id) && !out.containsValue(id) && link.isOpen()) {
+                out.put(++published, id);
+                link.send(1, Method.of(Op.BASIC_PUBLISH, "", "7", false, false), untaken.get(id),
+                        id.getBytes(StandardCharsets.UTF_8));
+            }
+        }
+
+        @Override
+        public void closed(String reason) {
+            link = null;
+            ready = false;
+            out.clear();
+            loop.schedule(this::connect, 30, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** One run. */
+    private static final class Run {
+        private final long seed;
+        private final boolean forgetful;
+        private final Random random;
+        private final boolean listens;
+        private final Map<String, Fate> fates = new ConcurrentHashMap<>();
+        /** Ends of messages that asked for no reply. */
+        private final Map<String, Set<String>> others = new ConcurrentHashMap<>();
+        private int kills;
+
+        Run(long seed, boolean forgetful) {
+            this.seed = seed;
+            this.forgetful = forgetful;
+            random = new Random(seed * 0x9E3779B97F4A7C15L);
+            listens = seed % 3 == 0;
+        }
+
+        private Fate drawn() {
+            return switch (random.nextInt(14)) {
+                case 0 -> Fate.CONFIRM_WITH_NEXT;
+                case 1 -> Fate.CONFIRM_AFTER_NEXT;
+                case 2 -> Fate.CONFIRM_LATE;
+                case 3 -> Fate.SILENT;
+                case 4 -> Fate.NACK;
+                case 5 -> Fate.CLOSE_CHANNEL;
+                case 6 -> Fate.CLOSE_CONNECTION;
+                case 7 -> Fate.DROP_BEFORE;
+                case 8 -> Fate.DROP_AFTER;
+                case 9 -> Fate.NO_EXCHANGE;
+                default -> Fate.CONFIRM;
+            };
+        }
+
+        private Properties properties(String id, int i) {
+            return Properties.NONE.with(Property.MESSAGE_ID, id).with(Property.TYPE, i % 3 == 0 ? "keyed" : "unsafe")
+                    .with(Property.REPLY_TO, i % 2 == 0 ? "ends" : null).with(Property.CORRELATION_ID, id)
+                    .with(Property.EXPIRATION, Integer.toString(300 + random.nextInt(900)))
+                    .with(Property.HEADERS, Map.<String, Object>of("Idempotency-Key", "key-" + id));
+        }
+
+        Tally play() throws Exception {
+            Path folder = Files.createTempDirectory("amqp");
+            MultiThreadIoEventLoopGroup programs = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            try (StandInBroker broker = new StandInBroker()) {
+                broker.bind("orders", "direct", "k", "out");
+                broker.declare("in");
+                broker.declare("ends");
+                broker.lateBy(20 + random.nextInt(400));
+                // Drawn for an id as it first comes; a second publish of it meets a broker that is well, or another fate.
+                List<Fate> draws = new ArrayList<>();
+                for (int i = 0; i < MESSAGES * 4; i++) {
+                    draws.add(drawn());
+                }
+                AtomicInteger at = new AtomicInteger();
+                broker.script(id -> id != null && id.startsWith("m") && !id.endsWith(".end")
+                        ? fates.merge(id, draws.get(at.getAndIncrement() % draws.size()), (a, b) -> b) : Fate.CONFIRM);
+                Random cuts = new Random(seed);
+                boolean cutting = random.nextInt(3) > 0;
+                if (cutting) {
+                    broker.cut(new StandInBroker.Cut(() -> cuts.nextInt(3) == 0 ? 400 + cuts.nextInt(3_000) : 0,
+                            () -> cuts.nextInt(3) == 0 ? 400 + cuts.nextInt(3_000) : 0));
+                }
+                broker.loseAcks(() -> cuts.nextInt(12) == 0);
+                return play(broker, folder, (EventLoop) programs.next());
+            } finally {
+                programs.shutdownGracefully(0, 1, TimeUnit.MILLISECONDS);
+                try (var files = Files.walk(folder)) {
+                    files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+                }
+            }
+        }
+
+        private Tally play(StandInBroker broker, Path folder, EventLoop programs) throws Exception {
+            Life life = new Life(folder, broker.port(), listens, forgetful, 0, others);
+            Publisher publisher = new Publisher(programs, life.port);
+            Set<String> ids = new HashSet<>();
+            try {
+                if (listens) {
+                    programs.execute(publisher::connect);
+                }
+                long start = System.nanoTime();
+                int given = 0;
+                while (System.nanoTime() - start < TROUBLE_MS * 1_000_000 || given < MESSAGES) {
+                    if (given < MESSAGES) {
+                        String id = "m" + given;
+                        Properties properties = properties(id, given++);
+                        ids.add(id);
+                        if (listens) {
+                            programs.execute(() -> publisher.add(id, properties));
+                        } else {
+                            broker.put("in", "7", properties, id.getBytes(StandardCharsets.UTF_8));
+                        }
+                    }
+                    Thread.sleep(random.nextInt(40));
+                    switch (random.nextInt(24)) {
+                        case 0, 1 -> {
+                            int last = life.port;
+                            publisher.port = 0;
+                            // Whoever is connecting has read the port by now.
+                            programs.submit(() -> { }).sync();
+                            life.kill();
+                            kills++;
+                            life = new Life(folder, broker.port(), listens, forgetful, last, others);
+                            publisher.port = life.port;
+                        }
+                        case 2, 3 -> broker.drop();
+                        case 4 -> broker.block(true);
+                        case 5, 6 -> broker.block(false);
+                        case 7 -> broker.freeze(10 + random.nextInt(60));
+                        case 8, 9 -> programs.execute(publisher::drop);
+                        default -> { }
+                    }
+                }
+                broker.block(false);
+                broker.cut(StandInBroker.Cut.NEVER);
+                broker.loseAcks(() -> false);
+                broker.be(Fate.CONFIRM);
+                broker.drop();
+                return check(broker, publisher, ids);
+            } finally {
+                life.kill();
+            }
+        }
+
+        private Map<String, Set<String>> ends(StandInBroker broker, Publisher publisher) {
+            Map<String, Set<String>> ends = new HashMap<>(publisher.ends);
+            ends.putAll(others);
+            broker.ready("ends").forEach(end -> ends.computeIfAbsent(end.getKey().text(Property.CORRELATION_ID),
+                    i -> new HashSet<>()).add(end.getKey().text(Property.TYPE)));
+            return ends;
+        }
+
+        private static boolean asks(String id) {
+            return Integer.parseInt(id.substring(1)) % 2 == 0;
+        }
+
+        /** Waits until every message has its end, then holds what was told against what the broker counted. */
+        private Tally check(StandInBroker broker, Publisher publisher, Set<String> ids) throws Exception {
+            long giveUp = System.nanoTime() + PATIENCE_MS * 1_000_000;
+            Set<String> missing = new HashSet<>(ids);
+            Set<String> rejected = Set.of();
+            while (!missing.isEmpty() && System.nanoTime() < giveUp) {
+                Thread.sleep(20);
+                rejected = new HashSet<>(broker.deadLetters());
+                missing.removeAll(ends(broker, publisher).keySet());
+                missing.removeAll(rejected);
+                Map<String, Integer> effects = broker.effects();
+                missing.removeIf(id -> !asks(id) && effects.containsKey(id));
+            }
+            boolean empties = listens || broker.size("in") == 0;
+            while (!empties && System.nanoTime() < giveUp) {
+                Thread.sleep(10);
+                empties = broker.size("in") == 0;
+            }
+            List<String> faults = new ArrayList<>();
+            int twice = 0;
+            int contradicted = 0;
+            int endless = missing.size() + (empties ? 0 : 1);
+            if (endless > 0) {
+                faults.add("run " + seed + ": no end for " + missing + ", in the queue " + broker.size("in"));
+            }
+            Map<String, Integer> effects = broker.effects();
+            Map<String, Set<String>> ends = ends(broker, publisher);
+            for (String id : ids) {
+                int count = effects.getOrDefault(id, 0);
+                boolean unsafe = Integer.parseInt(id.substring(1)) % 3 != 0;
+                Set<String> told = ends.getOrDefault(id, Set.of());
+                if (unsafe && count > 1) {
+                    twice++;
+                    faults.add("run " + seed + ": " + id + " took effect " + count + " times, " + told);
+                }
+                // One that asked for no reply and took effect as its client counts it has no end to be told, or is dead.
+                boolean wrong = told.size() > 1 || told.contains("done") && count == 0
+                        // A keyed one may be handed in again under its key, whatever has become of it.
+                        || unsafe && told.contains("bounced") && count > 0
+                        || rejected.contains(id) && (count > 0 || !told.isEmpty());
+                if (wrong && !forgetful) {
+                    contradicted++;
+                    faults.add("run " + seed + ": " + id + " took effect " + count + " times, and was told " + told
+                            + (rejected.contains(id) ? " and rejected" : ""));
+                }
+            }
+            if (broker.waitsBroken() > 0) {
+                faults.add("run " + seed + ": waits broken " + broker.waitsBroken());
+            }
+            int publishes = (int) broker.postings().stream().filter(p -> p.id() != null && p.id().startsWith("m")
+                    && !p.id().endsWith(".end")).count();
+            return new Tally(1, ids.size(), effects.values().stream().mapToInt(Integer::intValue).sum(), kills,
+                    broker.connections(), publishes, twice, endless, contradicted, broker.waitsBroken(), faults);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/pairs/PairTestBase.java
@@ -0,0 +1,181 @@
+package pipitstage.pairs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pipitstage.config.tool.Tool;
+import pipitstage.standin.ServedRelay;
+
+/** What holds whatever is spoken on either side of a relay, with the real program as a process. */
+abstract class PairTestBase {
+    @TempDir
+    Path folder;
+    private FrontSide front;
+    private PartnerSide partner;
+    private ServedRelay relay;
+    private Path file;
+    private int starts;
+
+    abstract FrontSide front(Path state) throws IOException;
+
+    abstract PartnerSide partner() throws IOException;
+
+    @BeforeEach
+    void prepare() throws Exception {
+        front = front(folder.resolve("state"));
+        partner = partner();
+        Path application = Files.writeString(folder.resolve("app.toml"), """
+                format = 1
+                name = "app"
+                [machine]
+                memory = "160MiB"
+                descriptors = 128
+                disk = "24MiB"
+                folder = "%s"
+                %s
+                %s
+                [[class]]
+                name = "settlement"
+                repeat = "once"
+                wanted = "500ms"
+                deadline = "8s"
+                peak-rate = "5/s"
+                [[class]]
+                name = "car-order"
+                repeat = "by-key"
+                key-window = "20s"
+                wanted = "500ms"
+                deadline = "8s"
+                peak-rate = "5/s"
+                [[partner]]
+                name = "elevator"
+                number = 7
+                kind = "elevators"
+                response = "20ms"
+                %s
+                """.formatted(folder.resolve("state"), front.table(), partner.tables(), partner.endpoint()));
+        Tool.Outcome outcome = Tool.write(application, folder, false);
+        assertEquals(Tool.Written.NEW, outcome.written(), outcome.findings().toString());
+        file = outcome.file();
+        start();
+    }
+
+    private void start() throws Exception {
+        relay = ServedRelay.start(file, folder.resolve("log" + starts++), "-Xmx64m").awaitServing();
+        front.connect(relay);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        relay.close();
+        front.close();
+        partner.close();
+    }
+
+    /** As a client does, again while the relay refuses: one that is short of CPU at its start does. */
+    private void handIn(String id, String type, long budgetMs) {
+        await(() -> {
+            try {
+                return front.handIn(id, type, "key-" + id, 7, budgetMs);
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+
+    private int told(String end) {
+        try {
+            return front.ends().getOrDefault(end, 0);
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void messageTakesEffectOnceAndItsEndIsTold() {
+        for (String type : new String[] {"settlement", "car-order"}) {
+            String id = "m-" + type;
+            handIn(id, type, 5_000);
+            await(() -> partner.effects().containsKey(id));
+            await(() -> !front.tellsDelivered() || told(id + "=done") == 1);
+            assertEquals(1, partner.effects().get(id));
+            assertEquals("key-" + id, partner.came().stream().filter(c -> c.id().equals(id)).findFirst().orElseThrow().key());
+        }
+    }
+
+    @Test
+    void settlementWhoseOutcomeIsUnknownIsNeverSentAgain() {
+        partner.breaks();
+        handIn("s1", "settlement", 2_000);
+        await(() -> told("s1=dead") == 1);
+        assertEquals(1, partner.came().stream().filter(c -> c.id().equals("s1")).count());
+    }
+
+    @Test
+    void keyedMessageWhoseOutcomeIsUnknownIsSentAgainUnderItsKey() {
+        partner.breaks();
+        handIn("k1", "car-order", 8_000);
+        await(() -> partner.effects().containsKey("k1"));
+        partner.well();
+        await(() -> partner.effects().get("k1") >= 2);
+        assertEquals(Set.of("key-k1"), partner.came().stream().map(PartnerSide.Came::key).collect(Collectors.toSet()));
+        await(() -> !front.tellsDelivered() || told("k1=done") == 1);
+    }
+
+    @Test
+    void whatIsShutGetsItsMessagesWhenItOpensAndItsWaitIsKept() {
+        partner.shut();
+        handIn("s1", "settlement", 8_000);
+        handIn("k1", "car-order", 8_000);
+        // Later messages meet a partner that is known to be shut.
+        handIn("s2", "settlement", 8_000);
+        assertTrue(partner.effects().isEmpty());
+        partner.well();
+        await(() -> Set.of("s1", "k1", "s2").stream().allMatch(id -> partner.effects().containsKey(id)
+                || told(id + "=bounced") > 0));
+        assertFalse(partner.effects().isEmpty(), "the partner is open again");
+        partner.effects().forEach((id, times) -> assertEquals(1, times, id));
+        assertEquals(0, partner.waitsBroken());
+    }
+
+    @Test
+    void messageThatWasTakenOutlastsAKillAndAnOrderlyEnd() throws Exception {
+        partner.shut();
+        handIn("s1", "settlement", 8_000);
+        relay.close();
+        start();
+        handIn("s2", "settlement", 8_000);
+        relay.stop();
+        partner.well();
+        start();
+        await(() -> Set.of("s1", "s2").stream().allMatch(id -> partner.effects().containsKey(id)
+                || told(id + "=bounced") > 0 || told(id + "=dead") > 0));
+        partner.effects().forEach((id, times) -> assertEquals(1, times, id));
+    }
+
+    @Test
+    void whatCanNotBeTakenIsRefused() throws Exception {
+        handIn("ok", "settlement", 5_000);
+        assertFalse(front.handIn("m1", "no-such-class", null, 7, 5_000));
+        assertFalse(front.handIn("m2", "settlement", null, 99, 5_000));
+        assertFalse(front.handIn("m3", "car-order", null, 7, 5_000), "it has no key");
+        if (front instanceof FrontSide.Amqp amqp) {
+            await(() -> amqp.returned().size() == 3);
+            assertEquals("m1 406,m2 312,m3 406", String.join(",", amqp.returned()));
+        }
+        handIn("ok2", "settlement", 5_000);
+        await(() -> partner.effects().containsKey("ok2"));
+        assertEquals(Set.of("ok", "ok2"), partner.effects().keySet());
+    }
+}
--- a/src/test/java/pipitstage/relay/RelayFileTest.java
+++ b/src/test/java/pipitstage/relay/RelayFileTest.java
@@ -220,7 +220,8 @@
         assertTrue(loaded.contains("pipitstage.config.Config "), "the log of classes works");
         for (String unused : List.of("org.tomlj", "org.antlr", "picocli", "pipitstage.config.plan",
                 "pipitstage.config.schema", "pipitstage.config.file", "pipitstage.cli.Commands", "EndsFile",
-                "org.sqlite", "java.sql.", "pipitstage.undeliverable", "pipitstage.admin")) {
+                "org.sqlite", "java.sql.", "pipitstage.undeliverable", "pipitstage.admin", "pipitstage.amqp",
+                "pipitstage.front.amqp", "pipitstage.partner.amqp", "pipitstage.duplicates", "javax.net.ssl")) {
             assertFalse(loaded.contains(unused), unused + " is loaded");
         }
     }
