Hold the pairs of HTTP and AMQP alike from queues too, and mend what that found

A relay with queues and no front divided by no fronts at its start, and one whose channel the broker had closed counted what waited as not reached. Messages with no id of their own are not remembered. Heartbeats are 5 s if left out, as a deadline of 5 s is usual.

--- a/src/main/java/pipitstage/config/schema/Schema.java
+++ b/src/main/java/pipitstage/config/schema/Schema.java
@@ -61,7 +61,7 @@
         may("front[].exchange", TEXT, "loftflow", 0, ANY, "AMQP: where programs publish; the nameless exchange does too.");
         may("front[].user", TEXT, null, 0, ANY, "AMQP: the user that may come in; any if left out.");
         may("front[].password-file", FOLDER, null, 0, ANY, "AMQP: a file with the user's password.");
-        may("front[].heartbeat", SPAN, "10s", SECOND, 3_600 * SECOND, "AMQP: offered to programs; one silent for two is"
+        may("front[].heartbeat", SPAN, "5s", SECOND, 3_600 * SECOND, "AMQP: offered to programs; one silent for two is"
                 + " given up.");
         may("front[].channels", WHOLE, "64", 1, 65_535, "AMQP: channels that one program may open.");
         may("front[].frame", SIZE, "128KiB", 4 * KIB, MIB, "AMQP: the largest frame.");
@@ -103,7 +103,7 @@
         may("broker[].virtual-host", TEXT, "/", 0, ANY, "The virtual host.");
         may("broker[].user", TEXT, "guest", 0, ANY, "The user.");
         may("broker[].password-file", FOLDER, null, 0, ANY, "A file with the password; guest if left out.");
-        may("broker[].heartbeat", SPAN, "10s", SECOND, 3_600 * SECOND, "A broker silent for two of them is given up.");
+        may("broker[].heartbeat", SPAN, "5s", SECOND, 3_600 * SECOND, "A broker silent for two of them is given up.");
         may("broker[].tls", FLAG, "false", 0, ANY, "Connect over TLS.");
         may("broker[].trust-file", FOLDER, null, 0, ANY, "Certificates (PEM) of who signs the broker's; those of the JVM"
                 + " if left out.");
--- a/src/main/java/pipitstage/config/tool/RelayFile.java
+++ b/src/main/java/pipitstage/config/tool/RelayFile.java
@@ -106,7 +106,7 @@
         }
         return new Config.Amqp(routes, fronts, queues, declared.amqp().mappings().stream().map(m -> new Config.MappingRule(
                 m.contentType(), m.id(), m.requestClass(), m.tenant(), m.key(), m.destination(), m.budget())).toList(),
-                Math.max(1, figures.clients() / declared.fronts().size()), declared.amqp().duplicates().span(),
+                figures.clients() / Math.max(1, declared.fronts().size()), declared.amqp().duplicates().span(),
                 declared.amqp().duplicates().entries());
     }
 
--- a/src/main/java/pipitstage/front/amqp/QueueConsumer.java
+++ b/src/main/java/pipitstage/front/amqp/QueueConsumer.java
@@ -79,18 +79,22 @@
         private final ClientLink on;
         private final long tag;
         private final String id;
+        private final boolean anonymous;
         private Message message;
 
-        Delivery(ClientLink on, long tag, String id) {
+        Delivery(ClientLink on, long tag, Mapping.Fits fits) {
             this.on = on;
             this.tag = tag;
-            this.id = id;
+            id = fits.content().callId();
+            anonymous = fits.anonymous();
         }
 
         @Override
         public void taken() {
             // On file before the broker hears of it: what it hands out again after a lost acknowledgement is known by then.
-            seen.add(id);
+            if (!anonymous) {
+                seen.add(id);
+            }
             answer(Method.of(Op.BASIC_ACK, tag, false));
         }
 
@@ -143,7 +147,7 @@
     private boolean draining;
     private boolean stopped;
     private long pause = FIRST_PAUSE_MS;
-    private long anonymous;
+    private long nameless;
 
     /**
      * A consumer; {@link #start} sets it going.
@@ -256,12 +260,13 @@
         Properties properties = command.properties();
         Mapping.Mapped mapped = command.isSkipped() ? new Mapping.Misfits(command.size() + " bytes are more than is taken")
                 : mapping.map(properties, m.text("exchange"), m.text("routing-key"), command.body(), pulse.unreadSince(),
-                        options.name() + "-" + boot + "-" + anonymous++, reply(properties));
+                        options.name() + "-" + boot + "-" + nameless++, reply(properties));
         if (mapped instanceof Mapping.Misfits misfit) {
             rejectForGood(tag, misfit.reason());
             return;
         }
-        Message.Content content = ((Mapping.Fits) mapped).content();
+        Mapping.Fits fits = (Mapping.Fits) mapped;
+        Message.Content content = fits.content();
         if (seen.contains(content.callId())) {
             // Taken on before, and acknowledged in vain: its end is owed once.
             answer(Method.of(Op.BASIC_ACK, tag, false));
@@ -275,9 +280,9 @@
             rejectForGood(tag, "its time is over");
             return;
         }
-        Delivery delivery = new Delivery(link, tag, content.callId());
+        Delivery delivery = new Delivery(link, tag, fits);
         deliveries.add(delivery);
-        if (draining || !seen.hasRoom()) {
+        if (draining || !fits.anonymous() && !seen.hasRoom()) {
             delivery.refused(0);
         } else {
             // Null where it has its answer by now.
--- a/src/main/java/pipitstage/front/amqp/Session.java
+++ b/src/main/java/pipitstage/front/amqp/Session.java
@@ -24,7 +24,7 @@
     private static final int MOST_UNANSWERED = 256;
     private static final int MOST_NAME = 200;
 
-    /** One publish that awaits its answer. */
+    /** One publish that awaits its answer; one with no id of its own is not remembered. */
     private final class Publish implements Message.ClientReply {
         private final Channel channel;
         private final long tag;
@@ -40,7 +40,9 @@
         @Override
         public void taken() {
             // On file before the program hears of it: a publish that comes again after a lost confirm is known by then.
-            parts.seen().add(id);
+            if (id != null) {
+                parts.seen().add(id);
+            }
             answer(Method.of(Op.BASIC_ACK, tag, false));
         }
 
@@ -274,11 +276,12 @@
         if (mapped instanceof Mapping.Misfits misfit) {
             refuse(channel, tag, command, AmqpException.PRECONDITION_FAILED, "PRECONDITION_FAILED - " + misfit.reason());
         } else {
-            takeOn(channel, tag, command, ((Mapping.Fits) mapped).content());
+            takeOn(channel, tag, command, (Mapping.Fits) mapped);
         }
     }
 
-    private void takeOn(Channel channel, long tag, Command command, Message.Content content) {
+    private void takeOn(Channel channel, long tag, Command command, Mapping.Fits fits) {
+        Message.Content content = fits.content();
         if (!parts.intake().reaches(content.destination())) {
             refuse(channel, tag, command, AmqpException.NO_ROUTE, "NO_ROUTE");
         } else if (!parts.intake().knows(content)) {
@@ -287,10 +290,10 @@
         } else if (parts.seen().contains(content.callId())) {
             // Taken on before: its end is owed once, and this copy is no message of its own.
             link.send(channel.number, Method.of(Op.BASIC_ACK, tag, false));
-        } else if (!parts.seen().hasRoom() || server.isDraining()) {
+        } else if (!fits.anonymous() && !parts.seen().hasRoom() || server.isDraining()) {
             link.send(channel.number, Method.of(Op.BASIC_NACK, tag, false, false));
         } else {
-            Publish publish = new Publish(channel, tag, content.callId());
+            Publish publish = new Publish(channel, tag, fits.anonymous() ? null : content.callId());
             channel.publishes.put(tag, publish);
             unanswered++;
             // Null where the publish is answered by now.
--- a/src/main/java/pipitstage/partner/amqp/Route.java
+++ b/src/main/java/pipitstage/partner/amqp/Route.java
@@ -61,6 +61,7 @@
     private static final long PROBE_TIMEOUT = 1_000_000;
     private static final int PERSISTENT = 2;
     private static final long MS = 1_000;
+    private static final int OK = 200;
 
     private record Pending(Outgoing outgoing, Future<?> timeout) { }
 
@@ -77,7 +78,10 @@
     private Confirms<Message.Attempt> confirms = new Confirms<>();
     private ClientLink link;
     private Future<?> opening;
+    /** Publishes may leave. */
     private boolean ready;
+    /** The connection has been ready, so that its end says nothing of whether the broker can be reached. */
+    private boolean served;
     /** Two ways for a broker to ask for a wait, each with its own end. */
     private boolean blocked;
     private boolean flowStopped;
@@ -160,7 +164,7 @@
 
     void closeIdle() {
         if (link != null && ready && confirms.open() == 0 && waiting.isEmpty() && probes.isEmpty()) {
-            link.end(0, "idle");
+            link.end(OK, "idle");
         }
     }
 
@@ -243,6 +247,7 @@
     private void ready() {
         opening.cancel(false);
         ready = true;
+        served = true;
         probes.forEach(began -> askForProbe());
         publishWaiting();
     }
@@ -368,7 +373,7 @@
                 && (code == AmqpException.NOT_FOUND || code == AmqpException.ACCESS_REFUSED);
         link.send(CHANNEL, Method.of(Op.CHANNEL_CLOSE_OK));
         settleAll(publish);
-        link.end(0, "its channel was closed");
+        link.end(OK, "its channel was closed");
     }
 
     private void settleAll(boolean publishAtFault) {
@@ -380,7 +385,8 @@
 
     @Override
     public void closed(String reason) {
-        boolean opened = ready;
+        boolean opened = served;
+        served = false;
         if (opening != null) {
             opening.cancel(false);
         }
--- a/src/test/java/pipitstage/pairs/FrontSide.java
+++ b/src/test/java/pipitstage/pairs/FrontSide.java
@@ -19,7 +19,11 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import pipitstage.amqp.codec.Properties;
+import pipitstage.amqp.codec.Property;
+import pipitstage.relay.RelayProcess;
 import pipitstage.standin.ServedRelay;
+import pipitstage.standin.StandInBroker;
 import pipitstage.standin.StandInClient;
 
 /** Programs on one side of a relay: how they hand in, and how they hear of ends. */
@@ -178,4 +182,54 @@
             }
         }
     }
+
+    /** Programs that publish to a broker, from whose queue the relay takes. */
+    static final class Queue extends FrontSide {
+        private final StandInBroker broker;
+
+        Queue() throws IOException {
+            broker = new StandInBroker();
+            broker.declare("in");
+            broker.declare("ends");
+        }
+
+        @Override
+        String table() {
+            return "[[broker]]\nname = \"own\"\nheartbeat = \"1s\"\n[[queue]]\nname = \"orders-in\"\nbroker = \"own\"\n"
+                    + "address = \"" + broker.address() + "\"\nqueue = \"in\"\nprefetch = 5\n";
+        }
+
+        @Override
+        void connect(ServedRelay relay) { }
+
+        /** Once it has left the queue: taken on, or rejected for good. */
+        @Override
+        boolean handIn(String id, String type, String key, int destination, long budgetMs) {
+            Properties properties = Properties.NONE.with(Property.MESSAGE_ID, id).with(Property.TYPE, type)
+                    .with(Property.REPLY_TO, "ends").with(Property.CORRELATION_ID, id)
+                    .with(Property.EXPIRATION, Long.toString(budgetMs));
+            broker.put("in", Integer.toString(destination), key == null ? properties : properties.with(Property.HEADERS,
+                    Map.<String, Object>of("Idempotency-Key", key)), ("body of " + id).getBytes(StandardCharsets.UTF_8));
+            RelayProcess.await(() -> broker.size("in") == 0);
+            return !broker.deadLetters().contains(id);
+        }
+
+        @Override
+        Map<String, Integer> ends() {
+            Map<String, Integer> ends = new HashMap<>();
+            broker.ready("ends").forEach(e -> ends.merge(e.getKey().text(Property.CORRELATION_ID) + "="
+                    + e.getKey().text(Property.TYPE), 1, Integer::sum));
+            return ends;
+        }
+
+        @Override
+        boolean tellsDelivered() {
+            return true;
+        }
+
+        @Override
+        public void close() {
+            broker.close();
+        }
+    }
 }
--- a/src/test/java/pipitstage/pairs/PairTestBase.java
+++ b/src/test/java/pipitstage/pairs/PairTestBase.java
@@ -164,6 +164,37 @@
         partner.effects().forEach((id, times) -> assertEquals(1, times, id));
     }
 
+    @Test
+    void whatIsShutBeyondADeadlineGetsNothingAndItsMessagesEnd() {
+        partner.shut();
+        handIn("s1", "settlement", 1_200);
+        handIn("s2", "settlement", 1_500);
+        await(() -> told("s1=bounced") + told("s1=dead") == 1 && told("s2=bounced") + told("s2=dead") == 1);
+        assertTrue(partner.effects().isEmpty());
+        partner.well();
+        handIn("s3", "settlement", 8_000);
+        await(() -> partner.effects().containsKey("s3") || told("s3=bounced") > 0);
+        assertFalse(partner.effects().containsKey("s1") || partner.effects().containsKey("s2"), "they were over");
+        assertEquals(0, partner.waitsBroken());
+    }
+
+    @Test
+    void settlementThatIsOutAtAKillOrAnOrderlyEndIsNotSentAgain() throws Exception {
+        partner.silent();
+        handIn("s1", "settlement", 7_000);
+        await(() -> partner.effects().containsKey("s1"));
+        relay.close();
+        start();
+        handIn("s2", "settlement", 7_000);
+        await(() -> partner.effects().containsKey("s2"));
+        relay.stop();
+        partner.well();
+        start();
+        await(() -> told("s1=dead") == 1 && told("s2=dead") == 1);
+        assertEquals(1, partner.effects().get("s1"));
+        assertEquals(1, partner.effects().get("s2"));
+    }
+
     @Test
     void whatCanNotBeTakenIsRefused() throws Exception {
         handIn("ok", "settlement", 5_000);
--- a/src/test/java/pipitstage/pairs/PartnerSide.java
+++ b/src/test/java/pipitstage/pairs/PartnerSide.java
@@ -22,6 +22,9 @@
     /** Runs what comes, and lets nobody know. */
     abstract void breaks();
 
+    /** Runs what comes, and never answers. */
+    abstract void silent();
+
     /** Wants nothing for now, and says so; nothing runs. */
     abstract void shut();
 
@@ -63,6 +66,11 @@
             partner.be(StandInPartner.Mood.RESETS);
         }
 
+        @Override
+        void silent() {
+            partner.be(StandInPartner.Mood.SILENT);
+        }
+
         @Override
         void shut() {
             partner.be(StandInPartner.Mood.SHUT);
@@ -120,6 +128,11 @@
             broker.be(StandInBroker.Fate.DROP_AFTER);
         }
 
+        @Override
+        void silent() {
+            broker.be(StandInBroker.Fate.SILENT);
+        }
+
         @Override
         void shut() {
             broker.block(true);
