--- a/src/main/java/pipitstage/admin/UndeliverableDesk.java
+++ b/src/main/java/pipitstage/admin/UndeliverableDesk.java
@@ -91,8 +91,9 @@
 
     /** In pages, so that a large store is neither held whole nor keeps others waiting. */
     private void each(Filters filters, PerEntry action) throws InterruptedException {
-        long from = 0;
-        long left = filters.most();
+        // One that is named is the first from its number on, if it is meant at all.
+        long from = filters.id();
+        long left = filters.id() == 0 ? filters.most() : Math.min(1, filters.most());
         while (left > 0) {
             long start = from;
             int page = (int) Math.min(PAGE, left);
--- a/src/main/java/pipitstage/amqp/link/ClientLink.java
+++ b/src/main/java/pipitstage/amqp/link/ClientLink.java
@@ -1,8 +1,19 @@
 package pipitstage.amqp.link;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import pipitstage.amqp.codec.AmqpException;
 import pipitstage.amqp.codec.Command;
 import pipitstage.amqp.codec.Frame;
@@ -31,23 +42,83 @@
         /** A method has come: an answer, a delivery, a confirm, or what the broker has to say of its own accord. */
         void received(Command command) throws AmqpException;
 
+        /** The broker asks for a wait with publishes, or takes that back; {@link #mayPublish} tells which. */
+        void publishing(String why);
+
         /** The connection is over, whether it was ever open or not; called once. */
         void closed(String reason);
     }
 
+    /**
+     * A broker, and how to log in.
+     *
+     * @param tls null where the connection is plain
+     * @param tlsName the name that the broker's certificate has to hold; null for its address
+     */
+    public record Broker(InetSocketAddress address, Login login, SslContext tls, String tlsName) { }
+
     private final Login login;
     private final Owner owner;
+    private Future<?> opening;
+    /** Two ways for a broker to ask for a wait, each with its own end. */
+    private boolean blocked;
+    private final Set<Integer> stopped = new HashSet<>();
     private final Set<Integer> channels = new HashSet<>();
     private boolean open;
     private boolean over;
 
-    /** A link for a channel's pipeline; bodies larger than {@code mostBody} bytes are skipped. */
-    public ClientLink(Login login, int mostBody, Owner owner) {
+    private ClientLink(Login login, int mostBody, Owner owner) {
         super(mostBody, ANY_ROOM);
         this.login = login;
         this.owner = owner;
     }
 
+    /**
+     * Connects, on an event loop and from it. Unless {@link #ready} is called within a time, the connection is over.
+     *
+     * @param mostBody bytes of the largest body that is held; larger ones are skipped
+     * @param timeout microseconds until it has to be of use to its owner
+     */
+    public static ClientLink dial(EventLoop loop, Broker broker, int mostBody, long timeout, Owner owner) {
+        ClientLink link = new ClientLink(broker.login(), mostBody, owner);
+        InetSocketAddress address = broker.address();
+        ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, timeout / 1_000))
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        if (broker.tls() != null) {
+                            String host = broker.tlsName() != null ? broker.tlsName()
+                                    : address.getAddress().getHostAddress();
+                            ch.pipeline().addLast(broker.tls().newHandler(ch.alloc(), host, address.getPort()));
+                        }
+                        ch.pipeline().addLast(link);
+                    }
+                }).connect(address);
+        link.opening = loop.schedule(() -> {
+            connected.channel().close();
+            link.notConnected("it did not open in time");
+        }, timeout, TimeUnit.MICROSECONDS);
+        connected.addListener(done -> {
+            if (!done.isSuccess()) {
+                // Guards against a socket that could not even be opened: its failure is told on another thread.
+                loop.execute(() -> link.notConnected(done.cause().getMessage()));
+            }
+        });
+        return link;
+    }
+
+    /** The connection is of use to its owner; the time for it to open does not bind any more. */
+    public void ready() {
+        opening.cancel(false);
+    }
+
+    /** False where the broker wants no publishes on a channel for now. */
+    public boolean mayPublish(int channel) {
+        return !blocked && !stopped.contains(channel);
+    }
+
     @Override
     void connected() {
         sendRaw(GREETING);
@@ -64,12 +135,6 @@
         send(channel, Method.of(Op.CHANNEL_OPEN));
     }
 
-    /** A channel is over, as the broker or the owner has closed it. */
-    public void forgetChannel(int channel) {
-        channels.remove(channel);
-        forget(channel);
-    }
-
     @Override
     boolean mayCome(int channel) {
         return channel == 0 || channels.contains(channel);
@@ -78,13 +143,31 @@
     @Override
     void received(Command command) throws AmqpException {
         Method method = command.method();
-        if (command.channel() != 0) {
-            owner.received(command);
-            return;
-        }
         switch (method.op()) {
-            case CONNECTION_START -> start(method);
-            case CONNECTION_TUNE -> tune(method);
+            case CONNECTION_BLOCKED -> {
+                blocked = true;
+                owner.publishing("the broker blocks publishers: " + method.text("reason"));
+            }
+            case CONNECTION_UNBLOCKED -> {
+                blocked = false;
+                owner.publishing("the broker takes publishes again");
+            }
+            case CHANNEL_FLOW -> flow(command.channel(), method.flag("active"));
+
+            default -> {
+                if (command.channel() == 0) {
+                    onConnection(command);
+                } else {
+                    owner.received(command);
+                }
+            }
+        }
+    }
+
+    private void onConnection(Command command) throws AmqpException {
+        switch (command.op()) {
+            case CONNECTION_START -> start(command.method());
+            case CONNECTION_TUNE -> tune(command.method());
             case CONNECTION_OPEN_OK -> {
                 open = true;
                 owner.opened();
@@ -93,6 +176,16 @@
         }
     }
 
+    private void flow(int channel, boolean active) {
+        if (active) {
+            stopped.remove(channel);
+        } else {
+            stopped.add(channel);
+        }
+        send(channel, Method.of(Op.CHANNEL_FLOW_OK, active));
+        owner.publishing(active ? "the broker lets the flow go on" : "the broker stops the flow");
+    }
+
     private void start(Method method) throws AmqpException {
         if (!(" " + method.text("mechanisms") + " ").contains(" PLAIN ")) {
             throw new AmqpException(AmqpException.NOT_ALLOWED, "the broker does not take PLAIN");
@@ -123,12 +216,15 @@
     void over(String reason) {
         if (!over) {
             over = true;
+            if (opening != null) {
+                opening.cancel(false);
+            }
             owner.closed(reason);
         }
     }
 
     /** The connection never came up. */
-    public void notConnected(String reason) {
+    private void notConnected(String reason) {
         over(reason);
     }
 }
--- a/src/main/java/pipitstage/amqp/mapping/Mapping.java
+++ b/src/main/java/pipitstage/amqp/mapping/Mapping.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import pipitstage.Policy;
 import pipitstage.amqp.codec.Properties;
@@ -56,11 +57,11 @@
      * Maps a message.
      *
      * @param cameAt microseconds since 1970; a message that does not tell when it was sent was sent then
-     * @param anonymousId the id of a message that has none and needs none
+     * @param namelessIds asked for the id of a message that has none and needs none
      * @param reply where its end is to be told; null for nowhere
      */
     public Mapped map(Properties properties, String exchange, String routingKey, byte[] body, long cameAt,
-            String anonymousId, Message.Reply reply) {
+            Supplier<String> namelessIds, Message.Reply reply) {
         Rule rule = rules.stream().filter(r -> r.contentType() == null
                 || r.contentType().equals(properties.text(Property.CONTENT_TYPE))).findFirst().orElse(null);
         if (rule == null) {
@@ -89,7 +90,7 @@
             return new Misfits(shown(budget) + " is no number of milliseconds");
         }
         long deadline = sentAt(properties, cameAt) + (budget == null ? type.deadline() : Long.parseLong(budget) * MS);
-        return new Fits(new Message.Content(id == null ? anonymousId : id, className,
+        return new Fits(new Message.Content(id == null ? namelessIds.get() : id, className,
                 optional(rule.tenant(), properties, exchange, routingKey), key, deadline, Integer.parseInt(destination),
                 body, reply), id == null);
     }
--- a/src/main/java/pipitstage/cli/UndeliverableCommand.java
+++ b/src/main/java/pipitstage/cli/UndeliverableCommand.java
@@ -61,6 +61,10 @@
             return spec.commandLine().getOut();
         }
 
+        CommandSpec spec() {
+            return spec;
+        }
+
         /** Prints what a line says, or the error that it holds. */
         private void take(String line, Consumer<String> lines) {
             if (line.startsWith("{\"error\":")) {
@@ -247,15 +251,13 @@
         private boolean cancel;
         @Option(names = "--by", paramLabel = "NAME", required = true, description = "Who asks for it.")
         private String by;
-        @Spec
-        private CommandSpec spec;
 
         @Override
         public Integer call() throws IOException {
             Map<String, String> request = which.request("resend");
             // Guards against a slip that would send everything again.
             if (id == null && request.size() == 1 && !all) {
-                throw new CommandLine.ParameterException(spec.commandLine(), "an ID, a filter or --all is needed");
+                throw new CommandLine.ParameterException(spec().commandLine(), "an ID, a filter or --all is needed");
             }
             put(request, "id", id);
             put(request, "by", by);
@@ -313,27 +315,22 @@
         }
     }
 
-    /** Holds resending. */
-    @Command(name = "pause", mixinStandardHelpOptions = true, description = "Sends nothing again until go-on.")
-    static final class Pause extends Asking {
+    /** What is asked under a command's own name, by someone. */
+    abstract static class Holding extends Asking {
         @Option(names = "--by", paramLabel = "NAME", required = true, description = "Who asks for it.")
         private String by;
 
         @Override
         public Integer call() throws IOException {
-            return ask(Map.of("command", "pause", "by", by), out()::println, null);
+            return ask(Map.of("command", spec().name(), "by", by), out()::println, null);
         }
     }
 
+    /** Holds resending. */
+    @Command(name = "pause", mixinStandardHelpOptions = true, description = "Sends nothing again until go-on.")
+    static final class Pause extends Holding { }
+
     /** Ends a pause. */
     @Command(name = "go-on", mixinStandardHelpOptions = true, description = "Ends a pause.")
-    static final class GoOn extends Asking {
-        @Option(names = "--by", paramLabel = "NAME", required = true, description = "Who asks for it.")
-        private String by;
-
-        @Override
-        public Integer call() throws IOException {
-            return ask(Map.of("command", "go-on", "by", by), out()::println, null);
-        }
-    }
+    static final class GoOn extends Holding { }
 }
--- a/src/main/java/pipitstage/duplicates/SeenFile.java
+++ b/src/main/java/pipitstage/duplicates/SeenFile.java
@@ -10,8 +10,8 @@
 import java.nio.file.StandardOpenOption;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import java.util.zip.CRC32;
 import pipitstage.log.Log;
+import pipitstage.records.Records;
 
 /**
  * A memory that outlasts the process: a file of records, each with its length and checksum, that is written anew without
@@ -20,7 +20,6 @@
 public final class SeenFile implements Seen, AutoCloseable {
     private static final String NAME = "seen.log";
     private static final String UNFINISHED = "seen.new";
-    private static final int HEAD = Integer.BYTES * 2;
     private static final int MOST_ID = 1_000;
     /** Records beyond twice the ids that are remembered, before the file is written anew. */
     private static final int SLACK = 1_000;
@@ -79,7 +78,7 @@
 
     private void append(byte[] record) {
         try {
-            write(file, record, size);
+            Records.write(file, record, size);
             size += record.length;
             records++;
         } catch (IOException e) {
@@ -88,21 +87,11 @@
         }
     }
 
-    private static void write(FileChannel channel, byte[] bytes, long at) throws IOException {
-        ByteBuffer rest = ByteBuffer.wrap(bytes);
-        while (rest.hasRemaining()) {
-            channel.write(rest, at + rest.position());
-        }
-    }
-
     private static byte[] record(String id, long at) {
         byte[] text = id.getBytes(StandardCharsets.UTF_8);
-        byte[] record = new byte[HEAD + Long.BYTES + text.length];
-        ByteBuffer.wrap(record).position(HEAD).putLong(at).put(text);
-        CRC32 crc = new CRC32();
-        crc.update(record, HEAD, record.length - HEAD);
-        ByteBuffer.wrap(record).putInt(record.length - HEAD).putInt((int) crc.getValue());
-        return record;
+        byte[] record = new byte[Records.HEAD + Long.BYTES + text.length];
+        ByteBuffer.wrap(record).position(Records.HEAD).putLong(at).put(text);
+        return Records.seal(record);
     }
 
     /** Writes what is remembered to a new file, which then takes the place of the old one. */
@@ -115,7 +104,7 @@
             try {
                 for (Map.Entry<String, Long> one : ids.all().entrySet()) {
                     byte[] record = record(one.getKey(), one.getValue());
-                    write(next, record, written);
+                    Records.write(next, record, written);
                     written += record.length;
                 }
                 Files.move(unfinished, folder.resolve(NAME), StandardCopyOption.ATOMIC_MOVE);
@@ -136,28 +125,14 @@
     }
 
     private void replay() throws IOException {
-        ByteBuffer all = ByteBuffer.allocate((int) Math.min(file.size(), Integer.MAX_VALUE - HEAD));
-        while (all.hasRemaining() && file.read(all, all.position()) >= 0) {
-            continue;
-        }
-        all.flip();
-        while (all.remaining() >= HEAD) {
-            int length = all.getInt();
-            int crc = all.getInt();
-            if (length <= Long.BYTES || length > Long.BYTES + MOST_ID || length > all.remaining()) {
-                break;
-            }
-            byte[] payload = new byte[length];
-            all.get(payload);
-            CRC32 found = new CRC32();
-            found.update(payload);
-            if ((int) found.getValue() != crc) {
-                break;
-            }
-            ids.add(new String(payload, Long.BYTES, length - Long.BYTES, StandardCharsets.UTF_8),
+        ByteBuffer all = Records.all(file);
+        byte[] payload = Records.next(all);
+        while (payload != null && payload.length > Long.BYTES && payload.length <= Long.BYTES + MOST_ID) {
+            ids.add(new String(payload, Long.BYTES, payload.length - Long.BYTES, StandardCharsets.UTF_8),
                     ByteBuffer.wrap(payload).getLong());
             records++;
             size = all.position();
+            payload = Records.next(all);
         }
         if (size < file.size()) {
             Log.line("seen: a torn tail of " + (file.size() - size) + " bytes is cut off");
--- a/src/main/java/pipitstage/engine/Message.java
+++ b/src/main/java/pipitstage/engine/Message.java
@@ -47,6 +47,15 @@
             this(refused ? Kind.REFUSED : Kind.FAILED, retryIn);
         }
 
+        /** The word by which it is told (PROTOCOL, ends). */
+        public String word() {
+            return switch (kind) {
+                case FAILED -> "dead";
+                case REFUSED -> "bounced";
+                case DELIVERED -> "done";
+            };
+        }
+
         /** True where it never ran, and may be handed in again. */
         public boolean refused() {
             return kind == Kind.REFUSED;
--- a/src/main/java/pipitstage/front/amqp/AmqpServer.java
+++ b/src/main/java/pipitstage/front/amqp/AmqpServer.java
@@ -23,6 +23,7 @@
 import pipitstage.amqp.codec.Assembler;
 import pipitstage.amqp.link.ServerLink;
 import pipitstage.amqp.mapping.Mapping;
+import pipitstage.amqp.mapping.NamelessIds;
 import pipitstage.duplicates.Seen;
 import pipitstage.engine.Clock;
 import pipitstage.engine.Ends;
@@ -82,10 +83,9 @@
     private final Ends others;
     private final Map<String, Waiting> queues = new HashMap<>();
     private final Set<Session> sessions = new LinkedHashSet<>();
-    private final String boot;
+    private final NamelessIds ids;
     private Channel listener;
     private EventLoop loop;
-    private long anonymous;
     private int buffered;
     private boolean draining;
 
@@ -100,7 +100,7 @@
         parts = new Parts(intake, clock, pulse, mapping, seen, options);
         this.heard = heard;
         this.others = others;
-        boot = Long.toString(clock.micros(), Character.MAX_RADIX);
+        ids = new NamelessIds(options.name(), clock.micros());
     }
 
     /** Listens at an address. */
@@ -172,8 +172,8 @@
         sessions.remove(session);
     }
 
-    String anonymousId() {
-        return parts.options().name() + "-" + boot + "-" + anonymous++;
+    NamelessIds ids() {
+        return ids;
     }
 
     boolean isDraining() {
--- a/src/main/java/pipitstage/front/amqp/QueueConsumer.java
+++ b/src/main/java/pipitstage/front/amqp/QueueConsumer.java
@@ -1,15 +1,6 @@
 package pipitstage.front.amqp;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.ssl.SslContext;
-import io.netty.util.concurrent.Future;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.List;
@@ -26,6 +17,7 @@
 import pipitstage.amqp.confirm.Confirms;
 import pipitstage.amqp.link.ClientLink;
 import pipitstage.amqp.mapping.Mapping;
+import pipitstage.amqp.mapping.NamelessIds;
 import pipitstage.duplicates.Seen;
 import pipitstage.engine.Clock;
 import pipitstage.engine.Ends;
@@ -53,15 +45,12 @@
      * How it is set.
      *
      * @param name by which the journal knows this front
-     * @param tls null where the connection is plain
-     * @param tlsName the name that the broker's certificate has to hold; null for its address
      * @param prefetch deliveries that may be unacknowledged
      * @param autoAcknowledge the broker forgets what it hands out, and what is refused is lost
      * @param replyQueue where ends go of messages that ask for no reply; null where they are not told
      * @param connectTimeout microseconds until a connection is open in AMQP's sense
      */
-    public record Options(String name, InetSocketAddress address, ClientLink.Login login, SslContext tls, String tlsName,
-            String queue, int prefetch, boolean autoAcknowledge, Tells tells, String replyQueue, long connectTimeout) { }
+    public record Options(String name, ClientLink.Broker broker, String queue, int prefetch, boolean autoAcknowledge, Tells tells, String replyQueue, long connectTimeout) { }
 
     private static final int CONSUMING = 1;
     private static final int REPLYING = 2;
@@ -133,21 +122,16 @@
     private final Options options;
     private final Consumer<Message> heard;
     private final Ends others;
-    private final String boot;
+    private final NamelessIds ids;
     private final Set<Delivery> deliveries = new HashSet<>();
     /** Ends that are not published, the oldest first. */
     private final ArrayDeque<Message> untold = new ArrayDeque<>();
     private Confirms<Message> confirms = new Confirms<>();
     private ClientLink link;
-    private Future<?> opening;
     private boolean replies;
-    /** The broker wants no publishes: ends wait, by either of its two ways to say so. */
-    private boolean blocked;
-    private boolean flowStopped;
     private boolean draining;
     private boolean stopped;
     private long pause = FIRST_PAUSE_MS;
-    private long nameless;
 
     /**
      * A consumer; {@link #start} sets it going.
@@ -166,7 +150,7 @@
         this.options = options;
         this.heard = heard;
         this.others = others;
-        boot = Long.toString(clock.micros(), Character.MAX_RADIX);
+        ids = new NamelessIds(options.name(), clock.micros());
     }
 
     /** Connects, and again after pauses that grow, until the end. */
@@ -174,31 +158,7 @@
         if (stopped) {
             return;
         }
-        ClientLink made = new ClientLink(options.login(), MOST_BODY, this);
-        link = made;
-        ChannelFuture connected = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, options.connectTimeout() / 1_000))
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        if (options.tls() != null) {
-                            String host = options.tlsName() != null ? options.tlsName()
-                                    : options.address().getAddress().getHostAddress();
-                            ch.pipeline().addLast(options.tls().newHandler(ch.alloc(), host, options.address().getPort()));
-                        }
-                        ch.pipeline().addLast(made);
-                    }
-                }).connect(options.address());
-        opening = loop.schedule(() -> {
-            connected.channel().close();
-            made.notConnected("it did not open in time");
-        }, options.connectTimeout(), TimeUnit.MICROSECONDS);
-        connected.addListener(done -> {
-            if (!done.isSuccess()) {
-                loop.execute(() -> made.notConnected(done.cause().getMessage()));
-            }
-        });
+        link = ClientLink.dial(loop, options.broker(), MOST_BODY, options.connectTimeout(), this);
     }
 
     @Override
@@ -219,9 +179,9 @@
                     options.autoAcknowledge(), false, false,
                     Map.of()));
             case BASIC_CONSUME_OK -> {
-                opening.cancel(false);
+                link.ready();
                 pause = FIRST_PAUSE_MS;
-                Log.line("amqp: consuming queue " + options.queue() + " at " + options.address());
+                Log.line("amqp: consuming queue " + options.queue() + " at " + options.broker().address());
             }
             case CONFIRM_SELECT_OK -> {
                 replies = true;
@@ -231,16 +191,6 @@
             case BASIC_ACK, BASIC_NACK -> confirmed(m);
             case BASIC_RETURN -> returned(command);
             case BASIC_CANCEL_OK -> { }
-            case CONNECTION_BLOCKED -> blocked = true;
-            case CONNECTION_UNBLOCKED -> {
-                blocked = false;
-                tellAll();
-            }
-            case CHANNEL_FLOW -> {
-                flowStopped = command.channel() == REPLYING ? !m.flag("active") : flowStopped;
-                link.send(command.channel(), Method.of(Op.CHANNEL_FLOW_OK, m.flag("active")));
-                tellAll();
-            }
             case BASIC_CANCEL -> link.end(OK, "the queue is gone");
             case CHANNEL_CLOSE -> {
                 Log.line("amqp: queue " + options.queue() + ": the broker closed channel " + command.channel() + ": "
@@ -260,7 +210,7 @@
         Properties properties = command.properties();
         Mapping.Mapped mapped = command.isSkipped() ? new Mapping.Misfits(command.size() + " bytes are more than is taken")
                 : mapping.map(properties, m.text("exchange"), m.text("routing-key"), command.body(), pulse.unreadSince(),
-                        options.name() + "-" + boot + "-" + nameless++, reply(properties));
+                        ids, reply(properties));
         if (mapped instanceof Mapping.Misfits misfit) {
             rejectForGood(tag, misfit.reason());
             return;
@@ -316,8 +266,14 @@
         tellAll();
     }
 
+    /** Ends wait as long as the broker wants no publishes. */
+    @Override
+    public void publishing(String why) {
+        tellAll();
+    }
+
     private void tellAll() {
-        while (replies && !blocked && !flowStopped && !untold.isEmpty() && link.isWritable()) {
+        while (replies && link.mayPublish(REPLYING) && !untold.isEmpty() && link.isWritable()) {
             Message message = untold.poll();
             long tag = confirms.publish(message);
             Confirms<Message> current = confirms;
@@ -368,14 +324,11 @@
 
     @Override
     public void closed(String reason) {
-        opening.cancel(false);
         if (!stopped) {
-            Log.line("amqp: queue " + options.queue() + " at " + options.address() + ": " + reason);
+            Log.line("amqp: queue " + options.queue() + " at " + options.broker().address() + ": " + reason);
         }
         link = null;
         replies = false;
-        blocked = false;
-        flowStopped = false;
         // Guards against delivering what the broker now hands out again.
         for (Delivery delivery : List.copyOf(deliveries)) {
             Message message = delivery.message;
--- a/src/main/java/pipitstage/front/amqp/ReplyText.java
+++ b/src/main/java/pipitstage/front/amqp/ReplyText.java
@@ -1,7 +1,10 @@
 package pipitstage.front.amqp;
 
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import pipitstage.amqp.codec.Properties;
 import pipitstage.amqp.codec.Property;
 import pipitstage.engine.Message;
@@ -9,6 +12,7 @@
 /** What a reply says: the end of a message, in the words of the ends that are told over HTTP and in the file. */
 final class ReplyText {
     private static final int PERSISTENT = 2;
+    private static final JsonFactory JSON = new JsonFactory();
 
     private ReplyText() { }
 
@@ -17,23 +21,23 @@
         String correlation = message.content().reply().correlation();
         return Properties.NONE.with(Property.MESSAGE_ID, message.content().callId() + ".end")
                 .with(Property.CORRELATION_ID, correlation == null ? message.content().callId() : correlation)
-                .with(Property.TYPE, result(message)).with(Property.CONTENT_TYPE, "application/json")
+                .with(Property.TYPE, message.end().word()).with(Property.CONTENT_TYPE, "application/json")
                 .with(Property.DELIVERY_MODE, PERSISTENT);
     }
 
-    private static String result(Message message) {
-        return switch (message.end().kind()) {
-            case DELIVERED -> "done";
-            case REFUSED -> "bounced";
-            case FAILED -> "dead";
-        };
-    }
-
     static byte[] body(Message message) {
-        String wait = message.end().retryIn() > 0 ? ",\"wait_ms\":" + message.end().retryIn() / 1_000 : "";
-        // An id is a token: of what JSON minds, it may hold quotes and backslashes alone.
-        String id = message.content().callId().replace("\\", "\\\\").replace("\"", "\\\"");
-        return String.format(Locale.ROOT, "{\"ref\":\"%s\",\"result\":\"%s\"%s}", id, result(message), wait)
-                .getBytes(StandardCharsets.UTF_8);
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator json = JSON.createGenerator(bytes)) {
+            json.writeStartObject();
+            json.writeStringField("ref", message.content().callId());
+            json.writeStringField("result", message.end().word());
+            if (message.end().retryIn() > 0) {
+                json.writeNumberField("wait_ms", message.end().retryIn() / 1_000);
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
     }
 }
--- a/src/main/java/pipitstage/front/amqp/Session.java
+++ b/src/main/java/pipitstage/front/amqp/Session.java
@@ -272,7 +272,7 @@
         Message.Reply reply = replyTo == null ? null : new Message.Reply(parts.options().name(), replyTo,
                 properties.text(Property.CORRELATION_ID));
         Mapping.Mapped mapped = parts.mapping().map(properties, m.text("exchange"), m.text("routing-key"), command.body(),
-                parts.pulse().unreadSince(), server.anonymousId(), reply);
+                parts.pulse().unreadSince(), server.ids(), reply);
         if (mapped instanceof Mapping.Misfits misfit) {
             refuse(channel, tag, command, AmqpException.PRECONDITION_FAILED, "PRECONDITION_FAILED - " + misfit.reason());
         } else {
@@ -329,7 +329,7 @@
 
     private void declare(Channel channel, Method m) throws AmqpException {
         String asked = m.text("queue");
-        String name = asked.isEmpty() ? "ends-" + server.anonymousId() + "-" + names++ : queueName(asked);
+        String name = asked.isEmpty() ? "ends-" + server.ids().get() + "-" + names++ : queueName(asked);
         answer(channel, m, Method.of(Op.QUEUE_DECLARE_OK, name, (long) server.ready(name), 0L));
     }
 
--- a/src/main/java/pipitstage/journal/Journal.java
+++ b/src/main/java/pipitstage/journal/Journal.java
@@ -16,11 +16,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.zip.CRC32;
 import pipitstage.Policy;
 import pipitstage.engine.Message;
 import pipitstage.engine.WriteAhead;
 import pipitstage.log.Log;
+import pipitstage.records.Records;
 
 /**
  * The write-ahead journal of accepted work: one segment of records, each with its length and checksum.
@@ -39,7 +39,6 @@
 
     private static final String SEGMENT = "journal-%010d.log";
     private static final String UNFINISHED = "journal.new";
-    private static final int HEAD = Integer.BYTES * 2;
 
     private static final int MOST_ATTEMPTS = 10_000;
 
@@ -190,7 +189,7 @@
             return false;
         }
         try {
-            write(segment, record, size);
+            Records.write(segment, record, size);
             size += record.length;
             return true;
         } catch (IOException e) {
@@ -210,13 +209,6 @@
         }
     }
 
-    private static void write(FileChannel channel, byte[] record, long at) throws IOException {
-        ByteBuffer rest = ByteBuffer.wrap(record);
-        while (rest.hasRemaining()) {
-            channel.write(rest, at + rest.position());
-        }
-    }
-
     private void rewrite() {
         Path unfinished = folder.resolve(UNFINISHED);
         Path next = folder.resolve(SEGMENT.formatted(segmentNumber + 1));
@@ -228,7 +220,7 @@
             try {
                 for (Open entry : open.values()) {
                     byte[] records = recordsOf(entry.message);
-                    write(channel, records, written);
+                    Records.write(channel, records, written);
                     written += records.length;
                     sizes.put(entry.message.number(), (long) records.length);
                 }
@@ -354,23 +346,15 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        byte[] record = bytes.toByteArray();
-        CRC32 crc = new CRC32();
-        crc.update(record, HEAD, record.length - HEAD);
-        ByteBuffer.wrap(record).putInt(record.length - HEAD).putInt((int) crc.getValue());
-        return record;
+        return Records.seal(bytes.toByteArray());
     }
 
     private void replay() throws IOException {
-        ByteBuffer all = ByteBuffer.allocate((int) Math.min(segment.size(), Integer.MAX_VALUE - HEAD));
-        while (all.hasRemaining() && segment.read(all, all.position()) >= 0) {
-            continue;
-        }
-        all.flip();
-        byte[] payload = next(all);
+        ByteBuffer all = Records.all(segment);
+        byte[] payload = Records.next(all);
         while (payload != null && replay(payload)) {
             size = all.position();
-            payload = next(all);
+            payload = Records.next(all);
         }
         if (size < segment.size()) {
             Log.line("journal: a torn tail of " + (segment.size() - size) + " bytes is cut off");
@@ -378,38 +362,21 @@
         }
     }
 
-    /** The next record's payload, or null at the end and where a record is not whole. */
-    private static byte[] next(ByteBuffer all) {
-        if (all.remaining() < HEAD) {
-            return null;
-        }
-        int length = all.getInt();
-        int expected = all.getInt();
-        if (length <= 0 || length > all.remaining()) {
-            return null;
-        }
-        byte[] payload = new byte[length];
-        all.get(payload);
-        CRC32 crc = new CRC32();
-        crc.update(payload);
-        return (int) crc.getValue() == expected ? payload : null;
-    }
-
     private boolean replay(byte[] payload) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(payload))) {
             int type = in.readByte();
             long number = in.readLong();
             if (type == ACCEPTED) {
-                add(new Message(number, readContent(in, null)), payload.length + HEAD);
+                add(new Message(number, readContent(in, null)), payload.length + Records.HEAD);
                 return true;
             }
             if (type == ACCEPTED_FOR_REPLY) {
                 Message.Reply reply = new Message.Reply(in.readUTF(), in.readUTF(), readOptional(in));
-                add(new Message(number, readContent(in, reply)), payload.length + HEAD);
+                add(new Message(number, readContent(in, reply)), payload.length + Records.HEAD);
                 return true;
             }
             if (type == RESENT) {
-                add(readResent(in, number), payload.length + HEAD);
+                add(readResent(in, number), payload.length + Records.HEAD);
                 return true;
             }
             lastNumber = Math.max(lastNumber, number);
@@ -417,8 +384,8 @@
             if (entry == null) {
                 return true;
             }
-            entry.bytes += payload.length + HEAD;
-            openBytes += payload.length + HEAD;
+            entry.bytes += payload.length + Records.HEAD;
+            openBytes += payload.length + Records.HEAD;
             Message message = entry.message;
             switch (type) {
                 case ATTEMPT -> replayAttempt(message, in.readInt(), in.readUTF(), in.readLong());
--- a/src/main/java/pipitstage/journal/package-info.java
+++ b/src/main/java/pipitstage/journal/package-info.java
@@ -1,6 +1,6 @@
 /**
  * What outlasts the process: the write-ahead journal of accepted work.
  *
- * <p>May use: the engine and the log; files, but no network.
+ * <p>May use: the engine, {@code records} and the log; files, but no network.
  */
 package pipitstage.journal;
--- a/src/main/java/pipitstage/partner/amqp/BrokerClient.java
+++ b/src/main/java/pipitstage/partner/amqp/BrokerClient.java
@@ -1,9 +1,6 @@
 package pipitstage.partner.amqp;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -130,12 +127,6 @@
             return connectTimeout;
         }
 
-        @Override
-        public Bootstrap bootstrap() {
-            return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000));
-        }
-
         @Override
         public void ended(Message.Attempt attempt, Result result, long wait) {
             attempts.remove(attempt);
--- a/src/main/java/pipitstage/partner/amqp/Route.java
+++ b/src/main/java/pipitstage/partner/amqp/Route.java
@@ -1,12 +1,7 @@
 package pipitstage.partner.amqp;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -41,8 +36,6 @@
 
         long connectTimeout();
 
-        Bootstrap bootstrap();
-
         /** An attempt ended; {@code wait} microseconds were asked for. */
         void ended(Message.Attempt attempt, Result result, long wait);
 
@@ -77,14 +70,10 @@
     private final ArrayDeque<Long> probes = new ArrayDeque<>();
     private Confirms<Message.Attempt> confirms = new Confirms<>();
     private ClientLink link;
-    private Future<?> opening;
     /** Publishes may leave. */
     private boolean ready;
     /** The connection has been ready, so that its end says nothing of whether the broker can be reached. */
     private boolean served;
-    /** Two ways for a broker to ask for a wait, each with its own end. */
-    private boolean blocked;
-    private boolean flowStopped;
     private boolean stopped;
 
     Route(String name, Target target, Broker broker, Owner owner) {
@@ -187,29 +176,8 @@
     // ---- the connection
 
     private void connect() {
-        ClientLink made = new ClientLink(broker.login(), MOST_BODY, this);
-        link = made;
-        InetSocketAddress address = target.address();
-        ChannelFuture connected = owner.bootstrap().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel ch) {
-                if (broker.tls() != null) {
-                    String host = broker.tlsName() != null ? broker.tlsName() : address.getAddress().getHostAddress();
-                    ch.pipeline().addLast(broker.tls().newHandler(ch.alloc(), host, address.getPort()));
-                }
-                ch.pipeline().addLast(made);
-            }
-        }).connect(address);
-        opening = owner.loop().schedule(() -> {
-            connected.channel().close();
-            made.notConnected("it did not open in time");
-        }, owner.connectTimeout(), TimeUnit.MICROSECONDS);
-        connected.addListener(done -> {
-            if (!done.isSuccess()) {
-                // Guards against a socket that could not even be opened: its failure is told on another thread.
-                owner.loop().execute(() -> made.notConnected(done.cause().getMessage()));
-            }
-        });
+        link = ClientLink.dial(owner.loop(), new ClientLink.Broker(target.address(), broker.login(), broker.tls(),
+                broker.tlsName()), MOST_BODY, owner.connectTimeout(), this);
     }
 
     @Override
@@ -226,26 +194,13 @@
             case BASIC_ACK, BASIC_NACK -> confirmed(method);
             case BASIC_RETURN -> returned(command);
             case BASIC_QOS_OK -> probeAnswered();
-            case CONNECTION_BLOCKED -> {
-                blocked = true;
-                block("the broker blocks publishers: " + method.text("reason"));
-            }
-            case CONNECTION_UNBLOCKED -> {
-                blocked = false;
-                block("the broker takes publishes again");
-            }
-            case CHANNEL_FLOW -> {
-                flowStopped = !method.flag("active");
-                block(flowStopped ? "the broker stops the flow" : "the broker lets the flow go on");
-                link.send(CHANNEL, Method.of(Op.CHANNEL_FLOW_OK, method.flag("active")));
-            }
             case CHANNEL_CLOSE -> channelClosed(method);
             default -> throw new AmqpException(AmqpException.COMMAND_INVALID, method.op() + " was not asked for");
         }
     }
 
     private void ready() {
-        opening.cancel(false);
+        link.ready();
         ready = true;
         served = true;
         probes.forEach(began -> askForProbe());
@@ -261,12 +216,13 @@
     }
 
     private boolean mustWait() {
-        return blocked || flowStopped;
+        return link != null && !link.mayPublish(CHANNEL);
     }
 
     /** While publishers must wait the module is told so, and nothing leaves. */
-    private void block(String text) {
-        Log.line("host " + name + ": " + text);
+    @Override
+    public void publishing(String why) {
+        Log.line("host " + name + ": " + why);
         if (mustWait()) {
             endWaiting(Result.FULL, BLOCKED_WAIT);
         }
@@ -387,15 +343,10 @@
     public void closed(String reason) {
         boolean opened = served;
         served = false;
-        if (opening != null) {
-            opening.cancel(false);
-        }
         if (!opened && !stopped || confirms.open() > 0) {
             Log.line("host " + name + ": " + reason);
         }
         link = null;
-        blocked = false;
-        flowStopped = false;
         settleAll(false);
         // What still waits never left, and the module hears why.
         endWaiting(opened ? Result.NOT_SENT : Result.CONNECT_FAILED, 0);
--- a/src/main/java/pipitstage/platform/EndsFile.java
+++ b/src/main/java/pipitstage/platform/EndsFile.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.StringWriter;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -16,6 +15,7 @@
 import pipitstage.engine.Ends;
 import pipitstage.engine.Message;
 import pipitstage.log.Log;
+import pipitstage.records.Records;
 
 /**
  * Tells ends other than delivery in a file of JSON Lines in the folder that lasts, where no platform listens. When the
@@ -61,11 +61,8 @@
         }
         try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
             long before = channel.size();
-            ByteBuffer rest = ByteBuffer.wrap(line);
             try {
-                while (rest.hasRemaining()) {
-                    channel.write(rest, before + rest.position());
-                }
+                Records.write(channel, line, before);
             } catch (IOException e) {
                 // Guards against half a line that the next one would be written behind.
                 channel.truncate(before);
@@ -81,11 +78,7 @@
             out.writeStringField("ref", message.content().callId());
             out.writeStringField("class", message.content().requestClass());
             out.writeNumberField("dest", message.content().destination());
-            out.writeStringField("result", switch (message.end().kind()) {
-                case REFUSED -> "bounced";
-                case FAILED -> "dead";
-                case DELIVERED -> "done";
-            });
+            out.writeStringField("result", message.end().word());
             if (message.end().refused() && message.end().retryIn() > 0) {
                 out.writeNumberField("wait_ms", message.end().retryIn() / 1000);
             }
--- a/src/main/java/pipitstage/platform/Notices.java
+++ b/src/main/java/pipitstage/platform/Notices.java
@@ -96,7 +96,7 @@
         try (JsonGenerator json = factory.createGenerator(text)) {
             json.writeStartObject();
             json.writeStringField("ref", message.content().callId());
-            json.writeStringField("result", message.end().refused() ? "bounced" : "dead");
+            json.writeStringField("result", message.end().word());
             if (message.end().refused() && message.end().retryIn() > 0) {
                 json.writeNumberField("wait_ms", message.end().retryIn() / 1000);
             }
--- /dev/null
+++ b/src/main/java/pipitstage/records/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Files of records that outlast the process: how a record is framed, read back and written whole.
+ *
+ * <p>May use: nothing of the relay.
+ */
+package pipitstage.records;
--- a/src/main/java/pipitstage/relay/Amqp.java
+++ b/src/main/java/pipitstage/relay/Amqp.java
@@ -68,8 +68,8 @@
         }
         for (Config.AmqpQueue q : amqp.queues()) {
             QueueConsumer consumer = new QueueConsumer(loop, engine, clock, pulse, mapping, seen,
-                    new QueueConsumer.Options(q.name(), q.address(), login(q.login()), tls(q.login()), q.login().tlsName(),
-                            q.queue(), q.prefetch(), q.autoAcknowledge(), QueueConsumer.Tells.valueOf(
+                    new QueueConsumer.Options(q.name(), new ClientLink.Broker(q.address(), login(q.login()),
+                            tls(q.login()), q.login().tlsName()), q.queue(), q.prefetch(), q.autoAcknowledge(), QueueConsumer.Tells.valueOf(
                             q.ends().toUpperCase(Locale.ROOT)), q.replyQueue(),
                             config.settings().limits().connectTimeout()), engine::noticeHeard, this::otherwise);
             consumers.add(consumer);
--- a/src/main/java/pipitstage/standin/ServedRelay.java
+++ b/src/main/java/pipitstage/standin/ServedRelay.java
@@ -17,6 +17,7 @@
     private static final String MAIN = "pipitstage.cli.Main";
     private static final int PATIENCE_S = 30;
     private static final int LOOK_MS = 20;
+    private static final double TICKS = 100;
 
     private final Process process;
     private final Path log;
@@ -96,6 +97,18 @@
         return process;
     }
 
+    /** Seconds of CPU that it has used. */
+    public double cpuSeconds() throws IOException {
+        String[] parts = Files.readString(Path.of("/proc/" + process.pid() + "/stat")).replaceAll("^.*\\)", "").split(" ");
+        return (Long.parseLong(parts[12]) + Long.parseLong(parts[13])) / TICKS;
+    }
+
+    /** KiB of its memory that are resident. */
+    public long residentKib() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(l -> l.startsWith("VmRSS")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
+    }
+
     /** Asks it to end, and ends it where it does not. */
     public void stop() throws InterruptedException {
         process.destroy();
--- a/src/test/java/pipitstage/amqp/mapping/MappingTest.java
+++ b/src/test/java/pipitstage/amqp/mapping/MappingTest.java
@@ -37,7 +37,7 @@
     }
 
     private static Mapping.Mapped map(Properties properties, String routingKey) {
-        return mapping(USUAL).map(properties, "e", routingKey, new byte[1], NOW, "none-1", null);
+        return mapping(USUAL).map(properties, "e", routingKey, new byte[1], NOW, () -> "none-1", null);
     }
 
     private static Message.Content fits(Properties properties) {
@@ -59,7 +59,7 @@
         Message.Reply reply = new Message.Reply("front", "q", "c");
         Mapping fixed = mapping(rule("text/plain", "header:id", "fixed:any", "header:dest"), USUAL);
         Mapping.Fits other = (Mapping.Fits) fixed.map(properties("once").with(Property.CONTENT_TYPE, "text/plain").with(
-                Property.HEADERS, Map.of("id", "h1", "dest", 12)), "e", "rk", new byte[0], NOW, "none-1", reply);
+                Property.HEADERS, Map.of("id", "h1", "dest", 12)), "e", "rk", new byte[0], NOW, () -> "none-1", reply);
         assertEquals("h1 any 12", other.content().callId() + " " + other.content().requestClass() + " "
                 + other.content().destination());
         assertEquals(reply, other.content().reply());
@@ -95,7 +95,7 @@
         misfits(properties("once").with(Property.MESSAGE_ID, "two words"), "7", "is no token");
         misfits(properties("once").with(Property.HEADERS, Map.of("key", "\n")), "7", "is no token");
         String said = ((Mapping.Misfits) mapping(rule("a/b", "property:message-id", "property:type", "routing-key"))
-                .map(properties("once"), "e", "7", new byte[0], NOW, "x", null)).reason();
+                .map(properties("once"), "e", "7", new byte[0], NOW, () -> "x", null)).reason();
         assertTrue(said.contains("no mapping is for content type null"), said);
     }
 
--- a/src/test/java/pipitstage/front/amqp/QueueConsumerTest.java
+++ b/src/test/java/pipitstage/front/amqp/QueueConsumerTest.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -36,8 +37,8 @@
 
     private QueueConsumer consumer(int prefetch, boolean auto, QueueConsumer.Tells tells, String replyQueue) {
         return new QueueConsumer(loop, intake, clock, pulse, mapping(), seen, new QueueConsumer.Options("front",
-                new InetSocketAddress("127.0.0.1", broker.port()), new ClientLink.Login("guest", "guest", "/", 2), null, null,
-                "in", prefetch, auto, tells, replyQueue, SECOND), m -> heard.add(m.content().callId()),
+                new ClientLink.Broker(new InetSocketAddress("127.0.0.1", broker.port()), new ClientLink.Login("guest", "guest",
+                        "/", 2), null, null), "in", prefetch, auto, tells, replyQueue, SECOND), m -> heard.add(m.content().callId()),
                 m -> otherwise.add(m.content().callId()));
     }
 
@@ -140,13 +141,14 @@
 
     @Test
     void redeliveryAfterALostAcknowledgementIsNoSecondMessage() {
-        broker.freeze(300);
+        AtomicInteger lost = new AtomicInteger();
+        broker.loseAcks(() -> lost.getAndIncrement() == 0);
         put("a");
         start();
-        await(() -> intake.handed.size() == 1);
-        // Taken on, and the acknowledgement dies with the connection.
-        broker.drop();
-        await(() -> broker.size("in") == 0);
+        // Taken on, and the first acknowledgement dies with the connection.
+        await(() -> broker.acked("in") == 1);
+        assertEquals(2, lost.get());
+        assertTrue(broker.connections() >= 2);
         put("b");
         await(() -> intake.ids().contains("b"));
         assertEquals(List.of("a", "b"), intake.ids());
@@ -202,6 +204,23 @@
         assertTrue(broker.ready("ends").stream().allMatch(e -> e.getKey().text(Property.MESSAGE_ID).equals("a.end")));
     }
 
+    @Test
+    void endsWaitWhileTheBrokerBlocksPublishers() {
+        start();
+        on(() -> consumer.tell(ended("a", "ends", Message.End.Kind.DELIVERED)));
+        await(() -> heard.equals(List.of("a")));
+        broker.block(true);
+        // What the broker hands out behind its block is handled when that is known.
+        put("m");
+        await(() -> broker.acked("in") == 1);
+        on(() -> consumer.tell(ended("b", "ends", Message.End.Kind.DELIVERED)));
+        on(() -> { });
+        assertEquals(1, broker.size("ends"));
+        broker.block(false);
+        await(() -> heard.equals(List.of("a", "b")));
+        assertEquals(0, broker.waitsBroken());
+    }
+
     @Test
     void endThatTheBrokerRefusesIsToldAgain() {
         broker.be(Fate.NACK);
--- a/src/test/java/pipitstage/pairs/AmqpCampaign.java
+++ b/src/test/java/pipitstage/pairs/AmqpCampaign.java
@@ -1,12 +1,8 @@
 package pipitstage.pairs;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -163,7 +159,7 @@
                         message -> { });
             } else {
                 consumer = new QueueConsumer(loop, engine, clock, pulse, mapping, seen, new QueueConsumer.Options("front",
-                        new InetSocketAddress("127.0.0.1", brokerPort), login, null, null, "in", 5, false,
+                        new ClientLink.Broker(new InetSocketAddress("127.0.0.1", brokerPort), login, null, null), "in", 5, false,
                         QueueConsumer.Tells.ASKED, null, 300 * MS), engine::noticeHeard, message -> { });
             }
             Replies replies = listens ? server : consumer;
@@ -307,24 +303,9 @@
                 loop.schedule(this::connect, 10, TimeUnit.MILLISECONDS);
                 return;
             }
-            ClientLink made = new ClientLink(new ClientLink.Login("a", "b", "/", 2), 1 << 16, this);
-            link = made;
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(made);
-                }
-            }).connect("127.0.0.1", port).addListener(done -> {
-                if (!done.isSuccess()) {
-                    made.notConnected("refused");
-                }
-            });
             // A relay that is killed in this same process may leave a socket behind that nobody answers for.
-            loop.schedule(() -> {
-                if (made == link && !ready) {
-                    made.close("it did not open in time");
-                }
-            }, 400, TimeUnit.MILLISECONDS);
+            link = ClientLink.dial(loop, new ClientLink.Broker(new InetSocketAddress("127.0.0.1", port),
+                    new ClientLink.Login("a", "b", "/", 2), null, null), 1 << 16, 400 * MS, this);
         }
 
         void drop() {
@@ -346,6 +327,7 @@
                 case CHANNEL_OPEN_OK -> link.send(command.channel(), command.channel() == 1 ? Method.of(Op.CONFIRM_SELECT,
                         false) : Method.of(Op.BASIC_CONSUME, "ends", "t", false, false, false, false, Map.of()));
                 case CONFIRM_SELECT_OK -> {
+                    link.ready();
                     ready = true;
                     published = 0;
                     List.copyOf(untaken.keySet()).forEach(this::publish);
@@ -381,6 +363,9 @@
             }
         }
 
+        @Override
+        public void publishing(String why) { }
+
         @Override
         public void closed(String reason) {
             link = null;
--- a/src/test/java/pipitstage/pairs/Measure.java
+++ b/src/test/java/pipitstage/pairs/Measure.java
@@ -216,9 +216,9 @@
                         .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
                 Map<String, Long> handed = new ConcurrentHashMap<>();
                 load(relay, amqpFront, "warm").run(3_000_000_000L, 0, handed);
-                double before = cpu(relay.process());
+                double before = relay.cpuSeconds();
                 long taken = load(relay, amqpFront, "fast").run(5_000_000_000L, 0, handed);
-                double used = cpu(relay.process()) - before;
+                double used = relay.cpuSeconds() - before;
                 Thread.sleep(4_000);
                 handed.clear();
                 load(relay, amqpFront, "paced").run(SECONDS * 1_000_000_000L, RATE, handed);
@@ -241,16 +241,6 @@
         return amqp ? amqp(relay, prefix) : http(relay, prefix);
     }
 
-    private static double cpu(Process process) throws IOException {
-        String[] parts = Files.readString(Path.of("/proc/" + process.pid() + "/stat")).replaceAll("^.*\\)", "").split(" ");
-        return (Long.parseLong(parts[12]) + Long.parseLong(parts[13])) / 100.0;
-    }
-
-    private static long rss(Process process) throws IOException {
-        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                .filter(l -> l.startsWith("VmRSS")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
-    }
-
     private static void channels(Path folder) throws Exception {
         try (StandInPartner partner = new StandInPartner(0, 0)) {
             for (boolean amqp : new boolean[] {false, true}) {
@@ -259,7 +249,7 @@
                 try (ServedRelay relay = ServedRelay.start(file, folder.resolve(amqp + ".log"), "-Xmx72m",
                         "-Dio.netty.allocator.type=unpooled").awaitServing()) {
                     Thread.sleep(2_000);
-                    say("%s front, nobody there: %d kB resident", amqp ? "AMQP" : "HTTP", rss(relay.process()));
+                    say("%s front, nobody there: %d kB resident", amqp ? "AMQP" : "HTTP", relay.residentKib());
                     if (amqp) {
                         int sent = 0;
                         List<Connection> open = new ArrayList<>();
@@ -273,7 +263,7 @@
                                 channel.waitForConfirms(5_000);
                             }
                         }
-                        say("100 channels, each with a message taken: %d kB resident", rss(relay.process()));
+                        say("100 channels, each with a message taken: %d kB resident", relay.residentKib());
                         for (Connection connection : open) {
                             connection.close();
                         }
--- a/src/test/java/pipitstage/undeliverable/Measure.java
+++ b/src/test/java/pipitstage/undeliverable/Measure.java
@@ -83,7 +83,7 @@
             for (String name : List.of("few", "many")) {
                 ServedRelay relay = start(application(folder, name, true, partner, 1));
                 Thread.sleep(6_000);
-                say("resident with %s entries: %d kB", name.equals("many") ? "100,000" : "no", rss(relay.process()));
+                say("resident with %s entries: %d kB", name.equals("many") ? "100,000" : "no", relay.residentKib());
                 relay.close();
             }
         }
@@ -131,16 +131,6 @@
         return ServedRelay.start(file, Path.of(file + ".log"), "-Xmx72m").awaitServing();
     }
 
-    private static double cpu(Process process) throws IOException {
-        String[] parts = Files.readString(Path.of("/proc/" + process.pid() + "/stat")).replaceAll("^.*\\)", "").split(" ");
-        return (Long.parseLong(parts[12]) + Long.parseLong(parts[13])) / 100.0;
-    }
-
-    private static long rss(Process process) throws IOException {
-        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                .filter(l -> l.startsWith("VmRSS")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
-    }
-
     private static void cost(Path folder) throws Exception {
         try (StandInPartner partner = new StandInPartner(1, 0)) {
             Map<Boolean, ServedRelay> relays = new HashMap<>();
@@ -152,7 +142,7 @@
             double[][] sums = new double[2][2];
             for (int round = 0; round < 9; round++) {
                 for (boolean keep : new boolean[] {round % 2 == 0, round % 2 != 0}) {
-                    double before = cpu(relays.get(keep).process());
+                    double before = relays.get(keep).cpuSeconds();
                     AtomicLong taken = new AtomicLong();
                     long end = System.nanoTime() + 2_500_000_000L;
                     List<Thread> threads = new ArrayList<>();
@@ -168,14 +158,14 @@
                     // The first round warms both up.
                     if (round > 0) {
                         sums[keep ? 1 : 0][0] += taken.get();
-                        sums[keep ? 1 : 0][1] += cpu(relays.get(keep).process()) - before;
+                        sums[keep ? 1 : 0][1] += relays.get(keep).cpuSeconds() - before;
                     }
                 }
             }
             say("off: %.0f messages a second, %.0f us CPU each; on: %.0f a second, %.0f us; ratio of rates %.3f, of CPU %.3f",
                     sums[0][0] / 20, sums[0][1] * 1e6 / sums[0][0], sums[1][0] / 20, sums[1][1] * 1e6 / sums[1][0],
                     sums[1][0] / sums[0][0], sums[1][1] / sums[1][0] / (sums[0][1] / sums[0][0]));
-            say("resident: off %d kB, on %d kB", rss(relays.get(false).process()), rss(relays.get(true).process()));
+            say("resident: off %d kB, on %d kB", relays.get(false).residentKib(), relays.get(true).residentKib());
             for (ServedRelay relay : relays.values()) {
                 relay.close();
             }
@@ -230,7 +220,7 @@
                     }
                 }
                 Thread.sleep(6_000);
-                report(name, limit, partner, handed, rss(relay.process()));
+                report(name, limit, partner, handed, relay.residentKib());
                 relay.close();
             }
         }
