Records: one append that leaves no half record behind

What the file of ends did for its lines is wanted by other files too: the bytes go behind what the file holds, or are cut off again. Behaviour unchanged.

--- a/src/main/java/pipitstage/platform/EndsFile.java
+++ b/src/main/java/pipitstage/platform/EndsFile.java
@@ -60,14 +60,7 @@
             Files.move(file, older, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
         }
         try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
-            long before = channel.size();
-            try {
-                Records.write(channel, line, before);
-            } catch (IOException e) {
-                // Guards against half a line that the next one would be written behind.
-                channel.truncate(before);
-                throw e;
-            }
+            Records.append(channel, line, channel.size());
         }
     }
 
--- a/src/main/java/pipitstage/records/Records.java
+++ b/src/main/java/pipitstage/records/Records.java
@@ -53,4 +53,15 @@
             file.write(rest, at + rest.position());
         }
     }
+
+    /** Writes all of some bytes at the end of a file, or nothing: half of them are cut off again. */
+    public static void append(FileChannel file, byte[] bytes, long end) throws IOException {
+        try {
+            write(file, bytes, end);
+        } catch (IOException e) {
+            // Guards against half a record that the next one would be written behind.
+            file.truncate(end);
+            throw e;
+        }
+    }
 }
