--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -36,6 +36,7 @@
     // Release after an outage.
     private static final double RELEASE_MARGIN = 0.9; // of the rule's budget
     private static final double LEAST_RELEASE = 0.75; // of all relays where nothing else is known
+    private static final double START_JITTER = 0.2; // of the pace after a restart: a fleet is not in step
     private static final double ROUGH_DIVISOR = 1.5; // a rough rate may be half too high
 
     // Time-outs and silence.
@@ -132,6 +133,8 @@
             timer(e.name());
         } else if (event instanceof RouteList e) {
             list(e);
+        } else if (event instanceof Remembered e) {
+            Optional.ofNullable(routes.get(e.standing().route())).ifPresent(r -> remember(r, e));
         } else if (event instanceof ProbeDone e) {
             probed(e);
         } else if (event instanceof PeerNote e && e.bytes().length == Integer.BYTES + 1) {
@@ -375,6 +378,10 @@
         if (result == Result.OK || result == Result.ERROR || result == Result.FULL) {
             route.answeredAt = now;
         }
+        if (result == Result.OK || result == Result.FULL) {
+            route.unproven = false;
+            route.last = false;
+        }
     }
 
     private void served(Call call, long elapsed) {
@@ -459,6 +466,10 @@
         if (shut || group.circuit.state != CircuitState.CLOSED) {
             open(group.circuit, group, false, wait);
         }
+        if (call.test && call.route.circuit.state != CircuitState.CLOSED) {
+            // Guards against a route that refuses its test and would be tested again at once.
+            open(call.route.circuit, group, false, wait);
+        }
         if (now - group.cutAt >= CUT_PAUSE) {
             cut(group);
         }
@@ -872,13 +883,19 @@
             // Guards against a group that is tested again and again by its one dead route.
             boolean better = whole && route.group.routes.stream()
                     .anyMatch(other -> other.listed && other.circuit.run < route.circuit.run);
-            if (route.listed && !better && testable(circuit) && now >= route.group.waitUntil
+            if (route.listed && !better && !spared(route) && testable(circuit) && now >= route.group.waitUntil
                     && out.size() < settings.limits().callSlots()) {
                 sendTest(destination, route, circuit);
             }
         }
     }
 
+    /** True where a route is the last to be tried and its destination has one that has not failed. */
+    private static boolean spared(Route route) {
+        return route.last && route.destination.routes.values().stream().anyMatch(other -> other.listed
+                && !other.last && (other.circuit.state == CircuitState.CLOSED || other.errorRate == 0));
+    }
+
     private void sendTest(Destination destination, Route route, Circuit circuit) {
         // Guards against a test that only tells that its message's time was up.
         Request chosen = destination.waiting.stream()
@@ -889,8 +906,9 @@
         }
         circuit.testing = true;
         // Guards against a test in vain that leaves a request with nowhere to go.
-        boolean free = chosen.type.repeat() == Repeat.REPEATABLE
-                || chosen.type.repeat() == Repeat.BY_KEY && chosen.type.keyScope() == KeyScope.ALL;
+        // Guards too against a message for an address that may be another's by now: a check goes there first.
+        boolean free = !route.unproven && (chosen.type.repeat() == Repeat.REPEATABLE
+                || chosen.type.repeat() == Repeat.BY_KEY && chosen.type.keyScope() == KeyScope.ALL);
         if (!free && settings.limits().probes()) {
             count(route.group.sent);
             actions.probe(route.name);
@@ -960,10 +978,68 @@
             Route route = routes.computeIfAbsent(entry.route(), name -> newRoute(entry));
             route.listed = entry.availability() == Availability.LISTED;
             route.rate = entry.rate();
+            route.unproven &= e.kind() == ListKind.CACHED;
+            route.last &= route.unproven;
         }
         List.copyOf(routes.values()).forEach(this::forgetIfGone);
     }
 
+    /**
+     * Guards against a fleet that starts at once and sends what each held: a route goes on at this relay's
+     * part of what all may send, and grows with serves. One that was out, or that is not believed, is tested
+     * and then released.
+     */
+    private void remember(Route route, Remembered e) {
+        Belief belief = e.belief();
+        Standing known = e.standing();
+        Group group = route.group;
+        group.waitUntil = Math.max(group.waitUntil, now + known.waitLeft());
+        group.reportedRate = group.reportedRate > 0 ? group.reportedRate : known.limit();
+        route.response = known.response();
+        route.answeredAt = now;
+        route.unproven = belief != Belief.AS_LISTED;
+        route.last = belief == Belief.LAST;
+        // Guards against a fleet whose relays' parts add up to more than the limit that is known.
+        group.usualRate = limit(group) > 0 ? 0 : Math.max(group.usualRate, known.usual());
+        if (known.out() || belief != Belief.AS_LISTED) {
+            startOut(route.circuit, group);
+            if (group.routes.stream().allMatch(r -> r.circuit.state != CircuitState.CLOSED)) {
+                startOut(group.circuit, group);
+            }
+        } else if (known.warmLeft() > 0) {
+            group.releasedAt = now - settings.rules().warmUp() + known.warmLeft();
+        }
+        double least = limit(group) > 0 ? limit(group) / settings.fleetSize()
+                : LEAST_PACE / Math.min(FIRST_SENDERS, settings.fleetSize());
+        double part = Math.max(least, known.usual()) * (1 - START_JITTER * random.nextDouble());
+        group.pace = Math.min(group.pace, part);
+        group.grownAt = now;
+        group.nextAt = Math.max(group.nextAt, now + (long) (random.nextDouble() * interval(part)));
+    }
+
+    /** Out from the start; the first test comes at a time of this relay's own, as a cold route bears it. */
+    private void startOut(Circuit circuit, Group group) {
+        circuit.state = CircuitState.OPEN;
+        circuit.openedAt = now;
+        circuit.until = now + (long) (random.nextDouble() * Math.min(interval(releaseRate(group, now)),
+                settings.fleetSize() * TEST_SPACING));
+    }
+
+    @Override
+    public List<Standing> standings(long now) {
+        this.now = now;
+        return routes.values().stream().filter(route -> route.listed).map(this::standing).toList();
+    }
+
+    private Standing standing(Route route) {
+        Group group = route.group;
+        boolean out = route.circuit.state != CircuitState.CLOSED
+                || group.circuit.state != CircuitState.CLOSED;
+        long warmLeft = Math.max(0, group.releasedAt + settings.rules().warmUp() - now);
+        return new Standing(route.name, Math.max(0, group.waitUntil - now), group.reportedRate,
+                out || warmLeft > 0 ? group.usualRate : rate(group.sent), route.response, out, warmLeft);
+    }
+
     /**
      * Guards against a list that changes all day: a route is forgotten once it is not listed, no call to it
      * is out and no wait that it told runs. Requests keep what they need of it.
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -13,6 +13,11 @@
     /** Takes in every event of one round, in order of arrival, and then acts once. */
     void onRound(long now, List<Event> events, Actions actions);
 
+    /** What is worth remembering of each listed route over a restart; a module may have nothing to tell. */
+    default List<Standing> standings(long now) {
+        return List.of();
+    }
+
     private static void check(boolean sound, String field) {
         if (!sound) {
             throw new IllegalArgumentException(field);
@@ -106,6 +111,24 @@
     /** An attempt made before a restart; {@code result} is null where nothing is known of it. */
     record PastAttempt(String route, long sentAt, Result result) { }
 
+    /** How far a route of an old list is believed: as one just listed, after a test, after a test if nothing is left. */
+    enum Belief { AS_LISTED, TRY_FIRST, LAST }
+
+    /**
+     * What a module knows of a route. Spans are in microseconds from now, rates in calls a second; 0 where unknown.
+     *
+     * @param waitLeft how long a told wait runs on
+     * @param limit calls a second that it takes from all relays, as it reported
+     * @param usual calls a second of this relay while it served as ever
+     * @param out its circuit is not closed
+     * @param warmLeft how long it stays cold after its return
+     */
+    record Standing(String route, long waitLeft, double limit, double usual, double response, boolean out,
+            long warmLeft) { }
+
+    /** A listed route is known from before a restart; comes with the list, before anything goes to the route. */
+    record Remembered(Belief belief, Standing standing) implements Event { }
+
     /** A request that was accepted before a restart is owed its answer still. */
     record Resumed(Accepted request, List<PastAttempt> attempts) implements Event { }
 
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -42,6 +42,10 @@
         final Group group;
         final Circuit circuit;
         boolean listed;
+        /** Known from an old list alone, and not proven since: a check goes first. */
+        boolean unproven;
+        /** As above, and only to be tried where its destination has nothing else. */
+        boolean last;
         double rate;
         double placeBonus;
         double errorRate;
--- a/src/main/java/pipitstage/config/Config.java
+++ b/src/main/java/pipitstage/config/Config.java
@@ -30,12 +30,26 @@
  * @param known empty where no earlier list is known
  * @param amqp what is spoken of AMQP; null where nothing is
  * @param keeping what is kept of messages that could not be delivered; null where nothing is
+ * @param memory what is remembered of partners over a restart; null where nothing is
  * @param source the file that all this was read from
  */
 public record Config(List<InetSocketAddress> listen, InetSocketAddress discovery, InetSocketAddress notices,
         Path state, int clientConnections, int hostConnections, long diskBytes, Policy.Settings settings, long period,
         long idleSpan, boolean reports, Policy.ListKind knownKind, long knownVersion, List<Target> known,
-        Keeping keeping, Amqp amqp, byte[] source) {
+        Keeping keeping, Amqp amqp, Memory memory, byte[] source) {
+
+    /**
+     * What is remembered of partners over a restart. Spans in microseconds.
+     *
+     * @param owner which relay this is: what another one remembered is not used
+     * @param limit bytes in the folder that lasts
+     * @param rate bytes a second that are written
+     * @param halfLife in which trust halves
+     * @param settle how long a list of discovery that is in doubt must be told before it is believed
+     * @param margin added to waits that outlast a restart
+     * @param sync whether what is saved must be on the disk itself
+     */
+    public record Memory(String owner, long limit, long rate, long halfLife, long settle, long margin, boolean sync) { }
 
     /**
      * What is kept of messages that could not be delivered: bytes, messages a second, microseconds.
@@ -157,7 +171,7 @@
         return new Config(List.of(Target.address(json.text("listen"))), discovery, discovery, state, clients,
                 Math.max(1, connections - clients), (long) (limits.number("disk_mb") * MIB), settings,
                 params.micros("period-s", 0), params.object("limits").micros("conn-idle-s"),
-                how != null && !how.equals("off"), Policy.ListKind.CACHED, version, known, null, null, source);
+                how != null && !how.equals("off"), Policy.ListKind.CACHED, version, known, null, null, null, source);
     }
 
     private static int sockets(Fields limits) {
--- a/src/main/java/pipitstage/config/plan/Checks.java
+++ b/src/main/java/pipitstage/config/plan/Checks.java
@@ -53,6 +53,7 @@
         checks.capacity();
         checks.machine();
         checks.undeliverable();
+        checks.memory();
         checks.amqp();
         return checks.findings;
     }
@@ -374,6 +375,29 @@
         }
     }
 
+    private void memory() {
+        Declared.Memory memory = declared.memory();
+        if (!memory.keep()) {
+            return;
+        }
+        long kept = declared.undeliverable().keep() ? declared.undeliverable().limit() : 0;
+        if (memory.limit() + kept + figures.journal() > declared.machine().disk()) {
+            error(memory.at(), "limit", Units.ofSize(memory.limit()) + " and " + Units.ofSize(figures.journal() + kept)
+                    + " for the journal and what is kept share a folder with machine.disk = "
+                    + Units.ofSize(declared.machine().disk()) + "; lower one or raise that");
+        }
+        long picture = declared.endpoints().size() * Planner.REMEMBERED;
+        if (picture > memory.limit() * Planner.PICTURE_SHARE) {
+            error(memory.at(), "limit", text("%d endpoints take some %s, and one picture may take three tenths of %s;"
+                    + " raise it", declared.endpoints().size(), Planner.kib(picture), Units.ofSize(memory.limit())));
+        }
+        if (declared.discovery().agent() != null && memory.settle() >= memory.halfLife()) {
+            error(memory.at(), "settle", span(memory.settle()) + " is no shorter than memory.half-life = "
+                    + span(memory.halfLife()) + ": what discovery leaves out would be too old to be believed before it is"
+                    + " gone; lower it");
+        }
+    }
+
     private void undeliverable() {
         Declared.Undeliverable kept = declared.undeliverable();
         if (!kept.keep()) {
@@ -542,7 +566,8 @@
                     d.entries(), Planner.kib(memory), Units.ofSize(figures.heap())));
         }
         long disk = d.entries() * Planner.SEEN_RECORD;
-        long others = figures.journal() + (declared.undeliverable().keep() ? declared.undeliverable().limit() : 0);
+        long others = figures.journal() + (declared.undeliverable().keep() ? declared.undeliverable().limit() : 0)
+                + (declared.memory().keep() ? declared.memory().limit() : 0);
         if (others + disk > declared.machine().disk()) {
             error(d.at(), "entries", text("%d ids take up to %s, and with %s for the journal and what is kept that is more"
                     + " than machine.disk = %s; lower it or raise that", d.entries(), Planner.kib(disk),
--- a/src/main/java/pipitstage/config/plan/Declared.java
+++ b/src/main/java/pipitstage/config/plan/Declared.java
@@ -12,7 +12,7 @@
  */
 public record Declared(Section at, String name, Machine machine, List<Front> fronts, Discovery discovery, Fleet fleet,
         List<Tenant> tenants, List<MessageClass> classes, List<Kind> kinds, List<Partner> partners,
-        Undeliverable undeliverable, Amqp amqp) {
+        Undeliverable undeliverable, Memory memory, Amqp amqp) {
     /** Where partners close idle connections if nothing else is declared. */
     private static final long USUAL_IDLE = 10_000_000;
 
@@ -55,6 +55,10 @@
     public record Undeliverable(Section at, boolean keep, long limit, long entries, double high, double low,
             boolean refuseWhenFull, long age, double pace, long pause, long clockMargin, long listenOn) { }
 
+    /** What is remembered of partners over a restart; nothing where {@code keep} is false. */
+    public record Memory(Section at, boolean keep, long limit, long rate, long halfLife, long settle, long margin,
+            boolean sync) { }
+
     /** Whoever messages are sent for. */
     public record Tenant(Section at, String name, double rate) { }
 
@@ -102,7 +106,8 @@
                 new Fleet(fleet, (int) fleet.whole("relays"), (int) fleet.whole("number")),
                 top.tables("tenant").stream().map(t -> new Tenant(t, t.text("name"), t.number("rate"))).toList(),
                 top.tables("class").stream().map(Declared::messageClass).toList(),
-                kinds(top, partners), partners, undeliverable(top.table("undeliverable")), amqp(top));
+                kinds(top, partners), partners, undeliverable(top.table("undeliverable")),
+                memory(top.table("memory")), amqp(top));
     }
 
     private static List<Front> fronts(Section top) {
@@ -139,6 +144,11 @@
                 u.whole("pause"), u.whole("clock-margin"), u.whole("listen-on"));
     }
 
+    private static Memory memory(Section m) {
+        return new Memory(m, m.flag("keep"), m.whole("limit"), m.whole("write-rate"), m.whole("half-life"),
+                m.whole("settle"), m.whole("wait-margin"), m.flag("sync"));
+    }
+
     private static MessageClass messageClass(Section c) {
         Repeat repeat = switch (c.text("repeat")) {
             case "once" -> Repeat.ONCE;
--- a/src/main/java/pipitstage/config/plan/Planner.java
+++ b/src/main/java/pipitstage/config/plan/Planner.java
@@ -28,6 +28,9 @@
     static final double SEEN_SHARE = 0.25;
     /** Bytes that a remembered id takes on the disk, twice for those that are over and while the file is written anew. */
     static final long SEEN_RECORD = 3 * 60;
+    /** Bytes that a remembered endpoint takes in a picture, and the part of {@code memory.limit} that a picture may take. */
+    static final long REMEMBERED = 150;
+    static final double PICTURE_SHARE = 0.3;
     private static final long LEAST_JOURNAL = 256 << 10;
     private static final double HEAD_ROOM = 1.1;
     private static final double SLOT_ROOM = 2;
@@ -105,10 +108,12 @@
         why.put("calls.second-copies", copies ? "a class asks for them" : "no class asks for them");
         Declared.Undeliverable kept = declared.undeliverable();
         long seen = declared.takesAmqp() ? declared.amqp().duplicates().entries() * SEEN_RECORD : 0;
-        long disk = Math.max(0, machine.disk() - (kept.keep() ? kept.limit() : 0) - seen);
+        long remembered = declared.memory().keep() ? declared.memory().limit() : 0;
+        long disk = Math.max(0, machine.disk() - (kept.keep() ? kept.limit() : 0) - seen - remembered);
         long journal = Math.max(LEAST_JOURNAL, wholeKib(disk * JOURNAL_SHARE));
         why.put("journal.limit", text("four fifths of machine.disk (%s)" + (kept.keep() ? " less undeliverable.limit" : "")
                 + (seen > 0 ? " less what duplicates.entries take" : "")
+                + (remembered > 0 ? " less memory.limit" : "")
                 + "; open messages may take %.0f%% of it and need"
                 + " %s", Units.ofSize(machine.disk()), OPEN_SHARE * 100,
                 kib(bytes(declared, messages, RECORD))));
--- a/src/main/java/pipitstage/config/schema/Schema.java
+++ b/src/main/java/pipitstage/config/schema/Schema.java
@@ -181,6 +181,19 @@
         may("undeliverable.clock-margin", SPAN, "1s", 0, DAY, "By how much the clocks of partners may differ.");
         may("undeliverable.listen-on", SPAN, "30s", 0, DAY, "How long a late answer is listened for after a time-out.");
 
+        table("memory", "What the relay remembers of its partners' endpoints over a restart, for a start without discovery.");
+        may("memory.keep", FLAG, "false", 0, ANY, "Remember them.");
+        may("memory.limit", SIZE, "2MiB", 16 * KIB, ANY, "Space for it in the folder that lasts, three tenths of it for one"
+                + " picture: an endpoint takes some 150 bytes.");
+        may("memory.write-rate", SIZE, "20KiB", KIB, 100 * MIB, "Bytes a second that are written, on average over a minute.");
+        may("memory.half-life", SPAN, "30m", SECOND, YEAR, "Trust in an endpoint halves with each: after a thirteenth"
+                + " of one (95 in 100) it is tried first, after thirty it is used only if nothing else is left.");
+        may("memory.settle", SPAN, "1m", SECOND, DAY, "How long discovery must tell an empty list, one that leaves out nine"
+                + " of ten endpoints or one of an older revision before what it leaves out is gone.");
+        may("memory.wait-margin", SPAN, "100ms", 0, DAY, "Added to a wait that a partner told before the restart.");
+        may("memory.sync", FLAG, "true", 0, ANY, "A picture is on the disk itself before it counts, in case the machine"
+                + " fails.");
+
         derivedTable("buffer", "Messages that the relay holds.");
         derived("buffer.messages", WHOLE, null, 1, 10_000_000, "How many messages may be open at once; more are refused"
                 + " with a time to come back.");
--- a/src/main/java/pipitstage/config/tool/RelayFile.java
+++ b/src/main/java/pipitstage/config/tool/RelayFile.java
@@ -74,7 +74,7 @@
                 Path.of(declared.machine().folder()), figures.clients(), figures.connections(), figures.journal(),
                 settings(declared, figures), figures.round(), figures.idle(), figures.reports(),
                 whole ? Policy.ListKind.FULL : Policy.ListKind.CACHED, whole ? 0 : -1, known,
-                keeping(declared), amqp(declared, figures), source);
+                keeping(declared), amqp(declared, figures), memory(declared), source);
     }
 
     private static Config.Amqp amqp(Declared declared, Figures figures) throws Config.BadConfigException {
@@ -129,6 +129,12 @@
                 Collectors.toMap(Declared.MessageClass::name, Declared.MessageClass::shelfLife)));
     }
 
+    private static Config.Memory memory(Declared declared) {
+        Declared.Memory m = declared.memory();
+        return !m.keep() ? null : new Config.Memory(declared.name() + "#" + declared.fleet().number(), m.limit(),
+                m.rate(), m.halfLife(), m.settle(), m.margin(), m.sync());
+    }
+
     private static InetSocketAddress addressOrNull(String address) {
         return address == null ? null : Target.address(address);
     }
--- a/src/main/java/pipitstage/engine/Clock.java
+++ b/src/main/java/pipitstage/engine/Clock.java
@@ -9,7 +9,11 @@
      * something to the next process, and is carried on by the monotonic clock.
      */
     static Clock system() {
-        long startWall = System.currentTimeMillis() * 1000;
+        return from(System.currentTimeMillis() * 1000);
+    }
+
+    /** A clock that starts at a time and is carried on by the monotonic clock. */
+    static Clock from(long startWall) {
         long startNanos = System.nanoTime();
         return () -> startWall + (System.nanoTime() - startNanos) / 1000;
     }
--- a/src/main/java/pipitstage/engine/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import pipitstage.Policy;
 import pipitstage.Policy.Event;
@@ -38,6 +39,8 @@
     private Partners partners;
     private Ends ends;
     private Keeper keeper = Keeper.NONE;
+    private Consumer<Event> observer = event -> { };
+    private boolean spansUnknown;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private final Set<Integer> destinations = new HashSet<>();
@@ -84,10 +87,36 @@
         keeper = keeps;
     }
 
+    /** Sets who is shown every event that the module is told; once, before {@link #start}. */
+    public void observeBy(Consumer<Event> sees) {
+        observer = sees;
+    }
+
+    /** Since the clocks don't tell how long ago an earlier process ended, no key window of its attempts is open. */
+    public void spansUnknown() {
+        spansUnknown = true;
+    }
+
+    /** Tells the module what is known of routes from before a restart; with a list that names them. */
+    public void remembered(List<Policy.Remembered> routes) {
+        routes.forEach(this::add);
+    }
+
+    /** What is worth remembering of each listed route over a restart. */
+    public List<Policy.Standing> standings() {
+        return policy.standings(clock.micros());
+    }
+
     /** Takes in the list that is known at the start, empty where there is none, and what the journal holds. */
     public void start(Policy.ListKind kind, long knownVersion, List<Target> known) {
+        start(kind, knownVersion, known, List.of());
+    }
+
+    /** As above, with what is remembered of the list's routes: the module learns it before anything goes to them. */
+    public void start(Policy.ListKind kind, long knownVersion, List<Target> known, List<Policy.Remembered> routes) {
         if (!known.isEmpty()) {
             list(kind, knownVersion, known);
+            remembered(routes);
         }
         for (Message message : journal.open()) {
             remember(message);
@@ -100,7 +129,7 @@
                 held++;
                 watchEnd(message);
                 add(new Policy.Resumed(acceptance(message), message.attempts.stream()
-                        .map(a -> new Policy.PastAttempt(a.route, a.sentAt, a.result)).toList()));
+                        .map(a -> new Policy.PastAttempt(a.route, spansUnknown ? 0 : a.sentAt, a.result)).toList()));
             }
         }
     }
@@ -249,6 +278,7 @@
 
     private void add(Event event) {
         events.add(event);
+        observer.accept(event);
         if (!roundDue) {
             roundDue = true;
             // Guards, by a whole period, against answering a client whose leaving has come but is not read yet.
--- a/src/main/java/pipitstage/platform/Discovery.java
+++ b/src/main/java/pipitstage/platform/Discovery.java
@@ -23,7 +23,6 @@
      */
     private static final long WAIT_MS = 1000;
     private static final long PATIENCE_MS = 400;
-    private static final long PAUSE_MS = 100;
     /** Guards against an agent that answers at once again and again; far below what ends a watch. */
     private static final long BREATH_MS = 10;
     /** So long without an answer that can be read is silence; far above what a watch waits for. */
@@ -33,15 +32,22 @@
     private final AgentClient agent;
     private final Membership listener;
     private final Runnable silence;
+    private final Backoff backoff;
     private final JsonFactory json = new JsonFactory();
     private long version = -1;
     private Future<?> overdue;
 
-    /** A watch at an address; {@code silence} is run each {@value #SILENCE_MS} ms for which nothing was heard. */
-    public Discovery(EventLoop loop, InetSocketAddress address, Membership listener, Runnable silence) {
+    /**
+     * A watch at an address.
+     *
+     * @param silence is run each {@value #SILENCE_MS} ms for which nothing was heard
+     * @param backoff how long to wait after an answer that was none
+     */
+    public Discovery(EventLoop loop, InetSocketAddress address, Membership listener, Runnable silence, Backoff backoff) {
         this.loop = loop;
         this.listener = listener;
         this.silence = silence;
+        this.backoff = backoff;
         agent = new AgentClient(loop, address);
     }
 
@@ -78,7 +84,15 @@
 
     private void answered(int status, String body) {
         boolean taken = status == 200 && take(body);
-        loop.schedule(this::ask, taken ? BREATH_MS : PAUSE_MS, TimeUnit.MILLISECONDS);
+        if (taken) {
+            backoff.succeeded();
+        }
+        loop.schedule(this::ask, taken ? BREATH_MS : backoff.nextMs(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Asks for the whole list next, in place of its changes. */
+    public void askForAll() {
+        version = -1;
     }
 
     private boolean take(String body) {
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -19,6 +19,7 @@
 import pipitstage.journal.Journal;
 import pipitstage.log.Log;
 import pipitstage.partner.http.HostClient;
+import pipitstage.platform.Backoff;
 import pipitstage.platform.Discovery;
 import pipitstage.platform.EndsFile;
 import pipitstage.platform.Notices;
@@ -31,6 +32,9 @@
     private static final long GIVE_UP_MS = 3200; // what is still open is left to the journal
     private static final long LOOK_MS = 20;
 
+    private static final long DISCOVERY_PAUSE_MS = 100; // its agent is on this machine
+    private static final long LONGEST_PAUSE_MS = 5000; // elsewhere, a whole fleet may ask
+
     private final EventLoop loop;
     private final Config config;
     private final Engine engine;
@@ -41,6 +45,8 @@
     private final Discovery discovery;
     /** Null where nothing is kept of what can't be delivered. */
     private final Keeping keeping;
+    /** Null where nothing is remembered over a restart. */
+    private final Remembering remembering;
     /** Null where nothing is spoken of AMQP. */
     private final Amqp amqp;
     private final List<ClientServer> servers = new ArrayList<>();
@@ -52,7 +58,8 @@
     Relay(EventLoop loop, Config config, Runnable discoveryIsSilent) throws IOException {
         this.loop = loop;
         this.config = config;
-        Clock clock = Clock.system();
+        remembering = config.memory() == null ? null : new Remembering(loop, config);
+        Clock clock = remembering == null ? Clock.system() : remembering.clock();
         Timers timers = new LoopTimers(loop);
         Journal journal = new Journal(config.state(), config.diskBytes());
         engine = new Engine(timers, clock, config.settings(), config.period(), journal, Logic::new);
@@ -64,7 +71,9 @@
         Ends ends = notices != null ? notices
                 : new EndsFile(config.state(), config.diskBytes() / EndsFile.DISK_PART, engine::noticeHeard);
         discovery = config.discovery() == null ? null
-                : new Discovery(loop, config.discovery(), engine, discoveryIsSilent);
+                : new Discovery(loop, config.discovery(), remembering == null ? engine : remembering, discoveryIsSilent,
+                        remembering == null ? Backoff.steady(DISCOVERY_PAUSE_MS)
+                                : Backoff.growing(DISCOVERY_PAUSE_MS, LONGEST_PAUSE_MS, config.settings().seed()));
         pulse = new Pulse(timers, clock);
         amqp = config.amqp() == null ? null : new Amqp(loop, clock, pulse, engine, config, journal, ends);
         engine.attach(amqp == null ? partners : amqp.partners(partners), amqp == null ? ends : amqp.ends());
@@ -85,7 +94,11 @@
         try {
             loop.submit(() -> {
                 pulse.start();
-                engine.start(config.knownKind(), config.knownVersion(), config.known());
+                if (remembering != null) {
+                    remembering.start(engine, discovery == null ? () -> { } : discovery::askForAll);
+                } else {
+                    engine.start(config.knownKind(), config.knownVersion(), config.known());
+                }
                 if (keeping != null) {
                     keeping.start();
                 }
@@ -111,6 +124,9 @@
             if (discovery != null && next.discovery() != null) {
                 Log.line("discovery is at " + next.discovery());
                 discovery.moveTo(next.discovery());
+                if (remembering != null) {
+                    remembering.moved();
+                }
             }
             if (notices != null && next.notices() != null) {
                 notices.moveTo(next.notices());
@@ -140,6 +156,9 @@
             if (keeping != null) {
                 keeping.close();
             }
+            if (remembering != null) {
+                remembering.close();
+            }
             stopped.countDown();
         } else {
             loop.schedule(this::endWhenDone, LOOK_MS, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/main/java/pipitstage/remembered/Moment.java
@@ -0,0 +1,15 @@
+package pipitstage.remembered;
+
+/**
+ * A reading of a machine's clocks.
+ *
+ * @param wall microseconds since 1970, by a clock that may be set
+ * @param up microseconds since the machine's start, by a clock that is never set
+ * @param boot which start of the machine that was; empty where it can't be told
+ */
+public record Moment(long wall, long up, String boot) {
+    /** A reading at another time of the same boot whose wall clock was not set. */
+    public Moment plus(long micros) {
+        return new Moment(wall + micros, up + micros, boot);
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/remembered/store/Saver.java
@@ -0,0 +1,255 @@
+package pipitstage.remembered.store;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import pipitstage.log.Log;
+import pipitstage.remembered.Budget;
+import pipitstage.remembered.Elapsed;
+import pipitstage.remembered.Known;
+import pipitstage.remembered.Moment;
+import pipitstage.remembered.Note;
+import pipitstage.remembered.Picture;
+
+/**
+ * Saves pictures on a thread of its own and notes at once, within a budget of bytes. One picture at a time is on its way:
+ * a later one waits for the next look. Notes that may not be written, for the budget's sake, for want of room or since the
+ * disk fails, are told by one note that says that something was ({@link Note.Kind#LOST}). To be called on the event loop.
+ */
+public final class Saver implements AutoCloseable {
+    private static final double PICTURE_SHARE = 0.3;
+    private static final double NOTES_SHARE = 0.02;
+    private static final int PATIENCE_S = 2;
+    private static final long SECOND = 1_000_000;
+    private static final long LONGEST_PAUSE = 60 * SECOND;
+
+    /**
+     * Where and how much.
+     *
+     * @param limit bytes of all files together
+     * @param rate bytes a second, on average over a minute
+     * @param sync whether a picture must be on the disk itself before it counts
+     */
+    public record Options(Path folder, long limit, long rate, boolean sync) { }
+
+    private final Options options;
+    private final Store store;
+    private final Executor loop;
+    private final ExecutorService thread = Executors.newSingleThreadExecutor(work -> {
+        Thread made = new Thread(work, "remember");
+        made.setDaemon(true);
+        return made;
+    });
+    private Budget budget;
+    private boolean saving;
+    private boolean trimmed;
+    private long nextTry;
+    private long pause = SECOND;
+    /** What could not be noted yet, as one note; null for nothing. */
+    private Note lost;
+    private long lostAt = Long.MIN_VALUE / 2;
+
+    /** A saver that tells results on an event loop. */
+    public Saver(Options options, Executor loop) throws IOException {
+        this(options, Store.at(options.folder(), (long) (options.limit() * NOTES_SHARE), options.sync()), loop);
+    }
+
+    Saver(Options options, Store store, Executor loop) {
+        this.options = options;
+        this.store = store;
+        this.loop = loop;
+    }
+
+    /**
+     * What an earlier process left.
+     *
+     * @param picture null where nothing can be used
+     * @param whole false where notes since the picture may be missing
+     */
+    public record Left(Picture picture, List<Note> notes, boolean whole) { }
+
+    /** Reads what an earlier process left, once and before anything else; what can't be used is set aside and told. */
+    public Left load(String owner) {
+        Store.Found found = store.load(owner);
+        found.complaints().forEach(c -> Log.line("remembered: " + c));
+        return new Left(found.picture(), found.notes(), found.whole());
+    }
+
+    /**
+     * Begins to count what is written.
+     *
+     * @param last the picture that an earlier process left; null for none
+     * @param time the relay's own time
+     */
+    public void start(Picture last, Moment now, long time) {
+        long rest = last == null ? Elapsed.UNKNOWN : Elapsed.between(last.at(), now).least();
+        budget = new Budget(options.rate(), rest, time);
+    }
+
+    /** True where notes have no room before the next picture. */
+    public boolean wantsPicture() {
+        return store.isFull() || lost != null;
+    }
+
+    /** True where a picture could be saved now. */
+    public boolean isFree(long time) {
+        return !saving && time >= nextTry;
+    }
+
+    /**
+     * Saves a picture where that is allowed now.
+     *
+     * @param failed is run on the event loop where it was begun and failed
+     * @return false where it was not begun
+     */
+    public boolean save(Picture picture, long time, Runnable failed) {
+        if (!isFree(time)) {
+            return false;
+        }
+        try {
+            byte[] bytes = encoded(picture);
+            if (!budget.takePicture(bytes.length, time)) {
+                return false;
+            }
+            store.begin(picture.generation());
+            saving = true;
+            // What may be wrong with the notes until now does not matter to a picture that is taken later.
+            lost = null;
+            thread.execute(() -> {
+                IOException fault = write(picture.generation(), bytes);
+                loop.execute(() -> ended(fault, time, failed));
+            });
+            return true;
+        } catch (IOException e) {
+            ended(e, time, failed);
+            return false;
+        }
+    }
+
+    private IOException write(long generation, byte[] bytes) {
+        try {
+            store.write(generation, bytes);
+            return null;
+        } catch (IOException e) {
+            return e;
+        }
+    }
+
+    private void ended(IOException fault, long time, Runnable failed) {
+        saving = false;
+        store.end(fault == null);
+        if (fault == null) {
+            pause = SECOND;
+            return;
+        }
+        if (pause == SECOND) {
+            Log.line("remembered: can't be saved, the picture before stands: " + fault.getMessage());
+        }
+        // Guards against a try a second, and a line each, on a disk that is full.
+        nextTry = time + pause;
+        pause = Math.min(LONGEST_PAUSE, 2 * pause);
+        failed.run();
+    }
+
+    /** The bytes of a picture; one that is too large goes without those that were heard of longest ago. */
+    private byte[] encoded(Picture picture) throws IOException {
+        long most = Math.min((long) (options.limit() * PICTURE_SHARE), budget.largestPicture());
+        byte[] bytes = Codec.picture(picture);
+        if (bytes.length <= most) {
+            return bytes;
+        }
+        List<Known> kept = new ArrayList<>(picture.endpoints());
+        kept.sort(Comparator.comparingLong((Known k) -> Math.max(k.listedAt(), k.answeredAt())).reversed()
+                .thenComparing(Comparator.comparingLong(Known::answeredAt).reversed()));
+        while (bytes.length > most && !kept.isEmpty()) {
+            // One picture's mean says how many fit; a tenth more goes each time where it does not.
+            int fit = (int) Math.min(kept.size() * 0.9, kept.size() * most / bytes.length);
+            kept.subList(fit, kept.size()).clear();
+            bytes = Codec.picture(new Picture(picture.owner(), picture.generation(), picture.at(), picture.time(),
+                    picture.revision(), kept));
+        }
+        if (!trimmed) {
+            trimmed = true;
+            Log.line("remembered: room for " + kept.size() + " of " + picture.endpoints().size()
+                    + " endpoints, those heard of last; raise memory.limit or memory.write-rate");
+        }
+        return bytes;
+    }
+
+    /** Notes things at once; where that can't be, that something was. */
+    public void note(List<Note> notes, long time) {
+        if (notes.isEmpty()) {
+            return;
+        }
+        if (lost != null || store.isFull() || !written(notes, time)) {
+            List<Note> all = new ArrayList<>(notes);
+            if (lost != null) {
+                all.add(lost);
+            }
+            Note whole = Note.inPlaceOf(all);
+            boolean more = lost == null || whole.at() > lost.at();
+            lost = whole;
+            if (more) {
+                writeLost(time);
+            }
+        }
+    }
+
+    private boolean written(List<Note> notes, long time) {
+        try {
+            List<byte[]> records = new ArrayList<>();
+            long size = 0;
+            for (Note note : notes) {
+                records.add(Codec.note(note));
+                size += records.get(records.size() - 1).length;
+            }
+            if (!budget.takeNotes(size, time)) {
+                return false;
+            }
+            for (byte[] record : records) {
+                store.note(record);
+            }
+            return true;
+        } catch (IOException e) {
+            Log.line("remembered: can't be noted: " + e.getMessage());
+            return false;
+        }
+    }
+
+    /** Beyond the budget, once a second at the most: it is a few bytes, and all that stands for what was not written. */
+    private void writeLost(long time) {
+        if (time - lostAt < SECOND) {
+            return;
+        }
+        lostAt = time;
+        try {
+            store.note(Codec.note(lost));
+        } catch (IOException e) {
+            Log.line("remembered: can't be noted: " + e.getMessage());
+        }
+    }
+
+    /** To be called each second: tells what could not be told when it came. */
+    public void look(long time) {
+        if (lost != null) {
+            writeLost(time);
+        }
+    }
+
+    /** Waits for what is being saved. */
+    @Override
+    public void close() {
+        thread.shutdown();
+        try {
+            thread.awaitTermination(PATIENCE_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/pipitstage/standin/StandInDiscovery.java
+++ b/src/main/java/pipitstage/standin/StandInDiscovery.java
@@ -19,7 +19,7 @@
     private static final Pattern AFTER = Pattern.compile("after=(\\d+)&wait_ms=(\\d+)");
     private static final Pattern NOTICE = Pattern.compile("\"ref\":\"([^\"]*)\",\"result\":\"([a-z]*)\"");
 
-    private final StubPeer peer;
+    private StubPeer peer;
     private final List<Notice> notices = new CopyOnWriteArrayList<>();
     private List<String> entries = List.of();
     private long revision;
@@ -40,9 +40,15 @@
     /** An entry of a list; {@code state} is {@code in_service}, {@code terminating} or {@code terminated}. */
     public static String entry(String id, int destination, String kind, String building, String state,
             String address) {
+        return entry(id, destination, kind, building, state, address, 1);
+    }
+
+    /** As above; {@code rate} is the entry's hint. */
+    public static String entry(String id, int destination, String kind, String building, String state,
+            String address, double rate) {
         return "{\"uid\":\"" + id + "\",\"endpoint\":\"" + address + "\",\"az\":\"" + building + "\",\"model\":\"" + kind
                 + "\",\"pod_group\":" + destination + ",\"state\":\"" + state
-                + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+                + "\",\"capacity_hint\":" + rate + ",\"boot_ms\":0}";
     }
 
     /** Tells another whole list from now on; those who watch hear of it at once. */
@@ -52,6 +58,16 @@
         notifyAll();
     }
 
+    /** Is down from now on: connections end, and new ones are refused. */
+    public void stop() throws IOException {
+        peer.close();
+    }
+
+    /** Is back at the same address. */
+    public void restart() throws IOException {
+        peer = new StubPeer(peer.port(), this::answer);
+    }
+
     private String answer(StubPeer.Request request) {
         if (request.line().startsWith("POST /status ")) {
             Matcher each = NOTICE.matcher(request.body());
--- a/src/main/java/pipitstage/standin/StandInPartner.java
+++ b/src/main/java/pipitstage/standin/StandInPartner.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import pipitstage.http.Headers;
 
 /**
@@ -39,8 +40,13 @@
     private final List<Posting> postings = new ArrayList<>();
     private final Map<String, Integer> effects = new HashMap<>();
     private final List<Long> taken = new ArrayList<>();
+    private final List<Long> checks = new ArrayList<>();
     private Mood mood = Mood.WELL;
     private long lateMillis;
+    private long returnedAt;
+    private double coldFrom;
+    /** 0 where it has never returned cold. */
+    private long warmUpNanos;
 
     /**
      * An endpoint on a free port.
@@ -69,6 +75,32 @@
         mood = Mood.LATE;
     }
 
+    /**
+     * Returns cold: of its limit it takes a part at first, and evenly more until it is warm.
+     *
+     * @param from that part
+     * @param warmUpMillis until it is warm
+     */
+    public synchronized void returnCold(double from, long warmUpMillis) {
+        coldFrom = from;
+        warmUpNanos = TimeUnit.MILLISECONDS.toNanos(warmUpMillis);
+        returnedAt = System.nanoTime();
+        mood = Mood.WELL;
+    }
+
+    /** Calls a second that it can take at a time, in nanoseconds of the system's clock. */
+    public synchronized double able(long nanos) {
+        if (nanos < returnedAt || warmUpNanos == 0) {
+            return limit;
+        }
+        return limit * Math.min(1, coldFrom + (1 - coldFrom) * (nanos - returnedAt) / warmUpNanos);
+    }
+
+    /** When it was asked how it fares, in nanoseconds of the system's clock: each time is a call too. */
+    public synchronized List<Long> checks() {
+        return List.copyOf(checks);
+    }
+
     /** Every call so far. */
     public synchronized List<Posting> postings() {
         return List.copyOf(postings);
@@ -81,7 +113,7 @@
 
     private String meet(StubPeer.Request request) {
         if (request.line().startsWith("GET /-/")) {
-            return StubPeer.status(200);
+            return check();
         }
         if (!request.line().startsWith("POST /receive ")) {
             return StubPeer.status(404);
@@ -109,10 +141,15 @@
         return StubPeer.status(200);
     }
 
+    private synchronized String check() {
+        checks.add(System.nanoTime());
+        return StubPeer.status(mood == Mood.SHUT ? 503 : 200);
+    }
+
     private boolean hasRoom() {
         long now = System.nanoTime();
         taken.removeIf(at -> now - at >= SECOND);
-        if (taken.size() >= limit) {
+        if (taken.size() >= Math.max(1, able(now))) {
             return false;
         }
         taken.add(now);
--- a/src/main/java/pipitstage/standin/StubPeer.java
+++ b/src/main/java/pipitstage/standin/StubPeer.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /**
@@ -20,6 +22,9 @@
  * request and answers each as it is told, or breaks off, or says nothing. One thread a connection.
  */
 public final class StubPeer implements AutoCloseable {
+    private static final int PATIENCE_S = 10;
+    private static final int BACKLOG = 50;
+
     /** In place of an answer: the connection closes, or nothing comes at all. */
     public static final String CLOSE = "close";
     public static final String SILENCE = "silence";
@@ -47,10 +52,25 @@
     /** A peer on a port of its own, or on any where that is 0. */
     public StubPeer(int port, Function<Request, String> answers) throws IOException {
         this.answers = answers;
-        listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+        listener = listen(port);
         daemon(this::accept);
     }
 
+    /** Listens on a loopback port, or on any where that is 0; waits where one that was closed just now still holds it. */
+    public static ServerSocket listen(int port) throws IOException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (true) {
+            try {
+                return new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
+            } catch (BindException e) {
+                if (System.nanoTime() > end) {
+                    throw e;
+                }
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     /** A peer that gives one answer to everything. */
     public static StubPeer always(String answer) throws IOException {
         return new StubPeer(request -> answer);
--- /dev/null
+++ b/src/test/java/pipitstage/FleetReturn.java
@@ -0,0 +1,300 @@
+package pipitstage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import pipitstage.Policy.Availability;
+import pipitstage.Policy.Belief;
+import pipitstage.Policy.Event;
+import pipitstage.Policy.KeyScope;
+import pipitstage.Policy.LimitReport;
+import pipitstage.Policy.ListKind;
+import pipitstage.Policy.Repeat;
+import pipitstage.Policy.RequestClass;
+import pipitstage.Policy.Result;
+import pipitstage.Policy.Standing;
+
+/**
+ * A deterministic simulation of a whole fleet that starts at once with discovery down: every relay is a decision module of
+ * its own with what it remembers, and none hears of another. Partners are cold from the start and refuse above what they
+ * can do; messages that were held wait at every relay. As a command it prints a table for 10 to 10,000 relays.
+ */
+final class FleetReturn {
+    static final long SECOND = 1_000_000;
+    static final double FALL_MULTIPLE = 2.5;
+    private static final long BUCKET = SECOND / 10;
+    private static final int WINDOW = 20;
+    private static final double COLD_FROM = 0.15;
+    private static final long WARM_UP = 10 * SECOND;
+    private static final long RESPONSE = 50_000;
+    private static final long REFUSAL = 5_000;
+    private static final long LISTED = 60_000;
+
+    /** What the relays remember of a partner. */
+    enum Memory {
+        /** Served as ever when they died, and serves as ever now. */
+        WARM(Belief.AS_LISTED, false, false),
+        /** Was out when they died. */
+        OUT(Belief.AS_LISTED, true, true),
+        /** Remembered for hours. */
+        OLD(Belief.TRY_FIRST, false, true),
+        /** Was out when they died, and its limit is not known. */
+        OUT_NO_LIMIT(Belief.AS_LISTED, true, true),
+        /** Nothing is remembered: the relays know the address alone, as they did before. */
+        NOTHING(null, false, true);
+
+        final Belief belief;
+        final boolean out;
+        final boolean cold;
+
+        Memory(Belief belief, boolean out, boolean cold) {
+            this.belief = belief;
+            this.out = out;
+            this.cold = cold;
+        }
+    }
+
+    /**
+     * What came of it.
+     *
+     * @param peak the highest load in two seconds, as a multiple of what the partner could do then
+     * @param fullAfter seconds until less than a second's messages waited, for good
+     * @param inTime share of the messages that were delivered within their goal of two seconds
+     * @param delivered share of the messages that were delivered at all
+     */
+    record Outcome(double peak, double fullAfter, double inTime, double delivered) { }
+
+    private record Due(long at, long order, int relay, Event event) { }
+
+    private final int relays;
+    private final Memory memory;
+    private final double capacity;
+    private final long span;
+    private final SplittableRandom random = new SplittableRandom(14);
+    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+            : Long.compare(a.order, b.order));
+    private final List<Logic> modules = new ArrayList<>();
+    private final List<Map<Long, Integer>> attempts = new ArrayList<>();
+    private final Map<Long, Long> acceptedAt = new HashMap<>();
+    private final int[] calls;
+    private final int[] waiting;
+    private long order;
+    private long now;
+    private long nextId;
+    private int came;
+    private int delivered;
+    private int inTime;
+    private int open;
+    private double room;
+    private long roomAt;
+
+    /**
+     * A fleet.
+     *
+     * @param load share of the partner's capacity that is asked of it
+     */
+    private FleetReturn(int relays, Memory memory, double load, int heldEach, long span) {
+        this.relays = relays;
+        this.memory = memory;
+        this.span = span;
+        capacity = relays;
+        calls = new int[(int) (span / BUCKET) + 1];
+        waiting = new int[(int) (span / SECOND) + 1];
+        for (int relay = 0; relay < relays; relay++) {
+            Logic module = new Logic(settings(relay));
+            modules.add(module);
+            attempts.add(new HashMap<>());
+            begin(relay, load, heldEach);
+        }
+    }
+
+    private Policy.Settings settings(int relay) {
+        return new Policy.Settings(relay * 7919L + 1, relay, relays, "a",
+                List.of(new RequestClass("safe", Repeat.REPEATABLE, KeyScope.ALL, 0, 2 * SECOND, 20 * SECOND, 1, 0.5, false)),
+                List.of(), List.of(new Policy.Kind("kind", true, 1)), List.of(new Policy.Zone("a", 0)),
+                new Policy.Limits(64, 1_000, 12, true, true, false, false, true, SECOND),
+                new Policy.Rules(0, SECOND / 2, FALL_MULTIPLE, 2 * SECOND, COLD_FROM, WARM_UP, 0, 0),
+                1, false, false, Policy.RateHint.NONE, 0);
+    }
+
+    /** Relays start within a second of each other, and find what they held. */
+    private void begin(int relay, double load, int heldEach) {
+        long at = random.nextLong(SECOND);
+        push(at, relay, new Policy.RouteList(ListKind.CACHED, 1, List.of(new Policy.Listed("p", 7, "kind", "a",
+                Availability.LISTED, 0))));
+        if (memory.belief != null) {
+            double limit = memory == Memory.OUT_NO_LIMIT ? 0 : capacity;
+            push(at, relay, new Policy.Remembered(memory.belief, new Standing("p", 0, limit, load * capacity / relays,
+                    RESPONSE, memory.out, 0)));
+        }
+        for (int i = 0; i < heldEach; i++) {
+            arrive(at, relay);
+        }
+        double each = load * capacity / relays;
+        for (double t = at; t < span; ) {
+            t += -Math.log(1 - random.nextDouble()) / each * SECOND;
+            if (t < span) {
+                arrive((long) t, relay);
+            }
+        }
+    }
+
+    private void arrive(long at, int relay) {
+        long id = nextId++;
+        acceptedAt.put(id, at);
+        push(at, relay, new Policy.Accepted(id, "safe", null, null, at + 20 * SECOND, 7));
+    }
+
+    private void push(long at, int relay, Event event) {
+        queue.add(new Due(at, order++, relay, event));
+    }
+
+    /** Calls a second that the partner can take now. */
+    private double able(long at) {
+        return capacity * (memory.cold ? Math.min(1, COLD_FROM + (1 - COLD_FROM) * at / WARM_UP) : 1);
+    }
+
+    private Result meet() {
+        calls[(int) (now / BUCKET)]++;
+        // It queues half a second of calls at the most, and refuses more.
+        double able = able(now);
+        room = Math.min(Math.max(2, able / 2), room + able * (now - roomAt) / SECOND);
+        roomAt = now;
+        if (room < 1) {
+            return Result.FULL;
+        }
+        room--;
+        return Result.OK;
+    }
+
+    private final class Hands implements Policy.Actions {
+        private final int relay;
+
+        Hands(int relay) {
+            this.relay = relay;
+        }
+
+        @Override
+        public void send(long id, String route, long timeout) {
+            int attempt = attempts.get(relay).merge(id, 1, Integer::sum) - 1;
+            Result result = meet();
+            long took = result == Result.OK ? RESPONSE : REFUSAL;
+            push(now + took, relay, new Policy.Outcome(id, attempt, route, result, result == Result.OK, 0, took,
+                    LimitReport.NONE));
+        }
+
+        @Override
+        public void probe(String route) {
+            Result result = meet();
+            push(now + REFUSAL, relay, new Policy.ProbeDone(route, result, 0, REFUSAL, LimitReport.NONE));
+        }
+
+        @Override
+        public void remind(long name, long delay) {
+            push(now + Math.max(1, delay), relay, new Policy.TimerFired(name));
+        }
+
+        @Override
+        public void refuse(long id, long retryIn) {
+            over(id);
+        }
+
+        @Override
+        public void fail(long id) {
+            over(id);
+        }
+
+        private void over(long id) {
+            open--;
+            acceptedAt.remove(id);
+            attempts.get(relay).remove(id);
+        }
+
+        @Override
+        public void cancel(long id, int attempt) { }
+
+        @Override
+        public void closeIdle(String route) { }
+
+        @Override
+        public void tell(int to, byte[] bytes) { }
+
+        @Override
+        public void subscribe(boolean on) { }
+
+        @Override
+        public void fetchList() { }
+
+        @Override
+        public void log(String text) { }
+    }
+
+    private Outcome run() {
+        for (Due due = queue.poll(); due != null && due.at < span; due = queue.poll()) {
+            now = due.at;
+            List<Event> events = new ArrayList<>(List.of(due.event));
+            while (queue.peek() != null && queue.peek().at == now && queue.peek().relay == due.relay) {
+                events.add(queue.poll().event);
+            }
+            for (Event event : events) {
+                if (event instanceof Policy.Accepted) {
+                    came++;
+                    open++;
+                } else if (event instanceof Policy.Outcome e && e.result() == Result.OK) {
+                    open--;
+                    delivered++;
+                    inTime += now - acceptedAt.remove(e.id()) <= 2 * SECOND ? 1 : 0;
+                    attempts.get(due.relay).remove(e.id());
+                }
+            }
+            modules.get(due.relay).onRound(now, events, new Hands(due.relay));
+            waiting[(int) (now / SECOND)] = open;
+        }
+        return new Outcome(peak(), full(), (double) inTime / came, (double) delivered / came);
+    }
+
+    private double peak() {
+        double peak = 0;
+        for (int from = 0; from + WINDOW < calls.length; from++) {
+            double load = 0;
+            double able = 0;
+            for (int i = from; i < from + WINDOW; i++) {
+                load += calls[i];
+                able += able(i * BUCKET + BUCKET / 2) * BUCKET / SECOND;
+            }
+            peak = Math.max(peak, load / able);
+        }
+        return peak;
+    }
+
+    private double full() {
+        double aSecondsMessages = (double) came / (span / SECOND);
+        for (int second = waiting.length - 2; second >= 0; second--) {
+            if (waiting[second] > aSecondsMessages) {
+                return second + 1;
+            }
+        }
+        return 0;
+    }
+
+    /** Plays a fleet for a span in microseconds. */
+    static Outcome play(int relays, Memory memory, double load, int heldEach, long span) {
+        return new FleetReturn(relays, memory, load, heldEach, span).run();
+    }
+
+    /** Prints the table: load at half of the partner's capacity, two messages held at each relay. */
+    public static void main(String[] args) {
+        System.out.println("relays memory       peak  full after  in time  delivered");
+        for (int relays : new int[] {10, 100, 1_000, 10_000}) {
+            for (Memory memory : Memory.values()) {
+                Outcome o = play(relays, memory, 0.5, 2, 60 * SECOND);
+                System.out.println(String.format(Locale.ROOT, "%6d %-12s %5.2f  %8.0f s  %6.1f%%  %8.1f%%", relays, memory,
+                        o.peak, o.fullAfter, 100 * o.inTime, 100 * o.delivered));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/RememberedRoutesTest.java
@@ -0,0 +1,185 @@
+package pipitstage;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.Relay.MS;
+import static pipitstage.Relay.S;
+import static pipitstage.Relay.route;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pipitstage.Policy.Belief;
+import pipitstage.Policy.LimitReport;
+import pipitstage.Policy.ListKind;
+import pipitstage.Policy.Result;
+import pipitstage.Policy.Standing;
+
+/** The decision module on routes that it knows from before a restart. */
+class RememberedRoutesTest {
+    private static Policy.Remembered remembered(String route, Belief belief, Standing standing) {
+        return new Policy.Remembered(belief, new Standing(route, standing.waitLeft(), standing.limit(), standing.usual(),
+                standing.response(), standing.out(), standing.warmLeft()));
+    }
+
+    private static Standing standing(long wait, double limit, double usual, boolean out, long warm) {
+        return new Standing("", wait, limit, usual, 50_000, out, warm);
+    }
+
+    private static Policy.RouteList cached(Policy.Listed... entries) {
+        return new Policy.RouteList(ListKind.CACHED, 1, List.of(entries));
+    }
+
+    private static void accept(Relay relay, int from, int count, String type, int destination) {
+        for (int id = from; id < from + count; id++) {
+            relay.accept(id, type, destination);
+        }
+    }
+
+    /** Lets time pass while every call is answered well after 50 ms. */
+    private static int serve(Relay relay, long span) {
+        int before = relay.sent.size();
+        for (long end = relay.now + span; relay.now < end;) {
+            relay.pass(50 * MS);
+            for (Relay.Sent sent : List.copyOf(relay.unanswered)) {
+                relay.answer(sent.id(), Result.OK);
+            }
+        }
+        return relay.sent.size() - before;
+    }
+
+    @Test
+    void believedRouteGoesOnAtThisRelaysPartOfTheLimitAndGrowsWithServes() {
+        int sum = 0;
+        for (int seed = 0; seed < 12; seed++) {
+            Relay relay = new Relay(Relay.fleet(12, seed));
+            relay.round(cached(route("c", 2, "apart", "east")),
+                    remembered("c", Belief.AS_LISTED, standing(0, 24, 3, false, 0)));
+            accept(relay, 1, 90, "safe", 2);
+            sum += serve(relay, S);
+            assertTrue(serve(relay, 9 * S) > 18, "it grows");
+        }
+        assertTrue(sum >= 10 && sum <= 36, "the fleet's first second, at a limit of 24: " + sum);
+    }
+
+    @Test
+    void routeWithNoLimitGoesOnAtItsUsualRate() {
+        Relay relay = new Relay(Relay.fleet(12, 5));
+        relay.round(cached(route("c", 2, "apart", "east")),
+                remembered("c", Belief.AS_LISTED, standing(0, 0, 4, false, 0)));
+        accept(relay, 1, 90, "safe", 2);
+        int first = serve(relay, 2 * S);
+        assertTrue(first >= 3 && first <= 11, "in two seconds: " + first);
+    }
+
+    @Test
+    void waitIsKept() {
+        Relay relay = new Relay(Relay.settings());
+        relay.round(cached(route("c", 2, "apart", "east")),
+                remembered("c", Belief.AS_LISTED, standing(5 * S, 0, 100, false, 0)));
+        relay.accept(1, "safe", 2).pass(5 * S - MS);
+        assertEquals(0, relay.sent.size());
+        relay.pass(S);
+        assertEquals(1, relay.sent.size());
+    }
+
+    @Test
+    void routeThatIsNotBelievedIsCheckedBeforeAnyMessage() {
+        Relay relay = new Relay(Relay.settings());
+        relay.round(cached(route("c", 2, "apart", "east")),
+                remembered("c", Belief.TRY_FIRST, standing(0, 20, 0, false, 0)));
+        accept(relay, 1, 3, "safe", 2);
+        relay.pass(9 * S);
+        assertEquals(0, relay.sent.size(), "no message goes to an address that may be another's");
+        assertEquals(List.of("c"), relay.probes);
+        relay.round(new Policy.ProbeDone("c", Result.OK, 0, 1000, LimitReport.NONE)).pass(S);
+        assertTrue(relay.sent.size() >= 1, "then messages go");
+    }
+
+    @Test
+    void checkInVainKeepsMessagesAndIsTriedAgainLater() {
+        Relay relay = new Relay(Relay.settings());
+        relay.round(cached(route("c", 2, "apart", "east")),
+                remembered("c", Belief.TRY_FIRST, standing(0, 0, 0, false, 0)));
+        relay.accept(1, "once", 2).pass(S);
+        relay.round(new Policy.ProbeDone("c", Result.CONNECT_FAILED, 0, 1000, LimitReport.NONE));
+        relay.pass(S);
+        assertEquals(1, relay.probes.size(), "not at once");
+        relay.pass(6 * S);
+        assertEquals(2, relay.probes.size());
+        assertEquals(0, relay.sent.size());
+    }
+
+    @Test
+    void routeThatWasOutReturnsColdAfterOneTest() {
+        int sum = 0;
+        for (int seed = 0; seed < 10; seed++) {
+            Relay relay = new Relay(Relay.fleet(10, seed));
+            relay.round(cached(route("c", 2, "apart", "east")),
+                    remembered("c", Belief.AS_LISTED, standing(0, 50, 0, true, 0)));
+            accept(relay, 1, 90, "safe", 2);
+            relay.pass(5 * S);
+            assertEquals(1, relay.sent.size(), "one test only");
+            relay.answer(relay.unanswered.get(0).id(), Result.OK);
+            sum += serve(relay, S);
+        }
+        // It bears a fifth of 50 a second, and falls at twice that.
+        assertTrue(sum <= 20, "the fleet's first second: " + sum);
+    }
+
+    @Test
+    void routeThatCameBackJustBeforeTheRestartStaysCold() {
+        Relay warm = new Relay(Relay.fleet(1, 3));
+        Relay cold = new Relay(Relay.fleet(1, 3));
+        warm.round(cached(route("c", 2, "apart", "east")), remembered("c", Belief.AS_LISTED, standing(0, 20, 0, false, 0)));
+        cold.round(cached(route("c", 2, "apart", "east")),
+                remembered("c", Belief.AS_LISTED, standing(0, 20, 0, false, 9 * S)));
+        accept(warm, 1, 90, "safe", 2);
+        accept(cold, 1, 90, "safe", 2);
+        int few = serve(cold, S);
+        int many = serve(warm, S);
+        assertTrue(few < 0.75 * many, "cold: " + few + ", warm: " + many);
+    }
+
+    @Test
+    void lastResortIsTriedOnlyWhereNothingElseIsLeft() {
+        Relay relay = new Relay(Relay.settings());
+        relay.round(cached(route("a", 1, "plain", "east"), route("b", 1, "plain", "west")),
+                remembered("a", Belief.TRY_FIRST, standing(0, 0, 0, false, 0)),
+                remembered("b", Belief.LAST, standing(0, 0, 0, false, 0)));
+        relay.accept(1, "safe", 1).pass(2 * S);
+        assertEquals(List.of("a"), relay.probes);
+        relay.round(new Policy.ProbeDone("a", Result.CONNECT_FAILED, 0, 1000, LimitReport.NONE)).pass(4 * S);
+        assertTrue(relay.probes.contains("b"), relay.probes.toString());
+    }
+
+    @Test
+    void listOfDiscoveryProvesARoute() {
+        Relay relay = new Relay(Relay.settings());
+        relay.round(cached(route("c", 2, "apart", "east")),
+                remembered("c", Belief.LAST, standing(0, 0, 0, false, 0)));
+        relay.list(route("c", 2, "apart", "east")).accept(1, "safe", 2).pass(9 * S);
+        assertEquals(1, relay.sent.size(), "a message is the test now");
+        assertTrue(relay.probes.isEmpty());
+    }
+
+    @Test
+    void standingTellsWhatIsKnown() {
+        Relay relay = new Relay(Relay.settings());
+        relay.list(route("c", 2, "apart", "east"), route("a", 1, "plain", "east"));
+        for (int id = 1; id <= 30; id++) {
+            relay.accept(id, "safe", 2).pass(50 * MS).answer(id, Result.OK).pass(50 * MS);
+        }
+        relay.accept(40, "safe", 1).answer(40, Result.FULL, 2 * S);
+        List<Standing> standings = relay.module().standings(relay.now);
+        Standing c = standings.stream().filter(s -> s.route().equals("c")).findFirst().orElseThrow();
+        assertTrue(c.usual() > 1 && c.usual() < 10 && c.response() > 40_000 && !c.out(), c.toString());
+        Standing a = standings.stream().filter(s -> s.route().equals("a")).findFirst().orElseThrow();
+        assertEquals(2 * S, a.waitLeft());
+        relay.accept(50, "once", 2);
+        for (int i = 0; i < 3; i++) {
+            relay.answer(50, Result.CONNECT_FAILED).pass(MS);
+        }
+        c = relay.module().standings(relay.now).stream().filter(s -> s.route().equals("c")).findFirst().orElseThrow();
+        assertTrue(c.out() && c.usual() > 1, c.toString());
+    }
+}
--- a/src/test/java/pipitstage/RoomsTest.java
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -34,6 +34,8 @@
     private static final String UNDELIVERABLE = "pipitstage\\.undeliverable\\.[A-Z].*";
     /** What confirms prove, what an AMQP message is to the relay, and which ids are known. */
     private static final String AMQP = "pipitstage\\.(amqp\\.(confirm|mapping)\\..*|duplicates\\.SeenIds)";
+    /** How far what is remembered is believed, and what of discovery's lists is. */
+    private static final String REMEMBERED = "pipitstage\\.remembered\\.[A-Z].*";
     /** Sockets, files, clocks and threads. */
     private static final DescribedPredicate<JavaClass> OUTSIDE = DescribedPredicate.or(
             resideInAnyPackage("java.io..", "java.net..", "java.nio.file..", "java.nio.channels..",
@@ -54,6 +56,7 @@
         module(PLAN).check(ALL);
         module(UNDELIVERABLE).check(ALL);
         module(AMQP).check(ALL);
+        module(REMEMBERED).check(ALL);
         classes().that().haveNameMatching(MODULE).should()
                 .onlyDependOnClassesThat(DescribedPredicate.or(nameMatching(MODULE), DescribedPredicate.not(ours()))).check(ALL);
     }
@@ -85,10 +88,12 @@
         "config.tool | pipitstage pipitstage.engine pipitstage.config..",
         "relay | pipitstage pipitstage.relay pipitstage.config pipitstage.engine pipitstage.front.. pipitstage.partner.. "
             + "pipitstage.platform pipitstage.journal pipitstage.log pipitstage.undeliverable.. pipitstage.admin "
-            + "pipitstage.amqp.. pipitstage.duplicates",
+            + "pipitstage.amqp.. pipitstage.duplicates pipitstage.remembered..",
         "undeliverable | pipitstage pipitstage.engine pipitstage.undeliverable pipitstage.log",
         "undeliverable.store | pipitstage pipitstage.engine pipitstage.undeliverable.. pipitstage.log",
         "admin | pipitstage pipitstage.admin pipitstage.undeliverable pipitstage.engine pipitstage.log",
+        "remembered | pipitstage pipitstage.remembered",
+        "remembered.store | pipitstage pipitstage.remembered pipitstage.remembered.store pipitstage.records pipitstage.log",
         "log | pipitstage.log",
         "http | pipitstage.http",
         "amqp.codec | pipitstage.amqp.codec",
--- a/src/test/java/pipitstage/relay/RelayFileTest.java
+++ b/src/test/java/pipitstage/relay/RelayFileTest.java
@@ -221,7 +221,8 @@
         for (String unused : List.of("org.tomlj", "org.antlr", "picocli", "pipitstage.config.plan",
                 "pipitstage.config.schema", "pipitstage.config.file", "pipitstage.cli.Commands", "EndsFile",
                 "org.sqlite", "java.sql.", "pipitstage.undeliverable", "pipitstage.admin", "pipitstage.amqp",
-                "pipitstage.front.amqp", "pipitstage.partner.amqp", "pipitstage.duplicates", "javax.net.ssl")) {
+                "pipitstage.front.amqp", "pipitstage.partner.amqp", "pipitstage.duplicates", "pipitstage.remembered",
+                "Remembering", "javax.net.ssl")) {
             assertFalse(loaded.contains(unused), unused + " is loaded");
         }
     }
--- /dev/null
+++ b/src/test/java/pipitstage/relay/RememberTest.java
@@ -0,0 +1,429 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import pipitstage.config.tool.Tool;
+import pipitstage.remembered.Known;
+import pipitstage.remembered.Moment;
+import pipitstage.remembered.Picture;
+import pipitstage.remembered.store.Pictures;
+import pipitstage.standin.ServedRelay;
+import pipitstage.standin.StandInClient;
+import pipitstage.standin.StandInDiscovery;
+import pipitstage.standin.StandInPartner;
+import pipitstage.standin.StubPeer;
+
+/** Relays that start from what they remember while discovery is down, and meet it again. */
+class RememberTest {
+    @TempDir
+    Path folder;
+    private final List<ServedRelay> relays = new ArrayList<>();
+    private final Map<String, StandInPartner> partners = new HashMap<>();
+    private StandInDiscovery discovery;
+    private Path state;
+
+    @BeforeEach
+    void begin() throws IOException {
+        state = folder.resolve("state");
+        discovery = new StandInDiscovery();
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        relays.forEach(ServedRelay::close);
+        for (StandInPartner partner : partners.values()) {
+            partner.close();
+        }
+        discovery.close();
+    }
+
+    private StandInPartner partner(String id) throws IOException {
+        StandInPartner partner = new StandInPartner(5, 0);
+        partners.put(id, partner);
+        return partner;
+    }
+
+    private String entry(String id, int destination, String state) {
+        return StandInDiscovery.entry(id, destination, "railways", "main", state, partners.get(id).address());
+    }
+
+    /** A relay file whose memory keeps what it is told. */
+    private Path written(String agent, String... memory) throws Exception {
+        String text = """
+                format = 1
+                name = "app"
+                [machine]
+                memory = "128MiB"
+                descriptors = 128
+                disk = "8MiB"
+                folder = "%s"
+                [[front]]
+                listen = "127.0.0.1:0"
+                [discovery]
+                agent = "%s"
+                [[class]]
+                name = "settlement"
+                repeat = "once"
+                wanted = "2s"
+                deadline = "9s"
+                peak-rate = "5/s"
+                [[class]]
+                name = "order"
+                repeat = "by-key"
+                key-window = "30s"
+                wanted = "2s"
+                deadline = "20s"
+                peak-rate = "5/s"
+                [[partner]]
+                name = "iron-line"
+                number = 7
+                kind = "railways"
+                response = "20ms"
+                [memory]
+                keep = true
+                sync = false
+                %s
+                """.formatted(state, agent, String.join("\n", memory));
+        Path file = Files.writeString(folder.resolve("app.toml"), text);
+        Tool.Outcome outcome = Tool.write(file, folder, true);
+        assertTrue(outcome.findings().stream().noneMatch(f -> f.isError()), outcome.findings().toString());
+        return outcome.file();
+    }
+
+    private ServedRelay start(Path file) throws Exception {
+        ServedRelay relay = ServedRelay.start(file, folder.resolve("log" + relays.size()));
+        relays.add(relay);
+        return relay.awaitServing();
+    }
+
+    /** As a client does, again while the relay refuses. */
+    private static void handIn(ServedRelay relay, String id, int destination) throws IOException {
+        try (StandInClient client = relay.client()) {
+            AtomicReference<Integer> status = new AtomicReference<>();
+            await(() -> {
+                try {
+                    status.set(client.handIn(id, "settlement", null, null, destination, 9000, "a"));
+                    return status.get() != 503;
+                } catch (IOException e) {
+                    throw new AssertionError(e);
+                }
+            });
+            assertEquals(202, status.get());
+        }
+    }
+
+    private boolean hasPicture(int endpoints) {
+        try {
+            Picture picture = Pictures.of(state);
+            return picture != null && picture.endpoints().size() == endpoints;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private boolean isNoted(String note) {
+        try {
+            return Pictures.notes(state).contains(note);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private boolean isStruck(String id) {
+        try {
+            return isNoted("STRUCK " + id) || Pictures.of(state).endpoints().stream()
+                    .anyMatch(k -> k.id().equals(id) && k.state() == Known.State.STRUCK);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Starts a relay, lets it learn a list and kills it; discovery is gone afterwards. */
+    private Path learnt(int endpoints, List<String> list, String... memory) throws Exception {
+        discovery.list(list);
+        Path file = written(discovery.address(), memory);
+        ServedRelay relay = start(file);
+        await(() -> hasPicture(endpoints));
+        relay.close();
+        discovery.close();
+        return file;
+    }
+
+    private static boolean ran(StandInPartner partner, String id) {
+        return partner.effects().containsKey(id);
+    }
+
+    @Test
+    void relayStartsAndDeliversWithoutDiscovery() throws Exception {
+        StandInPartner partner = partner("iron-1");
+        Path file = learnt(1, List.of(entry("iron-1", 7, "in_service")));
+        ServedRelay relay = start(file);
+        try (StandInClient client = relay.client()) {
+            assertTrue(client.isReady(), "as soon as it serves");
+        }
+        handIn(relay, "s1", 7);
+        await(() -> ran(partner, "s1"));
+        assertTrue(relay.log().contains("remembered 1 endpoints of revision 1"), relay.log());
+    }
+
+    @Test
+    void relayThatRemembersNothingStartsWithoutAList() throws Exception {
+        discovery.close();
+        ServedRelay relay = start(written(discovery.address()));
+        try (StandInClient client = relay.client()) {
+            assertFalse(client.isReady());
+        }
+    }
+
+    /** The half-life is so short that the list is old: a thirteenth of it goes by while the process starts. */
+    @Test
+    void anotherServiceAtARemovedEndpointsAddressGetsNoMessage() throws Exception {
+        StandInPartner gone = partner("iron-1");
+        StandInPartner partner = partner("iron-2");
+        Path file = learnt(2, List.of(entry("iron-1", 7, "in_service"), entry("iron-2", 7, "in_service")),
+                "half-life = \"2s\"", "settle = \"1s\"");
+        int port = Integer.parseInt(gone.address().split(":")[1]);
+        gone.close();
+        try (StubPeer other = new StubPeer(port, r -> StubPeer.status(r.line().startsWith("POST ") ? 200 : 404))) {
+            ServedRelay relay = start(file);
+            for (int i = 0; i < 4; i++) {
+                handIn(relay, "s" + i, 7);
+            }
+            await(() -> partner.effects().size() == 4);
+            assertEquals(0, other.count("POST "), "a message went to another service");
+            assertTrue(other.count("GET ") == 0 || relay.log().contains("answers as something else"), relay.log());
+        }
+    }
+
+    @Test
+    void addressThatHangsAndOneThatRefusesAreStruckOutAndTheRestServes() throws Exception {
+        StandInPartner hung = partner("iron-1");
+        StandInPartner refused = partner("iron-2");
+        StandInPartner partner = partner("iron-3");
+        Path file = learnt(3, List.of(entry("iron-1", 7, "in_service"), entry("iron-2", 8, "in_service"),
+                entry("iron-3", 9, "in_service")), "half-life = \"2s\"", "settle = \"1s\"");
+        int port = Integer.parseInt(hung.address().split(":")[1]);
+        hung.close();
+        refused.close();
+        try (StubPeer silent = new StubPeer(port, r -> StubPeer.SILENCE)) {
+            ServedRelay relay = start(file);
+            handIn(relay, "s1", 7);
+            handIn(relay, "s2", 8);
+            handIn(relay, "s3", 9);
+            await(() -> ran(partner, "s3"));
+            await(() -> isStruck("iron-1") && isStruck("iron-2"));
+            assertEquals(0, silent.count("POST "));
+            relay.close();
+            ServedRelay again = start(file);
+            assertTrue(again.log().contains("2 never"), "out over a restart too: " + again.log());
+        }
+    }
+
+    @Test
+    void drainToldJustBeforeTheCrashHolds() throws Exception {
+        StandInPartner drained = partner("iron-1");
+        StandInPartner partner = partner("iron-2");
+        discovery.list(List.of(entry("iron-1", 7, "in_service"), entry("iron-2", 7, "in_service")));
+        Path file = written(discovery.address());
+        ServedRelay first = start(file);
+        await(() -> hasPicture(2));
+        discovery.list(List.of(entry("iron-1", 7, "terminating"), entry("iron-2", 7, "in_service")));
+        await(() -> isNoted("GONE iron-1") || hasPicture(1));
+        first.close();
+        discovery.close();
+        ServedRelay relay = start(file);
+        for (int i = 0; i < 6; i++) {
+            handIn(relay, "s" + i, 7);
+        }
+        await(() -> partner.effects().size() == 6);
+        assertEquals(List.of(), drained.postings());
+    }
+
+    @Test
+    void discoveryThatReturnsEndsWhatItLeavesOut() throws Exception {
+        StandInPartner removed = partner("iron-1");
+        StandInPartner partner = partner("iron-2");
+        Path file = learnt(2, List.of(entry("iron-1", 7, "in_service"), entry("iron-2", 7, "in_service")));
+        // At the address that the relay knows.
+        int port = Integer.parseInt(discovery.address().split(":")[1]);
+        ServedRelay relay = start(file);
+        String list = "{\"rev\":9,\"all\":true,\"targets\":[" + entry("iron-2", 7, "in_service") + "]}";
+        try (StubPeer back = new StubPeer(port, r -> r.line().contains("after=")
+                ? StubPeer.answer(200, "{\"rev\":9,\"all\":false,\"targets\":[]}") : StubPeer.answer(200, list))) {
+            await(() -> back.count("GET /api/targets?after=9") > 0);
+            int before = removed.postings().size();
+            for (int i = 0; i < 12; i++) {
+                handIn(relay, "s" + i, 7);
+            }
+            await(() -> partner.effects().size() == 12);
+            assertEquals(before, removed.postings().size(), "calls to an endpoint that is gone");
+        }
+    }
+
+    /** Discovery answers nothing of use: the relay is ready at once, and goes on asking. */
+    @ParameterizedTest
+    @ValueSource(strings = {"500", "garbage", "half", "byte by byte", "silent"})
+    void discoveryOfNoUseHoldsNothingUp(String how) throws Exception {
+        StandInPartner partner = partner("iron-1");
+        Path file = learnt(1, List.of(entry("iron-1", 7, "in_service")));
+        int port = Integer.parseInt(discovery.address().split(":")[1]);
+        String list = StubPeer.answer(200, "{\"rev\":9,\"all\":true,\"targets\":[" + entry("iron-1", 7, "in_service") + "]}");
+        try (ServerSocket listener = how.equals("byte by byte") ? StubPeer.listen(port) : null;
+                StubPeer bad = listener != null ? null : new StubPeer(port, r -> switch (how) {
+                    case "500" -> StubPeer.status(500);
+                    case "garbage" -> StubPeer.answer(200, "[[[[");
+                    case "half" -> list.substring(0, list.length() - 9);
+                    default -> StubPeer.SILENCE;
+                })) {
+            List<Long> asked = new ArrayList<>();
+            if (listener != null) {
+                drip(listener, list, asked);
+            }
+            ServedRelay relay = start(file);
+            handIn(relay, "s1", 7);
+            await(() -> ran(partner, "s1"));
+            await(() -> count(bad, asked) >= 3);
+        }
+    }
+
+    private static long count(StubPeer peer, List<Long> asked) {
+        synchronized (asked) {
+            return peer != null ? peer.count("GET /api/targets") : asked.size();
+        }
+    }
+
+    private static void drip(ServerSocket listener, String answer, List<Long> asked) {
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    var socket = listener.accept();
+                    synchronized (asked) {
+                        asked.add(System.nanoTime());
+                    }
+                    Thread each = new Thread(() -> {
+                        try (socket) {
+                            for (char c : answer.toCharArray()) {
+                                socket.getOutputStream().write(c);
+                                Thread.sleep(20);
+                            }
+                        } catch (IOException | InterruptedException e) {
+                            // The relay has given it up.
+                        }
+                    });
+                    each.setDaemon(true);
+                    each.start();
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Test
+    void tornPictureAndAnotherRelaysAreSetAsideAndTheStartGoesOn() throws Exception {
+        partner("iron-1");
+        Path file = learnt(1, List.of(entry("iron-1", 7, "in_service")));
+        Pictures.tear(state);
+        ServedRelay torn = start(file);
+        assertTrue(torn.log().contains("is set aside as"), torn.log());
+        torn.close();
+        Files.walk(state).filter(f -> f.toString().contains("remembered")).forEach(f -> f.toFile().delete());
+        Pictures.write(state, new Picture("app#1", 1, new Moment(0, 0, ""), 0, 1, List.of()));
+        ServedRelay foreign = start(file);
+        assertTrue(foreign.log().contains("it is app#1's, and this relay is app#0"), foreign.log());
+    }
+
+    @Test
+    void diskThatTakesNoPictureStopsNothing() throws Exception {
+        StandInPartner partner = partner("iron-1");
+        discovery.list(List.of(entry("iron-1", 7, "in_service")));
+        // Where a picture is to be written stands something that can't be written to.
+        Files.createDirectories(state.resolve("remembered.new").resolve("full"));
+        ServedRelay relay = start(written(discovery.address()));
+        handIn(relay, "s1", 7);
+        await(() -> ran(partner, "s1"));
+        await(() -> {
+            try {
+                return relay.log().contains("can't be saved, the picture before stands");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        handIn(relay, "s2", 7);
+        await(() -> ran(partner, "s2"));
+    }
+
+    /** Over a boot after which the wall clock stands two hours back, no key window can be told to be open. */
+    @Test
+    void keyedMessageWhoseWindowNoClockTellsIsNotSentAgain() throws Exception {
+        StandInPartner partner = partner("iron-1");
+        partner.be(StandInPartner.Mood.SILENT);
+        discovery.list(List.of(entry("iron-1", 7, "in_service")));
+        Path file = written(discovery.address());
+        ServedRelay first = start(file);
+        await(() -> hasPicture(1));
+        try (StandInClient client = first.client()) {
+            await(() -> {
+                try {
+                    return client.handIn("k1", "order", null, "key-1", 7, 20_000, "a") == 202;
+                } catch (IOException e) {
+                    throw new AssertionError(e);
+                }
+            });
+        }
+        await(() -> ran(partner, "k1"));
+        first.close();
+        partner.be(StandInPartner.Mood.WELL);
+        Pictures.change(state, p -> new Picture(p.owner(), p.generation(), new Moment(p.at().wall() + 7_200_000_000L, 1,
+                "another"), p.time() + 7_200_000_000L, p.revision(), p.endpoints()));
+        ServedRelay relay = start(file);
+        assertTrue(relay.log().contains("the wall clock is -7"), relay.log());
+        await(() -> discovery.notices().stream().anyMatch(n -> n.ref().equals("k1")));
+        assertEquals(1, partner.effects().get("k1"), "it may have run, and the window may be over");
+    }
+
+    /** The same where nothing was set: the repeat goes out, as its key window is open. */
+    @Test
+    void keyedMessageIsSentAgainWithinItsWindow() throws Exception {
+        StandInPartner partner = partner("iron-1");
+        partner.be(StandInPartner.Mood.SILENT);
+        discovery.list(List.of(entry("iron-1", 7, "in_service")));
+        Path file = written(discovery.address());
+        ServedRelay first = start(file);
+        await(() -> hasPicture(1));
+        try (StandInClient client = first.client()) {
+            await(() -> {
+                try {
+                    return client.handIn("k1", "order", null, "key-1", 7, 20_000, "a") == 202;
+                } catch (IOException e) {
+                    throw new AssertionError(e);
+                }
+            });
+        }
+        await(() -> ran(partner, "k1"));
+        first.close();
+        partner.be(StandInPartner.Mood.WELL);
+        start(file);
+        await(() -> partner.effects().get("k1") == 2);
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/remembered/ListsTest.java
@@ -0,0 +1,159 @@
+package pipitstage.remembered;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import pipitstage.Policy;
+import pipitstage.Policy.Availability;
+import pipitstage.Policy.ListKind;
+
+/** What of discovery's lists is believed. */
+class ListsTest {
+    private static final long SECOND = 1_000_000;
+    private static final long SETTLE = 60 * SECOND;
+
+    private static Listing entry(String id, int port, Availability availability) {
+        return new Listing(new Policy.Listed(id, 7, "k", "b", availability, 0), "127.0.0.1:" + port);
+    }
+
+    private static Listing in(int i) {
+        return entry("e" + i, 1000 + i, Availability.LISTED);
+    }
+
+    private static List<Listing> all(int n) {
+        return IntStream.range(0, n).mapToObj(ListsTest::in).toList();
+    }
+
+    private static Told full(long revision, List<Listing> entries) {
+        return new Told(ListKind.FULL, revision, entries);
+    }
+
+    private static Told changes(long revision, Listing... entries) {
+        return new Told(ListKind.CHANGES, revision, List.of(entries));
+    }
+
+    @Test
+    void wholeListReplacesWhatWasRemembered() {
+        Lists lists = new Lists(SETTLE, 5, all(20));
+        Lists.Verdict verdict = lists.take(full(6, all(18)), 0);
+        assertEquals(ListKind.FULL, verdict.passOn().kind());
+        assertFalse(lists.has("e18") || lists.has("e19"));
+        assertTrue(lists.has("e17"));
+        assertEquals(Lists.NEVER, verdict.askAt());
+    }
+
+    @Test
+    void emptyListTakesNothingAwayUntilItHasBeenToldForLong() {
+        Lists lists = new Lists(SETTLE, 5, all(3));
+        Lists.Verdict verdict = lists.take(full(6, List.of()), 0);
+        assertNull(verdict.passOn());
+        assertEquals(SETTLE, verdict.askAt());
+        assertEquals(1, verdict.log().size(), "told once: " + verdict.log());
+        assertTrue(lists.take(full(6, List.of()), SETTLE - 1).log().isEmpty());
+        assertTrue(lists.has("e0"));
+        assertEquals(ListKind.FULL, lists.take(full(6, List.of()), SETTLE).passOn().kind());
+        assertFalse(lists.has("e0"));
+    }
+
+    @Test
+    void listThatLostNineOfTenConfirmsWhatItNamesAndKeepsTheRestForNow() {
+        Lists lists = new Lists(SETTLE, 5, all(20));
+        List<Listing> few = new ArrayList<>(List.of(in(0), entry("new", 9, Availability.LISTED),
+                entry("e1", 1001, Availability.DRAINING)));
+        Lists.Verdict verdict = lists.take(full(6, few), 0);
+        assertEquals(changes(6, few.toArray(Listing[]::new)), verdict.passOn(), "what it says counts at once");
+        assertFalse(lists.has("e1"), "a drain with a word is believed");
+        assertTrue(lists.has("e5"));
+        // A whole list again ends the doubt.
+        assertEquals(ListKind.FULL, lists.take(full(7, all(20)), SECOND).passOn().kind());
+        lists.take(full(8, few), 2 * SECOND);
+        assertTrue(lists.has("e5"), "the settling time begins anew");
+        lists.take(full(8, few), 2 * SECOND + SETTLE);
+        assertFalse(lists.has("e5"));
+    }
+
+    @Test
+    void lossOfEightInTenIsBelieved() {
+        Lists lists = new Lists(SETTLE, 5, all(20));
+        assertEquals(ListKind.FULL, lists.take(full(6, all(4)), 0).passOn().kind());
+    }
+
+    @Test
+    void revisionThatGoesBackBringsNothingBackAndTakesAwayAtOnce() {
+        Lists lists = new Lists(SETTLE, 5, all(4));
+        lists.take(changes(9, entry("e3", 1003, Availability.REMOVED)), 0);
+        List<Listing> old = List.of(in(0), in(3), entry("e1", 1001, Availability.DRAINING),
+                entry("unknown", 8, Availability.LISTED));
+        Lists.Verdict verdict = lists.take(full(7, old), SECOND);
+        assertEquals(changes(7, in(0), entry("e1", 1001, Availability.DRAINING)), verdict.passOn());
+        assertFalse(lists.has("e3") || lists.has("unknown") || lists.has("e1"));
+        assertTrue(lists.has("e2"), "what it leaves out stays");
+        lists.take(full(7, old), SECOND + SETTLE);
+        assertTrue(lists.has("e3") && lists.has("unknown"), "a discovery that counts anew is believed in the end");
+        assertFalse(lists.has("e2"));
+    }
+
+    @Test
+    void changesOfAnOlderRevisionAskForTheWholeList() {
+        Lists lists = new Lists(SETTLE, 5, all(2));
+        Lists.Verdict verdict = lists.take(changes(3, in(5), entry("e0", 1000, Availability.REMOVED)), SECOND);
+        assertEquals(List.of(entry("e0", 1000, Availability.REMOVED)), verdict.passOn().entries());
+        assertEquals(SECOND, verdict.askAt());
+    }
+
+    @Test
+    void newIdAtAnAddressEndsTheOldOne() {
+        Lists lists = new Lists(SETTLE, 5, all(3));
+        Listing next = entry("next", 1001, Availability.LISTED);
+        Lists.Verdict verdict = lists.take(changes(6, next), 0);
+        assertEquals(List.of(in(1).gone(), next), verdict.passOn().entries());
+        assertFalse(lists.has("e1"));
+        Lists both = new Lists(SETTLE, 5, all(3));
+        both.take(changes(6, next, in(1)), 0);
+        assertTrue(both.has("e1") && both.has("next"), "discovery itself lists both");
+    }
+
+    @Test
+    void flappingEndpointIsHeldBackEachTimeLonger() {
+        Lists lists = new Lists(SETTLE, 5, all(2));
+        long now = 0;
+        for (int i = 0; i < 2; i++) {
+            lists.take(changes(6 + i, entry("e1", 1001, Availability.REMOVED)), now += SECOND);
+            lists.take(changes(6 + i, in(1)), now += SECOND);
+            assertTrue(lists.has("e1"), "return " + i);
+        }
+        lists.take(changes(9, entry("e1", 1001, Availability.REMOVED)), now += SECOND);
+        assertNull(lists.take(changes(9, in(1)), now += SECOND).passOn());
+        assertEquals(now + 10 * SECOND, lists.nextAt());
+        assertNull(lists.due(now + 10 * SECOND - 1));
+        now += 10 * SECOND;
+        assertEquals(List.of(in(1)), lists.due(now).entries());
+        assertTrue(lists.has("e1"));
+        lists.take(changes(10, entry("e1", 1001, Availability.REMOVED)), now += SECOND);
+        assertFalse(lists.has("e1"), "going is believed at once");
+        lists.take(changes(10, in(1)), now += SECOND);
+        assertEquals(now + 20 * SECOND, lists.nextAt());
+        lists.take(changes(11, entry("e1", 1001, Availability.REMOVED)), now += SECOND);
+        assertEquals(Lists.NEVER, lists.nextAt(), "one that goes while it is held stays out");
+        assertNull(lists.due(now + 99 * SECOND));
+    }
+
+    @Test
+    void wholeListEndsWhatIsHeldBackToo() {
+        Lists lists = new Lists(SETTLE, 5, all(20));
+        long now = 0;
+        for (int i = 0; i < 3; i++) {
+            lists.take(full(6 + 2 * i, all(19)), now += SECOND);
+            lists.take(full(7 + 2 * i, all(20)), now += SECOND);
+        }
+        assertFalse(lists.has("e19"));
+        lists.take(full(20, all(19)), now += SECOND);
+        assertNull(lists.due(now + 99 * SECOND));
+    }
+}
