Remembered pictures: keep to the place that does not stand, and note a loss once

A picture that was not allowed to be written still counted a generation, so that the next one could begin at the place of the one that stands and cut off its notes; what could not be noted was noted again each second while no picture could be saved; a picture that failed on its way took the loss before it with it.

--- a/src/main/java/pipitstage/relay/Remembering.java
+++ b/src/main/java/pipitstage/relay/Remembering.java
@@ -125,9 +125,8 @@
 
     private void save(long now) {
         if (saver.save(book.picture(Clocks.now(), now, engine.standings()), now, book::notSaved)) {
+            book.saving();
             savedAt = now;
-        } else {
-            book.notSaved();
         }
     }
 
--- a/src/main/java/pipitstage/remembered/Book.java
+++ b/src/main/java/pipitstage/remembered/Book.java
@@ -106,7 +106,7 @@
             boolean all = take(notes, picture.time()) && whole;
             Elapsed elapsed = Elapsed.between(picture.at(), now);
             Map<Degree, Integer> count = new HashMap<>();
-            if (rules.fixed() || others != null && others.revision() > revision) {
+            if (rules.fixed() || others != null && (revision < 0 || others.revision() > revision)) {
                 restrictTo(others, time);
                 revision = others.revision();
             }
@@ -354,12 +354,18 @@
             }
             endpoints.add(now == null ? one : one.with(now));
         }
+        return new Picture(owner, generation + 1, at, time, revision, endpoints);
+    }
+
+    /** The picture is being saved: the next one has another generation. */
+    public void saving() {
         changed = false;
-        return new Picture(owner, ++generation, at, time, revision, endpoints);
+        generation++;
     }
 
-    /** The picture could not be saved: what has changed since the one before still has. */
+    /** It could not be: its generation is free, and what has changed since the one before still has. */
     public void notSaved() {
         changed = true;
+        generation--;
     }
 }
--- a/src/main/java/pipitstage/remembered/Budget.java
+++ b/src/main/java/pipitstage/remembered/Budget.java
@@ -54,10 +54,15 @@
         }
     }
 
+    /** True where a picture of so many bytes may be written now. */
+    public boolean allowsPicture(long bytes, long now) {
+        refill(now);
+        return left - bytes >= reserve();
+    }
+
     /** Takes bytes for a picture; false where they may not be written now. */
     public boolean takePicture(long bytes, long now) {
-        refill(now);
-        if (left - bytes < reserve()) {
+        if (!allowsPicture(bytes, now)) {
             return false;
         }
         left -= bytes;
--- a/src/main/java/pipitstage/remembered/store/Saver.java
+++ b/src/main/java/pipitstage/remembered/store/Saver.java
@@ -49,10 +49,13 @@
     private Budget budget;
     private boolean saving;
     private boolean trimmed;
+    /** Guards against the work for a picture each second that may not be written anyway. */
+    private int lastSize;
     private long nextTry;
     private long pause = SECOND;
-    /** What could not be noted yet, as one note; null for nothing. */
+    /** What could not be noted since the picture that stands, as one note; null for nothing. */
     private Note lost;
+    private boolean lostIsNoted;
     private long lostAt = Long.MIN_VALUE / 2;
 
     /** A saver that tells results on an event loop. */
@@ -97,15 +100,15 @@
         return store.isFull() || lost != null;
     }
 
-    /** True where a picture could be saved now. */
+    /** True where a picture could be saved now, if it is no larger than the one before. */
     public boolean isFree(long time) {
-        return !saving && time >= nextTry;
+        return !saving && time >= nextTry && budget.allowsPicture(lastSize, time);
     }
 
     /**
      * Saves a picture where that is allowed now.
      *
-     * @param failed is run on the event loop where it was begun and failed
+     * @param failed is run on the event loop where it was begun and failed later
      * @return false where it was not begun
      */
     public boolean save(Picture picture, long time, Runnable failed) {
@@ -114,20 +117,31 @@
         }
         try {
             byte[] bytes = encoded(picture);
+            lastSize = bytes.length;
             if (!budget.takePicture(bytes.length, time)) {
                 return false;
             }
             store.begin(picture.generation());
             saving = true;
-            // What may be wrong with the notes until now does not matter to a picture that is taken later.
-            lost = null;
+            Note covered = lost;
             thread.execute(() -> {
                 IOException fault = write(picture.generation(), bytes);
-                loop.execute(() -> ended(fault, time, failed));
+                loop.execute(() -> {
+                    saving = false;
+                    store.end(fault == null);
+                    if (fault != null) {
+                        putOff(fault, time);
+                        failed.run();
+                    } else {
+                        pause = SECOND;
+                        // What was lost before a picture was taken does not matter to it.
+                        lost = lost == covered ? null : lost;
+                    }
+                });
             });
             return true;
         } catch (IOException e) {
-            ended(e, time, failed);
+            putOff(e, time);
             return false;
         }
     }
@@ -141,20 +155,13 @@
         }
     }
 
-    private void ended(IOException fault, long time, Runnable failed) {
-        saving = false;
-        store.end(fault == null);
-        if (fault == null) {
-            pause = SECOND;
-            return;
-        }
+    private void putOff(IOException fault, long time) {
         if (pause == SECOND) {
             Log.line("remembered: can't be saved, the picture before stands: " + fault.getMessage());
         }
         // Guards against a try a second, and a line each, on a disk that is full.
         nextTry = time + pause;
         pause = Math.min(LONGEST_PAUSE, 2 * pause);
-        failed.run();
     }
 
     /** The bytes of a picture; one that is too large goes without those that were heard of longest ago. */
@@ -193,10 +200,10 @@
                 all.add(lost);
             }
             Note whole = Note.inPlaceOf(all);
-            boolean more = lost == null || whole.at() > lost.at();
-            lost = whole;
-            if (more) {
-                writeLost(time);
+            if (lost == null || saving || whole.at() > lost.at()) {
+                lost = whole;
+                lostIsNoted = false;
+                noteLost(time);
             }
         }
     }
@@ -223,13 +230,14 @@
     }
 
     /** Beyond the budget, once a second at the most: it is a few bytes, and all that stands for what was not written. */
-    private void writeLost(long time) {
-        if (time - lostAt < SECOND) {
+    private void noteLost(long time) {
+        if (lost == null || lostIsNoted || time - lostAt < SECOND) {
             return;
         }
         lostAt = time;
         try {
             store.note(Codec.note(lost));
+            lostIsNoted = true;
         } catch (IOException e) {
             Log.line("remembered: can't be noted: " + e.getMessage());
         }
@@ -237,9 +245,7 @@
 
     /** To be called each second: tells what could not be told when it came. */
     public void look(long time) {
-        if (lost != null) {
-            writeLost(time);
-        }
+        noteLost(time);
     }
 
     /** Waits for what is being saved. */
--- a/src/main/java/pipitstage/remembered/store/Store.java
+++ b/src/main/java/pipitstage/remembered/store/Store.java
@@ -164,8 +164,11 @@
         }
     }
 
-    /** A picture of this generation has been taken: what is noted from now on follows it too. */
+    /** A picture of this generation, the one after what stands, has been taken: what is noted from now on follows it too. */
     void begin(long generation) throws IOException {
+        if (standing > 0 && generation != standing + 1) {
+            throw new IllegalStateException("generation " + generation + " after " + standing);
+        }
         byte[] head = Codec.notesHead(generation);
         folder.write(notes(generation), head, false);
         coming = generation;
--- a/src/test/java/pipitstage/remembered/BookTest.java
+++ b/src/test/java/pipitstage/remembered/BookTest.java
@@ -211,9 +211,13 @@
         Book book = told(1);
         assertTrue(book.hasChanged());
         assertEquals(1, book.picture(AT, T, List.of()).generation());
+        assertTrue(book.hasChanged(), "it may not be saved just now");
+        book.saving();
         assertFalse(book.hasChanged());
+        assertEquals(2, book.picture(AT, T, List.of()).generation());
+        book.saving();
         book.notSaved();
         assertTrue(book.hasChanged());
-        assertEquals(2, book.picture(AT, T, List.of()).generation());
+        assertEquals(2, book.picture(AT, T, List.of()).generation(), "its place is the one that does not stand");
     }
 }
--- a/src/test/java/pipitstage/remembered/TrustModelTest.java
+++ b/src/test/java/pipitstage/remembered/TrustModelTest.java
@@ -136,6 +136,7 @@
         void save() {
             saved = book.picture(clocks(), time(), listed.stream().map(id -> new Policy.Standing(id, Math.max(0,
                     waitUntil.getOrDefault(id, 0L) - real), 0, 1, 1000, false, 0)).toList());
+            book.saving();
             notes.clear();
         }
 
