--- a/src/test/java/pipitstage/RememberedRoutesTest.java
+++ b/src/test/java/pipitstage/RememberedRoutesTest.java
@@ -184,6 +184,22 @@
         assertTrue(relay.probes.isEmpty());
     }
 
+    /** What the journal brings back waits for the pace like anything else, and goes by what it is worth. */
+    @Test
+    void resumedMessagesAreReleasedAtThePaceTheWorthiestFirst() {
+        Relay relay = new Relay(Relay.fleet(10, 3));
+        List<Policy.Event> events = new java.util.ArrayList<>(List.of(cached(route("c", 2, "apart", "east")),
+                remembered("c", Belief.AS_LISTED, standing(0, 30, 0, false, 0))));
+        for (int id = 0; id < 60; id++) {
+            events.add(new Policy.Resumed(new Policy.Accepted(id, id % 6 == 5 ? "quick" : "safe", null, null, 20 * S, 2),
+                    List.of()));
+        }
+        relay.round(events.toArray(Policy.Event[]::new));
+        int first = serve(relay, 2 * S);
+        assertTrue(first >= 3 && first <= 10, "in two seconds at three a second: " + first);
+        assertTrue(relay.sent.stream().limit(3).allMatch(s -> s.id() % 6 == 5), "the worthiest first: " + relay.sent);
+    }
+
     @Test
     void standingTellsWhatIsKnown() {
         Relay relay = new Relay(Relay.settings());
--- a/src/test/java/pipitstage/relay/RememberTest.java
+++ b/src/test/java/pipitstage/relay/RememberTest.java
@@ -344,6 +344,21 @@
         }
     }
 
+    @Test
+    void listThatIsWeeksOldIsUsedWhereNothingElseIsLeft() throws Exception {
+        StandInPartner partner = partner("iron-1");
+        Path file = learnt(1, List.of(entry("iron-1", 7, "in_service")));
+        long weeks = 21L * 24 * 3600 * 1_000_000;
+        Pictures.change(state, p -> new Picture(p.owner(), p.generation(), new Moment(p.at().wall() - weeks,
+                p.at().up() - weeks, p.at().boot()), p.time() - weeks, p.revision(), p.endpoints().stream().map(k -> k.listed(
+                k.listed(), k.address(), k.listedAt() - weeks)).toList()));
+        ServedRelay relay = start(file);
+        assertTrue(relay.log().contains("1 if nothing else is left"), relay.log());
+        handIn(relay, "s1", 7);
+        await(() -> ran(partner, "s1"));
+        assertEquals(1, partner.checks().size(), "a check went first");
+    }
+
     @Test
     void tenKillsInARowLoseNothingAndBelieveNoMore() throws Exception {
         StandInPartner partner = partner("iron-1");
