Read public traces: four published forms, order of arrival, every rejected row told

Need: the relay is to be replayed against public cluster traces, and their files are not clean. pipitstage.trace says what a row means in ClusterData 2011 task_events, Alibaba 2018 batch_task, Azure V1 vmtable and Azure Functions 2021, puts rows in order within a window in bounded memory, and counts each row once: read = sent + cut + rejected, each fault with lines and a sample. FastCSV reads; serve does not load it. loftflow trace check prints the report.

--- a/src/test/java/pipitstage/RoomsTest.java
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -57,6 +57,7 @@
         module(UNDELIVERABLE).check(ALL);
         module(AMQP).check(ALL);
         module(REMEMBERED).check(ALL);
+        module("pipitstage\\.trace\\.[A-Z].*").check(ALL);
         classes().that().haveNameMatching(MODULE).should()
                 .onlyDependOnClassesThat(DescribedPredicate.or(nameMatching(MODULE), DescribedPredicate.not(ours()))).check(ALL);
     }
@@ -92,6 +93,8 @@
         "undeliverable | pipitstage pipitstage.engine pipitstage.undeliverable pipitstage.log",
         "undeliverable.store | pipitstage pipitstage.engine pipitstage.undeliverable.. pipitstage.log",
         "admin | pipitstage pipitstage.admin pipitstage.undeliverable pipitstage.engine pipitstage.log",
+        "trace | pipitstage.trace",
+        "trace.read | pipitstage.trace pipitstage.trace.read",
         "remembered | pipitstage pipitstage.remembered",
         "remembered.store | pipitstage pipitstage.remembered pipitstage.remembered.store pipitstage.records pipitstage.log",
         "log | pipitstage.log",
@@ -119,6 +122,8 @@
                 resideInAnyPackage("picocli..", "com.github.difflib..")).check(ALL);
         noClasses().that().resideOutsideOfPackage("pipitstage.undeliverable.store").should().dependOnClassesThat(
                 resideInAnyPackage("org.sqlite..", "java.sql..")).check(ALL);
+        noClasses().that().resideOutsideOfPackage("pipitstage.trace.read").should().dependOnClassesThat(
+                resideInAnyPackage("de.siegmar..")).check(ALL);
         noClasses().that().doNotHaveSimpleName("TomlFile").should().dependOnClassesThat(
                 resideInAnyPackage("org.tomlj..", "org.antlr..")).check(ALL);
     }
--- a/src/test/java/pipitstage/cli/CommandsTest.java
+++ b/src/test/java/pipitstage/cli/CommandsTest.java
@@ -49,6 +49,20 @@
         assertEquals(1, err.toString().lines().count(), err.toString());
     }
 
+    @Test
+    void traceCheckTellsWhatWouldBeSentAndWhatIsRejected() throws IOException {
+        Path trace = Files.writeString(folder.resolve("t.csv"), "M1,2,j_1,1,Terminated,3,9,100,0.39\nM1,2,j_1,1,T,,9,1,0\n"
+                + "M2,2,j_2,1,Terminated,4,9,100,0.39\nM3,2,j_2,1,Terminated,2,9,100,0.39\n");
+        assertEquals(1, run("trace", "check", trace, "--form", "alibaba-2018-batch-task"));
+        assertEquals(List.of("4 rows read = 3 sent + 0 cut + 1 rejected", "from 2s to 4s of the trace's clock; at the most 1 in"
+                + " one second", "no time: 1 (lines 2), such as: M1,2,j_1,1,T,,9,1,0"), out.toString().lines().toList());
+        assertEquals(2, run("trace", "check", trace, "--form", "alibaba-2018-batch-task", "--window", "0s", "--late", "fail"));
+        assertTrue(err.toString().contains("line 4 is 1000000 us behind"), err.toString());
+        assertEquals(2, run("trace", "check", folder.resolve("none"), "--form", "azure-v1-vmtable"));
+        assertEquals(2, run("trace", "check", trace, "--form", "csv"));
+        assertTrue(err.toString().contains("csv is none of google-2011-task-events"), err.toString());
+    }
+
     @Test
     void warningsCountWhereTheyAreToBeStrictlyTaken() {
         Path warns = CONFIG.resolve("valid/scope-building.toml");
--- a/src/test/java/pipitstage/relay/RelayFileTest.java
+++ b/src/test/java/pipitstage/relay/RelayFileTest.java
@@ -222,7 +222,7 @@
                 "pipitstage.config.schema", "pipitstage.config.file", "pipitstage.cli.Commands", "EndsFile",
                 "org.sqlite", "java.sql.", "pipitstage.undeliverable", "pipitstage.admin", "pipitstage.amqp",
                 "pipitstage.front.amqp", "pipitstage.partner.amqp", "pipitstage.duplicates", "pipitstage.remembered",
-                "Remembering", "javax.net.ssl")) {
+                "Remembering", "pipitstage.trace", "de.siegmar", "javax.net.ssl")) {
             assertFalse(loaded.contains(unused), unused + " is loaded");
         }
     }
--- /dev/null
+++ b/src/test/java/pipitstage/trace/TraceReaderTest.java
@@ -0,0 +1,164 @@
+package pipitstage.trace;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.zip.GZIPOutputStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pipitstage.trace.read.TraceReader;
+
+/** Files of traces in their published forms, whole, spoilt and broken off. */
+class TraceReaderTest {
+    private static final String GOOGLE = "600000000,,3418309,0,4155527081,0,user-a,3,9,0.125,0.07446,0.0004244,0\n";
+    private static final String ALIBABA = "M1,2,j_1,1,Terminated,87076,87079,100,0.39\n";
+    private static final String AZURE = "vm1,sub1,dep1,424500,425400,37.8,3.4,37.8,Delay-insensitive,2,4\n";
+    private static final String FUNCTIONS = "app,func,end_timestamp,duration\na1,f1,103.5,1.25\n";
+
+    @TempDir
+    Path folder;
+    private final Tally tally = new Tally();
+    private final List<Row> rows = new ArrayList<>();
+
+    private Path file(String name, byte[] bytes) throws IOException {
+        return Files.write(folder.resolve(name), bytes);
+    }
+
+    private static byte[] gzip(String text) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (OutputStream out = new GZIPOutputStream(bytes)) {
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+        }
+        return bytes.toByteArray();
+    }
+
+    private void read(Form form, Path... files) throws IOException {
+        new TraceReader(form, new Arrivals(10_000_000, 1_000, Arrivals.Late.DROP, tally, rows::add), tally).read(List.of(files));
+        assertEquals(tally.rowsRead(), tally.rowsSent() + tally.rowsCut() + tally.rowsRejected(), "the figures add up");
+        assertEquals(tally.rowsSent(), rows.size());
+    }
+
+    private void read(Form form, String text) throws IOException {
+        read(form, file("trace.csv", text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private Tally.Rejected rejected(Fault fault) {
+        assertTrue(tally.rejected().containsKey(fault), fault + " of " + tally.rejected());
+        return tally.rejected().get(fault);
+    }
+
+    @Test
+    void eachFormIsRead() throws IOException {
+        read(Form.GOOGLE_2011_TASK_EVENTS, GOOGLE);
+        assertEquals(new Row(1, 600_000_000, "user-a", "3418309", "3", 0.125), rows.remove(0));
+    }
+
+    @Test
+    void alibabaAndAzureTellSeconds() throws IOException {
+        read(Form.ALIBABA_2018_BATCH_TASK, ALIBABA);
+        assertEquals(new Row(1, 87_076_000_000L, "j_1", "j_1", "1", 2), rows.get(0));
+    }
+
+    @Test
+    void azureMachinesAskWhenTheyAreMade() throws IOException {
+        read(Form.AZURE_V1_VMTABLE, AZURE);
+        assertEquals(new Row(1, 424_500_000_000L, "sub1", "dep1", "Delay-insensitive", 2), rows.get(0));
+    }
+
+    @Test
+    void functionsAskWhereTheyEndLessWhatTheyTook() throws IOException {
+        read(Form.AZURE_FUNCTIONS_2021, FUNCTIONS);
+        assertEquals(new Row(2, 102_250_000, "a1", "f1", "", 1.25), rows.get(0));
+        assertEquals(1, tally.rowsCut(), "the header");
+    }
+
+    @Test
+    void whatBecomesOfATaskIsCut() throws IOException {
+        read(Form.GOOGLE_2011_TASK_EVENTS, GOOGLE + GOOGLE.replace(",0,user", ",4,user"));
+        assertEquals(1, tally.rowsSent());
+        assertEquals(1, tally.rowsCut());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'', NO_TIME", "x, BAD_TIME", "1e9, BAD_TIME", "-5, NEGATIVE_TIME", "0, SPECIAL_TIME",
+        "9223372036854775807, SPECIAL_TIME", "9223372036854775808, OVERFLOWING_TIME",
+        "99999999999999999999999999999999999999, OVERFLOWING_TIME", "2011-05-01 02:30:00, BAD_TIME"})
+    void timeThatIsNoneIsRejectedWithItsLineAndASample(String time, Fault fault) throws IOException {
+        read(Form.GOOGLE_2011_TASK_EVENTS, GOOGLE + time + GOOGLE.substring(9) + GOOGLE);
+        assertEquals(List.of(2L), rejected(fault).lines());
+        assertTrue(rejected(fault).sample().startsWith(time + ",,3418309,"), rejected(fault).sample());
+        assertEquals(2, tally.rowsSent());
+    }
+
+    @Test
+    void wrongColumnCountNulAndEmptyFieldsAreRejectedAndTheRestGoesOn() throws IOException {
+        read(Form.GOOGLE_2011_TASK_EVENTS, GOOGLE + "1,2,3\n" + GOOGLE.replace("user-a", "us\0er") + GOOGLE.replace("user-a", "")
+                + GOOGLE.replace(",0,user", ",12,user") + GOOGLE);
+        assertEquals(List.of(2L), rejected(Fault.COLUMNS).lines());
+        assertEquals(List.of(3L), rejected(Fault.NUL).lines());
+        assertEquals("us.er", rejected(Fault.NUL).sample().split(",")[6]);
+        assertEquals(List.of(4L, 5L), rejected(Fault.BAD_FIELD).lines());
+        assertEquals(2, tally.rowsSent());
+    }
+
+    @Test
+    void headerWhereNoneShouldBeIsTold() throws IOException {
+        read(Form.ALIBABA_2018_BATCH_TASK, "task_name,instance_num,job_name,task_type,status,start_time,end_time,plan_cpu,plan_mem\n"
+                + ALIBABA);
+        assertEquals(List.of(1L), rejected(Fault.HEADER).lines());
+        assertEquals(1, tally.rowsSent());
+    }
+
+    @Test
+    void quotedLineBreaksBelongToTheirField() throws IOException {
+        read(Form.ALIBABA_2018_BATCH_TASK, ALIBABA.replace("M1", "\"M\n1\"") + ALIBABA.replace("87076", ""));
+        assertEquals(1, tally.rowsSent());
+        assertEquals(List.of(3L), rejected(Fault.NO_TIME).lines(), "lines are the file's own");
+    }
+
+    @Test
+    void gzipAndPlainFilesAreReadInOrderByTheirBytes() throws IOException {
+        read(Form.GOOGLE_2011_TASK_EVENTS, file("part-0.csv", gzip(GOOGLE)), file("part-1.csv.gz", (GOOGLE + "bad\n")
+                .getBytes(StandardCharsets.UTF_8)));
+        assertEquals(2, tally.rowsSent());
+        assertEquals(List.of(3L), rejected(Fault.COLUMNS).lines(), "lines count over all files");
+    }
+
+    @Test
+    void truncatedGzipIsToldAndWhatCameBeforeIsSent() throws IOException {
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 5_000; i++) {
+            many.append(GOOGLE.replace("3418309", "" + i * 7919L % 100_003));
+        }
+        byte[] whole = gzip(many.toString());
+        read(Form.GOOGLE_2011_TASK_EVENTS, file("a.gz", Arrays.copyOf(whole, whole.length / 2)), file("b", GOOGLE.getBytes()));
+        assertEquals(1, rejected(Fault.TRUNCATED).count());
+        assertTrue(tally.rowsSent() > 500 && tally.rowsSent() < 5_000, "sent: " + tally.rowsSent());
+    }
+
+    @Test
+    void emptyFileAndOneOfMalformedRowsAloneSendNothing() throws IOException {
+        read(Form.GOOGLE_2011_TASK_EVENTS, file("empty", new byte[0]), file("bad", "a\nb\nc\nd\ne\nf\ng\n".getBytes()));
+        assertEquals(7, tally.rowsRead());
+        Tally.Rejected all = rejected(Fault.COLUMNS);
+        assertEquals(7, all.count());
+        assertEquals(List.of(1L, 2L, 3L, 4L, 5L), all.lines());
+    }
+
+    @Test
+    void fileThatIsNotThereIsAnError() {
+        assertThrows(IOException.class, () -> read(Form.GOOGLE_2011_TASK_EVENTS, folder.resolve("none")));
+    }
+}
