--- a/src/test/java/pipitstage/relay/RelayFileTest.java
+++ b/src/test/java/pipitstage/relay/RelayFileTest.java
@@ -8,12 +8,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import pipitstage.cli.Main;
 import pipitstage.config.tool.Tool;
 import pipitstage.standin.ServedRelay;
@@ -22,25 +19,7 @@
 import pipitstage.standin.StandInPartner;
 
 /** A relay that runs by a relay file alone, and what it loads. */
-class RelayFileTest {
-
-    @TempDir
-    Path folder;
-    private final List<ServedRelay> relays = new ArrayList<>();
-
-    @AfterEach
-    void end() throws InterruptedException {
-        for (ServedRelay relay : relays) {
-            relay.close();
-        }
-    }
-
-    private ServedRelay start(Path file, String... options) throws IOException {
-        ServedRelay relay = ServedRelay.start(file, folder.resolve("log" + relays.size()), options);
-        relays.add(relay);
-        return relay;
-    }
-
+class RelayFileTest extends RelayFileTestBase {
     private String log() throws IOException {
         return relays.get(relays.size() - 1).log();
     }
@@ -49,18 +28,8 @@
         return relays.get(relays.size() - 1).awaitServing().client();
     }
 
-    /** As a client does, again while the relay refuses: one that is short of CPU at its start does. */
     private static int handIn(StandInClient client, String id, int destination) {
-        int[] status = new int[1];
-        await(() -> {
-            try {
-                status[0] = client.handIn(id, "settlement", null, null, destination, 6000, "a");
-                return status[0] != 503;
-            } catch (IOException e) {
-                throw new AssertionError(e);
-            }
-        });
-        return status[0];
+        return handIn(client, id, destination, 6_000);
     }
 
     private Path written(String discovery, String endpoint) throws Exception {
@@ -103,7 +72,7 @@
     @Test
     void listInTheFileIsAllThereIsAndEndsGoToAFile() throws Exception {
         try (StandInPartner partner = new StandInPartner(5, 0)) {
-            start(written("", endpoint(partner)));
+            launch(written("", endpoint(partner)));
             try (StandInClient client = client()) {
                 assertTrue(client.isReady());
                 assertEquals(202, handIn(client, "s1", 7));
@@ -131,13 +100,13 @@
         try (StandInPartner partner = new StandInPartner(5, 0)) {
             Path file = written("", endpoint(partner));
             partner.be(StandInPartner.Mood.SHUT);
-            ServedRelay first = start(file);
+            ServedRelay first = launch(file);
             try (StandInClient client = client()) {
                 assertEquals(202, handIn(client, "s1", 7));
             }
             first.close();
             partner.be(StandInPartner.Mood.WELL);
-            start(file);
+            launch(file);
             await(() -> partner.effects().containsKey("s1") || ends().contains("s1"));
             assertTrue(partner.effects().getOrDefault("s1", 0) <= 1);
         }
@@ -148,7 +117,7 @@
         try (StandInPartner partner = new StandInPartner(5, 0); StandInDiscovery discovery = new StandInDiscovery()) {
             discovery.list(List.of(StandInDiscovery.entry("iron-1", 7, "railways", "main", "in_service",
                     partner.address())));
-            start(written("[discovery]\nagent = \"" + discovery.address() + "\"", ""));
+            launch(written("[discovery]\nagent = \"" + discovery.address() + "\"", ""));
             try (StandInClient client = client()) {
                 await(() -> isReady(client));
                 assertEquals(202, handIn(client, "s1", 7));
@@ -182,14 +151,14 @@
         try (var files = Files.list(Path.of("src/test/resources/config/broken"))) {
             for (Path file : files.filter(f -> f.toString().matches(".*(idle-beyond|slots-below|span-huge).*toml"))
                     .toList()) {
-                Process process = start(file).process();
+                Process process = launch(file).process();
                 assertTrue(process.waitFor(30, TimeUnit.SECONDS));
                 assertEquals(2, process.exitValue());
                 assertEquals("loftflow: " + Tool.check(file).get(0), log().lines().findFirst().orElse(""));
                 assertFalse(log().contains("serving"), log());
             }
         }
-        Process process = start(Path.of("src/test/resources/config/base.toml")).process();
+        Process process = launch(Path.of("src/test/resources/config/base.toml")).process();
         assertTrue(process.waitFor(30, TimeUnit.SECONDS));
         assertTrue(log().contains("is no relay file; loftflow config write makes one"), log());
     }
@@ -197,7 +166,7 @@
     @Test
     void servingLoadsNothingOfTheCommandLineNorServingThePlatformsWayTheParser() throws Exception {
         try (StandInPartner partner = new StandInPartner(5, 0)) {
-            start(written("", endpoint(partner)), "-Xlog:class+load");
+            launch(written("", endpoint(partner)), "-Xlog:class+load");
             client().close();
             assertTrue(log().contains("org.tomlj"), "the log of classes works");
             assertFalse(log().contains("picocli") || log().contains("com.github.difflib")
--- a/src/test/java/pipitstage/relay/RememberTest.java
+++ b/src/test/java/pipitstage/relay/RememberTest.java
@@ -17,7 +17,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import pipitstage.config.tool.Tool;
@@ -32,10 +31,7 @@
 import pipitstage.standin.StubPeer;
 
 /** Relays that start from what they remember while discovery is down, and meet it again. */
-class RememberTest {
-    @TempDir
-    Path folder;
-    private final List<ServedRelay> relays = new ArrayList<>();
+class RememberTest extends RelayFileTestBase {
     private final Map<String, StandInPartner> partners = new HashMap<>();
     private StandInDiscovery discovery;
     private Path state;
@@ -47,8 +43,7 @@
     }
 
     @AfterEach
-    void end() throws IOException {
-        relays.forEach(ServedRelay::close);
+    void endPeers() throws IOException {
         for (StandInPartner partner : partners.values()) {
             partner.close();
         }
@@ -108,25 +103,17 @@
         return outcome.file();
     }
 
+    private Path relayFile() {
+        return folder.resolve("app.relay.toml");
+    }
+
     private ServedRelay start(Path file) throws Exception {
-        ServedRelay relay = ServedRelay.start(file, folder.resolve("log" + relays.size()));
-        relays.add(relay);
-        return relay.awaitServing();
+        return launch(file).awaitServing();
     }
 
-    /** As a client does, again while the relay refuses. */
     private static void handIn(ServedRelay relay, String id, int destination) throws IOException {
         try (StandInClient client = relay.client()) {
-            AtomicReference<Integer> status = new AtomicReference<>();
-            await(() -> {
-                try {
-                    status.set(client.handIn(id, "settlement", null, null, destination, 9000, "a"));
-                    return status.get() != 503;
-                } catch (IOException e) {
-                    throw new AssertionError(e);
-                }
-            });
-            assertEquals(202, status.get());
+            assertEquals(202, handIn(client, id, destination, 9_000));
         }
     }
 
@@ -464,14 +451,12 @@
         await(() -> ran(partner, "s2"));
     }
 
-    /** Over a boot after which the wall clock stands two hours back, no key window can be told to be open. */
-    @Test
-    void keyedMessageWhoseWindowNoClockTellsIsNotSentAgain() throws Exception {
+    /** A relay with a keyed message whose one attempt has run and has no answer. */
+    private ServedRelay startWithAnAttemptThatMayHaveRun() throws Exception {
         StandInPartner partner = partner("iron-1");
         partner.be(StandInPartner.Mood.SILENT);
         discovery.list(List.of(entry("iron-1", 7, "in_service")));
-        Path file = written(discovery.address());
-        ServedRelay first = start(file);
+        ServedRelay first = start(written(discovery.address()));
         await(() -> hasPicture(1));
         try (StandInClient client = first.client()) {
             await(() -> {
@@ -483,11 +468,19 @@
             });
         }
         await(() -> ran(partner, "k1"));
+        return first;
+    }
+
+    /** Over a boot after which the wall clock stands two hours back, no key window can be told to be open. */
+    @Test
+    void keyedMessageWhoseWindowNoClockTellsIsNotSentAgain() throws Exception {
+        ServedRelay first = startWithAnAttemptThatMayHaveRun();
+        StandInPartner partner = partners.get("iron-1");
         first.close();
         partner.be(StandInPartner.Mood.WELL);
         Pictures.change(state, p -> new Picture(p.owner(), p.generation(), new Moment(p.at().wall() + 7_200_000_000L, 1,
                 "another"), p.time() + 7_200_000_000L, p.revision(), p.endpoints()));
-        ServedRelay relay = start(file);
+        ServedRelay relay = start(relayFile());
         assertTrue(relay.log().contains("the wall clock is -7"), relay.log());
         await(() -> discovery.notices().stream().anyMatch(n -> n.ref().equals("k1")));
         assertEquals(1, partner.effects().get("k1"), "it may have run, and the window may be over");
@@ -496,25 +489,11 @@
     /** The same where nothing was set: the repeat goes out, as its key window is open. */
     @Test
     void keyedMessageIsSentAgainWithinItsWindow() throws Exception {
-        StandInPartner partner = partner("iron-1");
-        partner.be(StandInPartner.Mood.SILENT);
-        discovery.list(List.of(entry("iron-1", 7, "in_service")));
-        Path file = written(discovery.address());
-        ServedRelay first = start(file);
-        await(() -> hasPicture(1));
-        try (StandInClient client = first.client()) {
-            await(() -> {
-                try {
-                    return client.handIn("k1", "order", null, "key-1", 7, 20_000, "a") == 202;
-                } catch (IOException e) {
-                    throw new AssertionError(e);
-                }
-            });
-        }
-        await(() -> ran(partner, "k1"));
+        ServedRelay first = startWithAnAttemptThatMayHaveRun();
+        StandInPartner partner = partners.get("iron-1");
         first.close();
         partner.be(StandInPartner.Mood.WELL);
-        start(file);
+        start(relayFile());
         await(() -> partner.effects().get("k1") == 2);
     }
 }
