--- a/src/main/java/pipitstage/config/Config.java
+++ b/src/main/java/pipitstage/config/Config.java
@@ -46,7 +46,7 @@
      * @param limit bytes in the folder that lasts
      * @param rate bytes a second that are written
      * @param halfLife in which trust halves
-     * @param settle how long a list of discovery that is in doubt must be told before it is believed
+     * @param settle how long a list of discovery that is in doubt must be told before it is believed; 0 for no doubts
      * @param margin added to waits that outlast a restart
      * @param sync whether what is saved must be on the disk itself
      */
@@ -178,7 +178,7 @@
         }
         Memory remembers = new Memory("platform#" + settings.relay(), (long) (diskBytes * share),
                 atLeast(m, "write-rate", 1, m.whole("write-rate")), atLeast(m, "half-life-s", 1_000_000, m.micros("half-life-s")),
-                atLeast(m, "settle-s", 1_000_000, m.micros("settle-s")), atLeast(m, "wait-margin-s", 0,
+                atLeast(m, "settle-s", 0, m.micros("settle-s")), atLeast(m, "wait-margin-s", 0,
                         m.micros("wait-margin-s")), false);
         return new Config(listen, discovery, notices, state, clientConnections, hostConnections, diskBytes, settings, period,
                 idleSpan, reports, knownKind, knownVersion, known, keeping, amqp, remembers, source);
--- a/src/main/java/pipitstage/config/schema/Schema.java
+++ b/src/main/java/pipitstage/config/schema/Schema.java
@@ -188,8 +188,8 @@
         may("memory.write-rate", SIZE, "20KiB", KIB, 100 * MIB, "Bytes a second that are written, on average over a minute.");
         may("memory.half-life", SPAN, "30m", SECOND, YEAR, "Trust in an endpoint halves with each: after a thirteenth"
                 + " of one (95 in 100) it is tried first, after thirty it is used only if nothing else is left.");
-        may("memory.settle", SPAN, "1m", SECOND, DAY, "How long discovery must tell an empty list, one that leaves out nine"
-                + " of ten endpoints or one of an older revision before what it leaves out is gone.");
+        may("memory.settle", SPAN, "1m", 0, DAY, "How long discovery must tell an empty list, one that leaves out nine"
+                + " of ten endpoints or one of an older revision before what it leaves out is gone; 0s to believe each list as it is told.");
         may("memory.wait-margin", SPAN, "100ms", 0, DAY, "Added to a wait that a partner told before the restart.");
         may("memory.sync", FLAG, "true", 0, ANY, "A picture is on the disk itself before it counts, in case the machine"
                 + " fails.");
--- a/src/main/java/pipitstage/remembered/Book.java
+++ b/src/main/java/pipitstage/remembered/Book.java
@@ -192,9 +192,9 @@
         long wait = s.waitLeft() > 0 ? Math.max(0, s.waitLeft() - elapsed.least() + rules.margin()) : 0;
         long cold = one.returnedAt() > 0 ? one.returnedAt() + rules.warmUp() - savedAt : 0;
         long warm = Math.max(0, Math.min(rules.warmUp(), Math.max(cold, s.warmLeft()) - elapsed.least()));
-        Seen now = seenOf(one.id());
-        now.down = s.out();
-        now.noted = wait > 0 ? time + wait : 0;
+        Seen mine = seenOf(one.id());
+        mine.down = s.out();
+        mine.noted = wait > 0 ? time + wait : 0;
         Standing then = new Standing(s.route(), wait, s.limit(), s.usual(), s.response(), s.out(), warm);
         known.computeIfPresent(one.id(), (id, k) -> k.with(then));
         return new Policy.Remembered(degree.belief(), then);
@@ -279,6 +279,12 @@
         return Heard.NOTHING;
     }
 
+    /**
+     * A call or a check ended.
+     *
+     * @param strike it was refused, or hung
+     * @param unlike it was answered as no endpoint answers
+     */
     private Heard ended(String id, Result result, long wait, boolean strike, boolean unlike, long now) {
         Known one = known.get(id);
         if (one == null || one.state() != Known.State.LISTED) {
--- a/src/main/java/pipitstage/remembered/Lists.java
+++ b/src/main/java/pipitstage/remembered/Lists.java
@@ -64,7 +64,7 @@
     /**
      * Lists that go on from what is believed at the start.
      *
-     * @param settle microseconds after which a list in doubt is believed
+     * @param settle microseconds after which a list in doubt is believed; 0 where none is doubted
      * @param revision -1 where none is known
      */
     public Lists(long settle, long revision, List<Listing> believed) {
@@ -83,16 +83,21 @@
         doubtedSince = NEVER;
     }
 
+    /** False where discovery's word holds, whatever it tells. */
+    private boolean doubts() {
+        return settle > 0;
+    }
+
     /** Takes a list in. */
     public Verdict take(Told told, long now) {
         List<String> log = new ArrayList<>();
-        boolean behind = told.revision() < revision;
+        boolean behind = doubts() && told.revision() < revision;
         if (told.kind() == ListKind.CHANGES) {
             Told passOn = new Told(ListKind.CHANGES, told.revision(), each(told, now, behind, log));
             revision = Math.max(revision, told.revision());
             return verdict(passOn, log, behind ? now : NEVER);
         }
-        String doubt = behind ? "its revision went back from " + revision + " to " + told.revision() : lost(told);
+        String doubt = !doubts() ? null : behind ? "its revision went back from " + revision + " to " + told.revision() : lost(told);
         if (doubt == null) {
             doubtedSince = NEVER;
         } else {
@@ -186,7 +191,7 @@
             known.returnsSince = now;
         }
         known.returns++;
-        if (known.returns >= FLAPS) {
+        if (doubts() && known.returns >= FLAPS) {
             long hold = Math.min(LONGEST_HOLD, HOLD << Math.min(10, known.returns - FLAPS));
             known.heldUntil = now + hold;
             // Guards against the count being forgotten while the endpoint is held for longer than the span.
--- /dev/null
+++ b/src/test/java/pipitstage/relay/PlatformMemoryTest.java
@@ -0,0 +1,56 @@
+package pipitstage.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitstage.relay.RelayProcess.await;
+import static pipitstage.relay.RelayProcess.quietDiscovery;
+import static pipitstage.standin.StubPeer.status;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pipitstage.config.Config;
+import pipitstage.standin.StubPeer;
+
+/** The platform's way to start, with a file that says what is remembered. */
+class PlatformMemoryTest extends RelayTestBase {
+    private static final Path MEMORY = Path.of("deploy/memory.json");
+
+    @TempDir
+    Path elsewhere;
+
+    @Test
+    void relayOfThePlatformRemembersOverAKillAndChecksBeforeItsFirstMessage() throws IOException {
+        prepare(quietDiscovery(), StubPeer.always(status(200)));
+        assertEquals(202, relay.memory(MEMORY).start().handIn("a", "safe", 7));
+        await(() -> host.count("POST ") == 1);
+        await(() -> relay.state().toFile().list((d, name) -> name.endsWith(".picture")).length > 0);
+        relay.kill();
+        int before = host.requests.size();
+        relay.start();
+        assertTrue(relay.log().contains("remembered 1 endpoints of revision 1"), relay.log());
+        assertEquals(202, relay.handIn("b", "unsafe", 7));
+        await(() -> host.count("POST ") == 2);
+        assertTrue(host.requests.get(before).line().startsWith("GET /-/"), host.requests.get(before).line());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "{\"disk-share\": 0.5, \"write-rate\": 1, \"half-life-s\": 1, \"settle-s\": 0, \"wait-margin-s\": 0} | disk-share: from 0 to 0.08",
+        "{\"disk-share\": 0.05, \"write-rate\": 0, \"half-life-s\": 1, \"settle-s\": 0, \"wait-margin-s\": 0} | write-rate: 0 is too small",
+        "{\"disk-share\": 0.05, \"write-rate\": 1, \"half-life-s\": 0.5, \"settle-s\": 0, \"wait-margin-s\": 0} | half-life-s: 0.5 is too",
+        "{\"disk-share\": 0.05} | write-rate must be", "[] | an object is needed", "{ | can't be read"})
+    void fileThatMakesNoSenseIsRefusedWithTheReason(String text, String reason) throws IOException {
+        Path file = Files.writeString(elsewhere.resolve("memory.json"), text);
+        prepare(quietDiscovery(), StubPeer.always(status(200)));
+        Config.BadConfigException e = assertThrows(Config.BadConfigException.class, () -> Config.ofPlatform(Map.of("EDGE_CONFIG",
+                "deploy/training.json", "EDGE_STATE", elsewhere.toString()), file).read());
+        assertTrue(e.getMessage().startsWith("--memory: ") && e.getMessage().contains(reason), e.getMessage());
+    }
+}
--- a/src/test/java/pipitstage/relay/RelayProcess.java
+++ b/src/test/java/pipitstage/relay/RelayProcess.java
@@ -32,6 +32,7 @@
     private double diskMb = 3;
     private String period = "0.005";
     private int descriptors = 1024;
+    private Path memory;
     private Process process;
     private Path log;
     private int starts;
@@ -80,6 +81,12 @@
         return this;
     }
 
+    /** It remembers endpoints over a restart, as a file says. */
+    RelayProcess memory(Path file) {
+        memory = file;
+        return this;
+    }
+
     /** How many descriptors the relay has open. */
     int openDescriptors() {
         return Path.of("/proc/" + process.pid() + "/fd").toFile().list().length;
@@ -144,6 +151,9 @@
                 Path.of(System.getProperty("java.home"), "bin/java").toString(),
                 "-XX:TieredStopAtLevel=1", "-Xmx24m", "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
                 "serve").redirectErrorStream(true).redirectOutput(log.toFile());
+        if (memory != null) {
+            builder.command().addAll(List.of("--memory", memory.toString()));
+        }
         builder.environment().put("EDGE_CONFIG", config().toString());
         builder.environment().put("EDGE_STATE", state().toString());
         process = builder.start();
--- a/src/test/java/pipitstage/remembered/ListsTest.java
+++ b/src/test/java/pipitstage/remembered/ListsTest.java
@@ -119,6 +119,21 @@
         assertTrue(both.has("e1") && both.has("next"), "discovery itself lists both");
     }
 
+    /** Where the platform's word holds. */
+    @Test
+    void nothingIsDoubtedWhereNothingIsToSettle() {
+        Lists lists = new Lists(0, 5, all(20));
+        assertEquals(ListKind.FULL, lists.take(full(6, all(1)), 0).passOn().kind());
+        assertFalse(lists.has("e5"));
+        assertEquals(List.of(in(7)), lists.take(changes(3, in(7)), 1).passOn().entries(), "a revision that went back");
+        for (int i = 0; i < 5; i++) {
+            lists.take(changes(7, entry("e7", 1007, Availability.REMOVED)), 2);
+            lists.take(changes(7, in(7)), 3);
+            assertTrue(lists.has("e7"), "return " + i);
+        }
+        assertEquals(ListKind.FULL, lists.take(full(8, List.of()), 4).passOn().kind());
+    }
+
     @Test
     void flappingEndpointIsHeldBackEachTimeLonger() {
         Lists lists = new Lists(SETTLE, 5, all(2));
