Map public traces to an application's messages, and read any CSV by a mapping file

Need: what makes a trace hard (bursts, hot flows, long tails) has to reach the relay. loftflow trace map turns rows into messages by a seed: a flow keeps its destination and an owner its tenant, classes keep their shares within one in a hundred, sizes follow weights. Azure's invocations a minute are turned into calls in the order of time; any other CSV is read by a file that names its columns, with text times as a zone's clocks show them: what they leave out is rejected.

--- /dev/null
+++ b/src/main/java/pipitstage/cli/ColumnsFile.java
@@ -0,0 +1,98 @@
+package pipitstage.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import pipitstage.config.file.Finding;
+import pipitstage.config.file.Node;
+import pipitstage.config.file.SourceFile;
+import pipitstage.config.file.TomlFile;
+import pipitstage.trace.Columns;
+import pipitstage.trace.read.ZonedClock;
+
+/** A mapping file: TOML that names the columns of a CSV. */
+final class ColumnsFile {
+    private static final Set<String> KEYS = Set.of("header", "time", "unit", "pattern", "zone", "begin", "owner", "flow", "sort",
+            "weight");
+
+    private final Path file;
+    private final Map<String, Node> members;
+
+    private ColumnsFile(Path file, Map<String, Node> members) {
+        this.file = file;
+        this.members = members;
+    }
+
+    /**
+     * Reads one.
+     *
+     * @throws IllegalArgumentException with the place of what is wrong
+     */
+    static Columns read(Path file) throws SourceFile.UnreadableException {
+        List<Finding> findings = new ArrayList<>();
+        Node top = TomlFile.read(file.toString(), SourceFile.text(file), findings);
+        if (!findings.isEmpty()) {
+            throw new IllegalArgumentException(findings.get(0).toString());
+        }
+        return new ColumnsFile(file, top.table()).columns();
+    }
+
+    private Columns columns() {
+        members.forEach((key, node) -> {
+            if (!KEYS.contains(key)) {
+                throw fault(key, "is no key of a mapping file; those are " + KEYS.stream().sorted().collect(Collectors.joining(
+                        ", ")));
+            }
+        });
+        boolean header = !members.containsKey("header") || flag("header");
+        Columns.Unit unit = unit(text("unit"));
+        Columns.Clock clock = null;
+        if (unit == Columns.Unit.TEXT) {
+            try {
+                clock = new ZonedClock(text("pattern"), text("zone"), textOrNull("begin"));
+            } catch (IllegalArgumentException e) {
+                throw fault("time", e.getMessage());
+            }
+        }
+        return new Columns(new Columns.Names(header, text("time"), text("owner"), text("flow"), textOrNull("sort"),
+                textOrNull("weight")), unit, clock);
+    }
+
+    private Columns.Unit unit(String word) {
+        return Stream.of(Columns.Unit.values()).filter(u -> u.word().equals(word)).findFirst()
+                .orElseThrow(() -> fault("unit", word + " is none of us, ms, s, text"));
+    }
+
+    private boolean flag(String key) {
+        if (members.get(key).value() instanceof Boolean flag) {
+            return flag;
+        }
+        throw fault(key, "must be true or false");
+    }
+
+    private String text(String key) {
+        String text = textOrNull(key);
+        if (text == null) {
+            throw fault(key, "is missing");
+        }
+        return text;
+    }
+
+    private String textOrNull(String key) {
+        Node node = members.get(key);
+        if (node == null || node.value() instanceof String) {
+            return node == null ? null : (String) node.value();
+        }
+        throw fault(key, "must be text");
+    }
+
+    private IllegalArgumentException fault(String key, String why) {
+        Node node = members.getOrDefault(key, new Node(null, 0, 0));
+        return new IllegalArgumentException(new Finding(Finding.Severity.ERROR, file.toString(), node.line(), node.column(), key,
+                why).toString());
+    }
+}
--- a/src/main/java/pipitstage/cli/TraceCommand.java
+++ b/src/main/java/pipitstage/cli/TraceCommand.java
@@ -2,51 +2,71 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import picocli.CommandLine;
+import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import pipitstage.config.file.Finding;
+import pipitstage.config.file.SourceFile;
 import pipitstage.config.file.Units;
+import pipitstage.config.plan.Declared;
+import pipitstage.config.plan.Surroundings;
+import pipitstage.config.tool.CheckedFile;
 import pipitstage.trace.Arrivals;
-import pipitstage.trace.Fault;
+import pipitstage.trace.Call;
+import pipitstage.trace.Columns;
 import pipitstage.trace.Form;
+import pipitstage.trace.Mapping;
 import pipitstage.trace.Row;
+import pipitstage.trace.RowForm;
 import pipitstage.trace.Tally;
+import pipitstage.trace.read.CallsFile;
 import pipitstage.trace.read.TraceReader;
 
 /** Public cluster traces in CSV. */
 @Command(name = "trace", mixinStandardHelpOptions = true, description = "Public cluster traces in CSV.",
-        subcommands = TraceCommand.Check.class)
+        subcommands = {TraceCommand.Check.class, TraceCommand.Map.class})
 final class TraceCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
 
     @Override
     public Integer call() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed: check");
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed: check or map");
     }
 
-    /** Reads a trace, and tells what would be sent of it and what is wrong with the rest. */
-    @Command(name = "check", mixinStandardHelpOptions = true, description = {"Reads a trace as a replay would, and tells which"
-            + " rows would be sent and which are rejected, and why.", "Exit code 1 where a row is rejected, 2 where a file can't"
-            + " be read."})
-    static final class Check implements Callable<Integer> {
+    /** The files of a trace, and how they are read. */
+    static final class Files {
         private static final int MOST_HELD = 1_000_000;
 
         @Parameters(arity = "1..*", paramLabel = "FILE", description = "Files of one trace in order, plain or gzip.")
         private List<Path> files;
 
-        @Option(names = "--form", required = true, paramLabel = "FORM", description = "One of google-2011-task-events,"
-                + " alibaba-2018-batch-task, azure-v1-vmtable, azure-functions-2021.")
-        private String form;
+        @ArgGroup(multiplicity = "1")
+        private Which which;
+
+        /** A published form or a mapping file. */
+        static final class Which {
+            @Option(names = "--form", paramLabel = "FORM", description = "One of google-2011-task-events,"
+                    + " alibaba-2018-batch-task, azure-v1-vmtable, azure-functions-2021, azure-functions-2019.")
+            private String form;
+
+            @Option(names = "--map", paramLabel = "MAP.toml", description = "A file that names the columns of any other CSV.")
+            private Path map;
+        }
 
         @Option(names = "--window", defaultValue = "10s", paramLabel = "SPAN", description = "Rows no further apart than this are"
                 + " put in order (10s).")
@@ -56,54 +76,165 @@
                 + " the row sent last, or fail.")
         private String late;
 
-        @Spec
+        @Option(names = "--from", defaultValue = "0s", paramLabel = "SPAN", description = "Rows before this time of the trace's"
+                + " clock are cut.")
+        private String from;
+
+        @Option(names = "--to", paramLabel = "SPAN", description = "Rows from this time on are cut.")
+        private String to;
+
+        @Spec(Spec.Target.MIXEE)
         private CommandSpec spec;
 
-        @Override
-        public Integer call() {
+        /** Reads them; rows go to a consumer in the order of their times. */
+        Tally read(Consumer<Row> out) throws IOException, SourceFile.UnreadableException {
             Tally tally = new Tally();
-            Spread spread = new Spread();
-            try {
-                Arrivals arrivals = new Arrivals(span(), MOST_HELD, rule(), tally, spread::take);
-                new TraceReader(formOf(), arrivals, tally).read(files);
-            } catch (IOException | Arrivals.LateException e) {
-                spec.commandLine().getErr().println("loftflow: " + e.getMessage());
-                return 2;
-            }
-            print(tally, spread, spec.commandLine().getOut());
-            return tally.rowsRejected() == 0 ? 0 : 1;
+            long first = from();
+            long end = to == null ? Long.MAX_VALUE : span("--to", to);
+            new TraceReader(formOf(), time -> time >= first && time < end, new Arrivals(span("--window", window), MOST_HELD,
+                    rule(), tally, out), tally).read(files);
+            return tally;
+        }
+
+        long from() {
+            return span("--from", from);
         }
 
-        private Form formOf() {
-            return Form.of(form).orElseThrow(() -> new CommandLine.ParameterException(spec.commandLine(), "--form: " + form
-                    + " is none of " + Stream.of(Form.values()).map(Form::word).collect(Collectors.joining(", "))));
+        private RowForm formOf() throws SourceFile.UnreadableException {
+            if (which.map != null) {
+                try {
+                    return ColumnsFile.read(which.map);
+                } catch (IllegalArgumentException e) {
+                    throw misuse(e.getMessage());
+                }
+            }
+            return Form.of(which.form).orElseThrow(() -> misuse("--form: " + which.form + " is none of " + Stream.of(
+                    Form.values()).map(Form::word).collect(Collectors.joining(", "))));
         }
 
-        private long span() {
+        private long span(String option, String text) {
             try {
-                return Units.span(window);
+                return Units.span(text);
             } catch (IllegalArgumentException e) {
-                throw new CommandLine.ParameterException(spec.commandLine(), "--window: " + e.getMessage());
+                throw misuse(option + ": " + e.getMessage());
             }
         }
 
         private Arrivals.Late rule() {
             return Stream.of(Arrivals.Late.values()).filter(l -> l.name().toLowerCase(Locale.ROOT).equals(late)).findFirst()
-                    .orElseThrow(() -> new CommandLine.ParameterException(spec.commandLine(), "--late: " + late
-                            + " is none of drop, clamp, fail"));
+                    .orElseThrow(() -> misuse("--late: " + late + " is none of drop, clamp, fail"));
+        }
+
+        private CommandLine.ParameterException misuse(String why) {
+            return new CommandLine.ParameterException(spec.commandLine(), why);
+        }
+    }
+
+    private static void print(Tally tally, PrintWriter out) {
+        out.printf(Locale.ROOT, "%d rows read = %d sent + %d cut + %d rejected%n", tally.rowsRead(), tally.rowsSent(),
+                tally.rowsCut(), tally.rowsRejected());
+        tally.rejected().forEach((fault, r) -> out.printf(Locale.ROOT, "%s: %d (lines %s%s), such as: %s%n", fault.text(),
+                r.count(), r.lines().stream().map(String::valueOf).collect(Collectors.joining(", ")),
+                r.count() > r.lines().size() ? " ..." : "", r.sample()));
+        out.flush();
+    }
+
+    private static int unreadable(CommandSpec spec, Exception e) {
+        spec.commandLine().getErr().println("loftflow: " + e.getMessage());
+        return 2;
+    }
+
+    /** Reads a trace, and tells what would be sent of it and what is wrong with the rest. */
+    @Command(name = "check", mixinStandardHelpOptions = true, description = {"Reads a trace as a replay would, and tells which"
+            + " rows would be sent and which are rejected, and why.", "Exit code 1 where a row is rejected, 2 where a file can't"
+            + " be read."})
+    static final class Check implements Callable<Integer> {
+        @Mixin
+        private Files files;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            Spread spread = new Spread();
+            try {
+                Tally tally = files.read(spread::take);
+                PrintWriter out = spec.commandLine().getOut();
+                print(tally, out);
+                if (tally.rowsSent() > 0) {
+                    out.printf(Locale.ROOT, "from %s to %s of the trace's clock; at the most %d in one second%n",
+                            Units.ofSpan(spread.first), Units.ofSpan(spread.last), spread.busiest);
+                }
+                return tally.rowsRejected() == 0 ? 0 : 1;
+            } catch (IOException | Arrivals.LateException | Columns.NoSuchColumnException | SourceFile.UnreadableException e) {
+                return unreadable(spec, e);
+            }
+        }
+    }
+
+    /** Maps a trace to the messages of an application. */
+    @Command(name = "map", mixinStandardHelpOptions = true, description = {"Maps a trace to the messages of an application, one"
+            + " line of CSV each: at_us, class, tenant, destination, key, size, budget_us, line.", "The same trace and seed give"
+            + " the same messages. Exit codes as of check."})
+    static final class Map implements Callable<Integer> {
+        @Mixin
+        private Files files;
+
+        @Option(names = "--app", required = true, paramLabel = "APP.toml", description = "The application: its classes, whose"
+                + " peak rates are the shares, its tenants and its partners.")
+        private Path app;
+
+        @Option(names = "--seed", defaultValue = "1", paramLabel = "N", description = "Another one maps flows to other classes,"
+                + " destinations and tenants (1).")
+        private long seed;
+
+        @Option(names = "--speed", defaultValue = "1", paramLabel = "X", description = "How many times as fast as the trace (1).")
+        private double speed;
+
+        @Option(names = {"-o", "--out"}, required = true, paramLabel = "CALLS.csv", description = "Where the messages go.")
+        private Path out;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            try {
+                Mapping mapping = new Mapping(scheme(), seed, files.from(), speed);
+                TreeMap<String, Long> types = new TreeMap<>();
+                TreeMap<Integer, Long> destinations = new TreeMap<>();
+                Tally tally;
+                try (CallsFile calls = new CallsFile(out)) {
+                    tally = files.read(row -> {
+                        Call call = mapping.call(row);
+                        types.merge(call.type(), 1L, Long::sum);
+                        destinations.merge(call.destination(), 1L, Long::sum);
+                        calls.write(call);
+                    });
+                }
+                print(tally, spec.commandLine().getOut());
+                spec.commandLine().getOut().println("classes " + types + ", destinations " + destinations);
+                return tally.rowsRejected() == 0 ? 0 : 1;
+            } catch (IOException | UncheckedIOException | Arrivals.LateException | Columns.NoSuchColumnException
+                    | SourceFile.UnreadableException e) {
+                return unreadable(spec, e);
+            } catch (IllegalArgumentException e) {
+                throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
+            }
         }
 
-        private static void print(Tally tally, Spread spread, PrintWriter out) {
-            out.printf(Locale.ROOT, "%d rows read = %d sent + %d cut + %d rejected%n", tally.rowsRead(), tally.rowsSent(),
-                    tally.rowsCut(), tally.rowsRejected());
-            if (tally.rowsSent() > 0) {
-                out.printf(Locale.ROOT, "from %s to %s of the trace's clock; at the most %d in one second%n",
-                        Units.ofSpan(spread.first), Units.ofSpan(spread.last), spread.busiest);
+        private Mapping.Scheme scheme() throws SourceFile.UnreadableException {
+            CheckedFile checked = CheckedFile.of(app.toString(), SourceFile.text(app), Surroundings.UNKNOWN);
+            if (!checked.isClean()) {
+                throw new IllegalArgumentException(checked.findings().stream().filter(Finding::isError).findFirst()
+                        .orElseThrow().toString());
             }
-            tally.rejected().forEach((fault, r) -> out.printf(Locale.ROOT, "%s: %d (lines %s%s), such as: %s%n", fault.text(),
-                    r.count(), r.lines().stream().map(String::valueOf).collect(Collectors.joining(", ")),
-                    r.count() > r.lines().size() ? " ..." : "", r.sample()));
-            out.flush();
+            Declared declared = checked.declared();
+            return new Mapping.Scheme(declared.classes().stream().map(c -> new Mapping.Type(c.name(), c.peakRate(),
+                    c.repeat() == Declared.Repeat.BY_KEY, c.body(), c.largestBody(), c.deadline(), declared.partners().stream()
+                            .filter(p -> c.to() == null || c.to().contains(p.kind())).map(Declared.Partner::number).toList()))
+                    .toList(), declared.tenants().stream().map(Declared.Tenant::name).toList());
         }
     }
 
--- a/src/main/java/pipitstage/trace/Fault.java
+++ b/src/main/java/pipitstage/trace/Fault.java
@@ -9,6 +9,8 @@
     NO_TIME("no time"),
     /** It is no number in the form's unit. */
     BAD_TIME("a time that is no number"),
+    /** In the hour that clocks leave out when daylight saving begins. */
+    SKIPPED_TIME("a time that its zone's clocks left out"),
     NEGATIVE_TIME("a negative time"),
     /** Before the trace's beginning or after its end, by a value that the form sets by for that. */
     SPECIAL_TIME("a time that stands for before or after the trace"),
--- a/src/main/java/pipitstage/trace/Form.java
+++ b/src/main/java/pipitstage/trace/Form.java
@@ -7,7 +7,7 @@
 import pipitstage.trace.Fault.BadRowException;
 
 /** Published forms of traces: what their columns mean, and which rows ask for something. */
-public enum Form {
+public enum Form implements RowForm {
     /** ClusterData 2011, {@code task_events} (Google cluster-usage traces: format + schema, 2.1): microseconds. */
     GOOGLE_2011_TASK_EVENTS(13, false) {
         private static final long AFTER = Long.MAX_VALUE;
@@ -54,8 +54,24 @@
             // One that was running when the trace began counts from its beginning.
             return new Row(line, Math.max(0, end - (long) (took * SECOND)), needed(f.get(0)), needed(f.get(1)), "", took);
         }
+    },
+    /** Azure Functions 2019, invocations a minute: a file is a day, a line a function with its {@link Minutes#DAY} counts. */
+    AZURE_FUNCTIONS_2019(4 + Minutes.DAY, true) {
+        @Override
+        Row read(List<String> f, long line) throws BadRowException {
+            int[] counts = counts(f);
+            long sum = 0;
+            for (int count : counts) {
+                sum += count;
+            }
+            Row function = new Row(line, 0, needed(f.get(0)), needed(f.get(1)) + "/" + needed(f.get(2)), f.get(3), sum);
+            return sum == 0 ? null : function;
+        }
     };
 
+    /** The first column of {@link #AZURE_FUNCTIONS_2019} that is a count. */
+    private static final int FIRST_COUNT = 4;
+
     private static final long SECOND = 1_000_000;
 
     private final int columns;
@@ -76,19 +92,21 @@
         return List.of(values()).stream().filter(f -> f.word().equals(word)).findFirst();
     }
 
-    /** True where its files begin with the names of their columns. */
-    public boolean hasHeader() {
-        return header;
+    @Override
+    public boolean isByMinute() {
+        return this == AZURE_FUNCTIONS_2019;
+    }
+
+    /** The counts of a line of {@link #AZURE_FUNCTIONS_2019}. */
+    public static int[] counts(List<String> fields) throws BadRowException {
+        int[] counts = new int[Minutes.DAY];
+        for (int minute = 0; minute < counts.length; minute++) {
+            counts[minute] = (int) whole(fields.get(FIRST_COUNT + minute));
+        }
+        return counts;
     }
 
-    /**
-     * What a record of a file means.
-     *
-     * @param line where it begins
-     * @param first it is the first of its file
-     * @return null where it is well formed and asks for nothing: the end of a task, say, or the header
-     * @throws BadRowException where it is rejected
-     */
+    @Override
     public Row row(List<String> fields, long line, boolean first) throws BadRowException {
         if (fields.stream().anyMatch(f -> f.indexOf('\0') >= 0)) {
             throw new BadRowException(Fault.NUL);
@@ -110,7 +128,7 @@
     abstract Row read(List<String> fields, long line) throws BadRowException;
 
     /** Reads a time; {@code unit} is how many microseconds it counts in. */
-    private static long time(String text, long unit) throws BadRowException {
+    static long time(String text, long unit) throws BadRowException {
         String trimmed = text.strip();
         if (trimmed.isEmpty()) {
             throw new BadRowException(Fault.NO_TIME);
@@ -129,7 +147,7 @@
         return micros.longValue();
     }
 
-    private static String needed(String text) throws BadRowException {
+    static String needed(String text) throws BadRowException {
         if (text.isBlank()) {
             throw new BadRowException(Fault.BAD_FIELD);
         }
@@ -144,7 +162,7 @@
     }
 
     /** A number that may be left out; 0 then. */
-    private static double number(String text) throws BadRowException {
+    static double number(String text) throws BadRowException {
         if (text.isBlank()) {
             return 0;
         }
--- a/src/main/java/pipitstage/trace/read/TraceReader.java
+++ b/src/main/java/pipitstage/trace/read/TraceReader.java
@@ -4,39 +4,55 @@
 import de.siegmar.fastcsv.reader.CsvReader;
 import de.siegmar.fastcsv.reader.CsvRecord;
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Iterator;
 import java.util.List;
+import java.util.function.LongPredicate;
 import java.util.zip.GZIPInputStream;
+import java.util.zip.ZipException;
 import pipitstage.trace.Arrivals;
 import pipitstage.trace.Fault;
 import pipitstage.trace.Form;
+import pipitstage.trace.Minutes;
 import pipitstage.trace.Row;
+import pipitstage.trace.RowForm;
 import pipitstage.trace.Tally;
 
 /**
  * Reads the files of a trace, one after the other, into {@link Arrivals}. A file that begins with gzip's two bytes is
- * unpacked, whatever its name. A record that is longer than {@value #LONGEST} characters, or a file that breaks off, ends that
+ * unpacked, whatever its name. Where a file is a day of counts, each call of it counts as a row. A record that is longer than {@value #LONGEST} characters, or a file that breaks off, ends that
  * file, which counts as a row that was read and rejected; the next file goes on.
  */
 public final class TraceReader {
     static final int LONGEST = 1 << 20;
     private static final int BUFFER = 1 << 16;
     private static final int GZIP = 0x1f8b;
+    private static final long DAY = 86_400_000_000L;
 
-    private final Form form;
+    private final RowForm form;
+    private final LongPredicate wanted;
     private final Arrivals arrivals;
     private final Tally tally;
     private long linesBefore;
+    private int filesBefore;
+    /** A file's counts a minute; its calls are sent when it has been read, in the order of time. */
+    private Minutes minutes = new Minutes();
 
-    /** A reader of one form. */
-    public TraceReader(Form form, Arrivals arrivals, Tally tally) {
+    /**
+     * A reader of one form.
+     *
+     * @param wanted tells by a row's time whether it is replayed; the others are cut
+     */
+    public TraceReader(RowForm form, LongPredicate wanted, Arrivals arrivals, Tally tally) {
         this.form = form;
+        this.wanted = wanted;
         this.arrivals = arrivals;
         this.tally = tally;
     }
@@ -68,10 +84,16 @@
             }
         } catch (CsvParseException e) {
             brokenOff(line + 1, e.getMessage());
-        } catch (java.io.UncheckedIOException | java.io.EOFException | java.util.zip.ZipException e) {
+        } catch (UncheckedIOException | EOFException | ZipException e) {
             brokenOff(line + 1, file.getFileName() + ": " + e.getMessage());
         }
         linesBefore += line;
+        minutes.send(DAY * filesBefore, row -> {
+            tally.read();
+            arrive(row);
+        });
+        minutes = new Minutes();
+        filesBefore++;
     }
 
     private void brokenOff(long line, String why) {
@@ -80,19 +102,29 @@
     }
 
     private void take(List<String> fields, long line, boolean first) {
-        tally.read();
         try {
             Row row = form.row(fields, line, first);
-            if (row == null) {
-                tally.cut();
+            if (row != null && form.isByMinute()) {
+                // Each call of it counts as a row, when it is sent.
+                minutes.add(row, Form.counts(fields));
             } else {
-                arrivals.add(row);
+                tally.read();
+                arrive(row);
             }
         } catch (Fault.BadRowException e) {
+            tally.read();
             tally.rejected(e.fault(), line, String.join(",", fields));
         }
     }
 
+    private void arrive(Row row) {
+        if (row == null || !wanted.test(row.time())) {
+            tally.cut();
+        } else {
+            arrivals.add(row);
+        }
+    }
+
     private static InputStream open(Path file) throws IOException {
         InputStream bytes = new BufferedInputStream(Files.newInputStream(file), BUFFER);
         try {
--- a/src/test/java/pipitstage/cli/CommandsTest.java
+++ b/src/test/java/pipitstage/cli/CommandsTest.java
@@ -54,8 +54,10 @@
         Path trace = Files.writeString(folder.resolve("t.csv"), "M1,2,j_1,1,Terminated,3,9,100,0.39\nM1,2,j_1,1,T,,9,1,0\n"
                 + "M2,2,j_2,1,Terminated,4,9,100,0.39\nM3,2,j_2,1,Terminated,2,9,100,0.39\n");
         assertEquals(1, run("trace", "check", trace, "--form", "alibaba-2018-batch-task"));
-        assertEquals(List.of("4 rows read = 3 sent + 0 cut + 1 rejected", "from 2s to 4s of the trace's clock; at the most 1 in"
-                + " one second", "no time: 1 (lines 2), such as: M1,2,j_1,1,T,,9,1,0"), out.toString().lines().toList());
+        assertEquals(List.of("4 rows read = 3 sent + 0 cut + 1 rejected", "no time: 1 (lines 2), such as: M1,2,j_1,1,T,,9,1,0",
+                "from 2s to 4s of the trace's clock; at the most 1 in one second"), out.toString().lines().toList());
+        assertEquals(1, run("trace", "check", trace, "--form", "alibaba-2018-batch-task", "--from", "3s", "--to", "4s"));
+        assertTrue(out.toString().startsWith("4 rows read = 1 sent + 2 cut + 1 rejected"), out.toString());
         assertEquals(2, run("trace", "check", trace, "--form", "alibaba-2018-batch-task", "--window", "0s", "--late", "fail"));
         assertTrue(err.toString().contains("line 4 is 1000000 us behind"), err.toString());
         assertEquals(2, run("trace", "check", folder.resolve("none"), "--form", "azure-v1-vmtable"));
@@ -63,6 +65,57 @@
         assertTrue(err.toString().contains("csv is none of google-2011-task-events"), err.toString());
     }
 
+    /** Chicago's clocks left out two to three o'clock on 10 March 2024, and showed one to two twice on 3 November. */
+    @Test
+    void mappingFileReadsAnyCsvAndTimesAsItsZonesClocksShowThem() throws IOException {
+        Path map = Files.writeString(folder.resolve("map.toml"), """
+                time = "when"
+                unit = "text"
+                pattern = "yyyy-MM-dd HH:mm"
+                zone = "America/Chicago"
+                begin = "2024-03-10 00:00"
+                owner = "who"
+                flow = "job"
+                """);
+        Path trace = Files.writeString(folder.resolve("t.csv"), "when,who,job\n2024-03-10 01:30,a,1\n2024-03-10 02:30,a,1\n"
+                + "2024-03-10 03:30,a,1\n2024-11-03 01:30,a,1\n2024-11-03 02:30,a,1\n2024-03-09 23:59,a,1\n10 March,a,1\n");
+        assertEquals(1, run("trace", "check", trace, "--map", map));
+        List<String> lines = out.toString().lines().toList();
+        assertEquals("8 rows read = 4 sent + 1 cut + 3 rejected", lines.get(0));
+        assertTrue(out.toString().contains("left out: 1 (lines 3), such as: 2024-03-10 02:30"), out.toString());
+        assertTrue(out.toString().contains("a negative time: 1 (lines 7)"), out.toString());
+        assertTrue(out.toString().contains("from 90m to 342870m"), "an hour is missing, and one is there twice: " + out);
+        assertEquals(2, run("trace", "check", trace, "--map", Files.writeString(map, "time = \"x\"\nunit = \"s\"\nowner = \"who\""
+                + "\nflow = \"job\"\n")));
+        assertTrue(err.toString().contains("no column x in when,who,job"), err.toString());
+        assertEquals(2, run("trace", "check", trace, "--map", Files.writeString(map, "time = \"when\"\nunit = \"h\"\n")));
+        assertTrue(err.toString().contains("map.toml:2:1: unit: h is none of us, ms, s, text"), err.toString());
+        assertEquals(2, run("trace", "check", trace, "--map", Files.writeString(map, "tiem = \"when\"\n")));
+        assertTrue(err.toString().contains("map.toml:1:1: tiem: is no key"), err.toString());
+        assertEquals(2, run("trace", "check", trace));
+    }
+
+    @Test
+    void traceMapWritesTheSameMessagesForTheSameSeed() throws IOException {
+        Path trace = Files.writeString(folder.resolve("t.csv"), "M1,2,j_1,1,Terminated,3,9,100,0.39\nM2,4,j_2,1,Terminated,5,9,1,1\n");
+        Path calls = folder.resolve("calls.csv");
+        assertEquals(0, run("trace", "map", trace, "--form", "alibaba-2018-batch-task", "--app", CONFIG.resolve("base.toml"),
+                "--seed", "7", "--speed", "2", "--from", "1s", "-o", calls));
+        assertTrue(out.toString().startsWith("2 rows read = 2 sent + 0 cut + 0 rejected\nclasses {"), out.toString());
+        List<String> lines = Files.readAllLines(calls);
+        assertEquals("at_us,class,tenant,destination,key,size,budget_us,line", lines.get(0));
+        assertTrue(lines.get(1).startsWith("1000000,") && lines.get(2).startsWith("2000000,"), lines.toString());
+        assertEquals(0, run("trace", "map", trace, "--form", "alibaba-2018-batch-task", "--app", CONFIG.resolve("base.toml"),
+                "--seed", "7", "--speed", "2", "--from", "1s", "-o", folder.resolve("again.csv")));
+        assertEquals(lines, Files.readAllLines(folder.resolve("again.csv")));
+        assertEquals(2, run("trace", "map", trace, "--form", "alibaba-2018-batch-task", "--app", CONFIG.resolve(
+                "broken/batch-zero.toml"), "-o", calls));
+        assertTrue(err.toString().contains("batch"), err.toString());
+        assertEquals(2, run("trace", "map", trace, "--form", "alibaba-2018-batch-task", "--app", CONFIG.resolve("base.toml"),
+                "--speed", "0", "-o", calls));
+        assertTrue(err.toString().contains("the speed must be above 0"), err.toString());
+    }
+
     @Test
     void warningsCountWhereTheyAreToBeStrictlyTaken() {
         Path warns = CONFIG.resolve("valid/scope-building.toml");
--- a/src/test/java/pipitstage/trace/Measure.java
+++ b/src/test/java/pipitstage/trace/Measure.java
@@ -25,7 +25,7 @@
             long[] used = new long[1];
             Runtime machine = Runtime.getRuntime();
             long start = System.nanoTime();
-            new TraceReader(Form.GOOGLE_2011_TASK_EVENTS, new Arrivals(WINDOW, 1_000_000, Arrivals.Late.DROP, tally, row -> {
+            new TraceReader(Form.GOOGLE_2011_TASK_EVENTS, time -> true, new Arrivals(WINDOW, 1_000_000, Arrivals.Late.DROP, tally, row -> {
                 if (row.line() % 100_000 == 0) {
                     used[0] = Math.max(used[0], machine.totalMemory() - machine.freeMemory());
                 }
--- a/src/test/java/pipitstage/trace/TraceReaderTest.java
+++ b/src/test/java/pipitstage/trace/TraceReaderTest.java
@@ -13,6 +13,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.zip.GZIPOutputStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -45,7 +47,7 @@
     }
 
     private void read(Form form, Path... files) throws IOException {
-        new TraceReader(form, new Arrivals(10_000_000, 1_000, Arrivals.Late.DROP, tally, rows::add), tally).read(List.of(files));
+        new TraceReader(form, time -> true, new Arrivals(10_000_000, 1_000, Arrivals.Late.DROP, tally, rows::add), tally).read(List.of(files));
         assertEquals(tally.rowsRead(), tally.rowsSent() + tally.rowsCut() + tally.rowsRejected(), "the figures add up");
         assertEquals(tally.rowsSent(), rows.size());
     }
@@ -84,6 +86,36 @@
         assertEquals(1, tally.rowsCut(), "the header");
     }
 
+    private static String day(String function, int minute, int count) {
+        return "o1,a1," + function + ",http," + IntStream.range(0, Minutes.DAY).mapToObj(m -> m == minute ? "" + count : "0")
+                .collect(Collectors.joining(",")) + "\n";
+    }
+
+    @Test
+    void countsAMinuteBecomeCallsInTheOrderOfTimeDayAfterDay() throws IOException {
+        String header = "HashOwner,HashApp,HashFunction,Trigger," + IntStream.rangeClosed(1, Minutes.DAY)
+                .mapToObj(Integer::toString).collect(Collectors.joining(",")) + "\n";
+        String bad = day("f9", 5, 1).replace(",1,", ",-1,");
+        Path one = file("d01", (header + day("f1", 3, 1_000) + day("f2", 3, 2) + day("f3", 1, 1) + day("f4", 0, 0) + bad).getBytes());
+        Path two = file("d02", (header + day("f1", 0, 3)).getBytes());
+        read(Form.AZURE_FUNCTIONS_2019, one, two);
+        assertEquals(1_006, rows.size());
+        assertEquals(3, tally.rowsCut(), "two headers, and a function that was not called");
+        assertEquals(List.of(6L), rejected(Fault.BAD_FIELD).lines());
+        for (int i = 1; i < rows.size(); i++) {
+            assertTrue(rows.get(i).time() >= rows.get(i - 1).time());
+        }
+        assertEquals("a1/f3", rows.get(0).flow());
+        assertTrue(rows.stream().filter(r -> r.flow().equals("a1/f1")).limit(1_000)
+                .allMatch(r -> r.time() >= 180_000_000L && r.time() < 240_000_000L));
+        for (int second = 180; second < 240; second++) {
+            long from = second * 1_000_000L;
+            long count = rows.stream().filter(r -> r.time() >= from && r.time() < from + 1_000_000).count();
+            assertTrue(count >= 16 && count <= 19, "in second " + second + ": " + count);
+        }
+        assertTrue(rows.subList(1_003, 1_006).stream().allMatch(r -> r.time() >= 86_400_000_000L && r.time() < 86_460_000_000L));
+    }
+
     @Test
     void whatBecomesOfATaskIsCut() throws IOException {
         read(Form.GOOGLE_2011_TASK_EVENTS, GOOGLE + GOOGLE.replace(",0,user", ",4,user"));
