--- a/src/main/java/pipitstage/remembered/Degree.java
+++ b/src/main/java/pipitstage/remembered/Degree.java
@@ -22,9 +22,4 @@
             case NEVER -> throw new IllegalStateException("an endpoint that is never used is not listed");
         };
     }
-
-    /** The lower of two. */
-    public Degree orLess(Degree other) {
-        return ordinal() >= other.ordinal() ? this : other;
-    }
 }
--- a/src/main/java/pipitstage/trace/Columns.java
+++ b/src/main/java/pipitstage/trace/Columns.java
@@ -66,9 +66,6 @@
 
     @Override
     public Row row(List<String> fields, long line, boolean first) throws BadRowException {
-        if (fields.stream().anyMatch(f -> f.indexOf('\0') >= 0)) {
-            throw new BadRowException(Fault.NUL);
-        }
         if (first) {
             width = fields.size();
             time = at(names.time(), fields);
--- a/src/main/java/pipitstage/trace/Form.java
+++ b/src/main/java/pipitstage/trace/Form.java
@@ -108,9 +108,6 @@
 
     @Override
     public Row row(List<String> fields, long line, boolean first) throws BadRowException {
-        if (fields.stream().anyMatch(f -> f.indexOf('\0') >= 0)) {
-            throw new BadRowException(Fault.NUL);
-        }
         if (fields.size() != columns) {
             throw new BadRowException(Fault.COLUMNS);
         }
--- a/src/main/java/pipitstage/trace/RowForm.java
+++ b/src/main/java/pipitstage/trace/RowForm.java
@@ -6,7 +6,7 @@
 /** What the records of a file mean: a published {@link Form}, or one that a mapping file describes. */
 public interface RowForm {
     /**
-     * What a record of a file means.
+     * What a record of a file means; its reader has seen that no field holds a NUL byte.
      *
      * @param line where it begins
      * @param first it is the first of its file
--- a/src/main/java/pipitstage/trace/read/TraceReader.java
+++ b/src/main/java/pipitstage/trace/read/TraceReader.java
@@ -103,6 +103,9 @@
 
     private void take(List<String> fields, long line, boolean first) {
         try {
+            if (fields.stream().anyMatch(f -> f.indexOf('\0') >= 0)) {
+                throw new Fault.BadRowException(Fault.NUL);
+            }
             Row row = form.row(fields, line, first);
             if (row != null && form.isByMinute()) {
                 // Each call of it counts as a row, when it is sent.
