What all fronts share in one place: the door, the house, requests and their answers

HTTP/2 toward clients is to take the same requests and give the same answers as HTTP/1.1, and no second copy of either. front.door has the listening socket (with since when what it accepts may have waited), the bound on connections and the room of half-read requests; front.request has the message in headers and body, the table of answers and one exchange. HTTP/1.1 and AMQP use them; behaviour is unchanged, but for a connection that was let go while its answer was out, which no longer counts as idle afterwards.

--- a/src/main/java/pipitstage/front/amqp/AmqpServer.java
+++ b/src/main/java/pipitstage/front/amqp/AmqpServer.java
@@ -1,14 +1,8 @@
 package pipitstage.front.amqp;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -31,6 +25,7 @@
 import pipitstage.engine.Message;
 import pipitstage.engine.Pulse;
 import pipitstage.front.Front;
+import pipitstage.front.door.Door;
 import pipitstage.log.Log;
 
 /**
@@ -71,12 +66,10 @@
 
     private record Told(Message message, boolean again, long since) { }
 
-    private static final int BACKLOG = 1024;
     private static final int MOST_BODY = 64 << 10;
     private static final int MOST_BUFFERED = 4 << 20;
     private static final long OPENING_MS = 2_500;
     private static final long LOOK_MS = 1_000;
-    private static final long PAUSE_MS = 50;
 
     private final Parts parts;
     private final Consumer<Message> heard;
@@ -84,7 +77,7 @@
     private final Map<String, Waiting> queues = new HashMap<>();
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final NamelessIds ids;
-    private Channel listener;
+    private final Door door;
     private EventLoop loop;
     private int buffered;
     private boolean draining;
@@ -100,34 +93,15 @@
         parts = new Parts(intake, clock, pulse, mapping, seen, options);
         this.heard = heard;
         this.others = others;
+        door = new Door(pulse, this::accept);
         ids = new NamelessIds(options.name(), clock.micros());
     }
 
     /** Listens at an address. */
     public ChannelFuture listen(EventLoop eventLoop, InetSocketAddress address) {
         loop = eventLoop;
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .handler(new Accepting()).childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        accept(ch);
-                    }
-                }).bind(address);
-        listener = bound.channel();
         loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
-        return bound;
-    }
-
-    /** Guards against a lack of descriptors, which is over soon, that would end the event loop. */
-    private static final class Accepting extends ChannelInboundHandlerAdapter {
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            Log.line("can't accept: " + cause);
-            ctx.channel().config().setAutoRead(false);
-            ctx.executor().schedule(() -> ctx.channel().config().setAutoRead(true), PAUSE_MS, TimeUnit.MILLISECONDS);
-        }
+        return door.open(loop, address);
     }
 
     private void accept(Channel ch) {
@@ -280,7 +254,7 @@
 
     @Override
     public void stopListening() {
-        listener.close();
+        door.shut();
         sessions.forEach(s -> s.end(AmqpException.CONNECTION_FORCED, "CONNECTION_FORCED - the relay ends"));
     }
 }
--- /dev/null
+++ b/src/main/java/pipitstage/front/door/House.java
@@ -0,0 +1,86 @@
+package pipitstage.front.door;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * The connections of a front, within a bound: a full house lets go of the longest silent one, then of the longest idle one.
+ *
+ * @param <C> a connection
+ */
+public final class House<C> {
+    private final int most;
+    private final Consumer<C> close;
+    private final Set<C> all = new HashSet<>();
+    /** Connections that have sent nothing yet, and those that are idle since their last answer, oldest first. */
+    private final Set<C> silent = new LinkedHashSet<>();
+    private final Set<C> idle = new LinkedHashSet<>();
+
+    /** A house for so many connections, and what closes one. */
+    public House(int most, Consumer<C> close) {
+        this.most = most;
+        this.close = close;
+    }
+
+    /** Guards against clients that take every descriptor: the ones that have stood longest go first. */
+    public void opened(C connection) {
+        if (all.size() >= most) {
+            Set<C> standing = silent.isEmpty() ? idle : silent;
+            C first = standing.isEmpty() ? connection : standing.iterator().next();
+            // Guards against a house that fills further: its end is told later, and others come in the same pass.
+            closed(first);
+            close.accept(first);
+            if (first == connection) {
+                return;
+            }
+        }
+        all.add(connection);
+        silent.add(connection);
+    }
+
+    /** It has begun a request. */
+    public void began(C connection) {
+        silent.remove(connection);
+        idle.remove(connection);
+    }
+
+    /** It has its last answer, and nothing is begun. */
+    public void fellIdle(C connection) {
+        // Guards against one that was let go and has its last answer only then.
+        if (all.contains(connection)) {
+            idle.add(connection);
+        }
+    }
+
+    /** It is gone. */
+    public void closed(C connection) {
+        all.remove(connection);
+        silent.remove(connection);
+        idle.remove(connection);
+    }
+
+    /** Closes those that wait for nothing. */
+    public void closeStanding() {
+        List.copyOf(silent).forEach(close);
+        List.copyOf(idle).forEach(close);
+    }
+
+    /** True where nothing is begun but on connections of which something else is known. */
+    public boolean isIdle(Predicate<C> over) {
+        return all.stream().allMatch(c -> silent.contains(c) || idle.contains(c) || over.test(c));
+    }
+
+    /** The connections, in no order. */
+    public List<C> all() {
+        return List.copyOf(all);
+    }
+
+    /** How many there are. */
+    public int size() {
+        return all.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/front/door/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * What every listener has: connections taken in within a bound, and the room that half-read requests share.
+ *
+ * <p>May use: the engine's clock and pulse, the log and Netty.
+ */
+package pipitstage.front.door;
--- a/src/main/java/pipitstage/front/http/ClientConnection.java
+++ b/src/main/java/pipitstage/front/http/ClientConnection.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -24,17 +23,17 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import pipitstage.engine.Clock;
 import pipitstage.engine.Intake;
 import pipitstage.engine.Message;
+import pipitstage.front.request.Answer;
+import pipitstage.front.request.Exchange;
+import pipitstage.front.request.Request;
 
 /** One client's connection: reads its requests, answers them in order, and gives up a client that stalls. */
-final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Message.ClientReply {
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final int MOST_PIPELINED = 8;
-    /** For a first request from connecting, for later ones from their first byte. */
-    private static final long REQUEST_MS = 2500;
     private static final long IDLE_MS = 10_000;
     private static final long LINGER_MS = 2000;
 
@@ -42,6 +41,7 @@
     private final Intake intake;
     private final Clock clock;
     private final ArrayDeque<ClientRequest> pipelined = new ArrayDeque<>();
+    private final Exchange exchange;
     private ChannelHandlerContext context;
     private long openedAt;
     private long acceptableSince;
@@ -55,16 +55,21 @@
     private boolean handling;
     private boolean answering;
     /** The last request that is heeded can't be read on; its refusal is the last answer. */
-    private HttpResponseStatus refusal;
+    private Answer refusal;
     private boolean ending;
     private int buffered;
-    private Message message;
     private Future<?> timer;
 
     ClientConnection(ClientServer server, Intake intake, Clock clock) {
         this.server = server;
         this.intake = intake;
         this.clock = clock;
+        exchange = new Exchange(intake) {
+            @Override
+            protected void answer(Answer answer, long retryIn) {
+                ClientConnection.this.answer(answer, retryIn);
+            }
+        };
     }
 
     /** What the channel's pipeline is made of. */
@@ -96,9 +101,9 @@
             bytesSince = unreadSince();
             if (idle) {
                 idle = false;
-                server.began(ClientConnection.this);
+                server.house().began(ClientConnection.this);
                 if (served) {
-                    startTimer(REQUEST_MS, ClientConnection.this::stalled);
+                    startTimer(Request.READ_MS, ClientConnection.this::stalled);
                 }
             }
             ctx.fireChannelRead(bytes);
@@ -115,7 +120,7 @@
 
     /** The earliest time at which the bytes that are read now can have come. */
     private long unreadSince() {
-        long since = Math.min(pausedSince, server.unreadSince());
+        long since = Math.min(pausedSince, server.door().unreadSince());
         // Guards against bytes that came with the connection and waited, with it, to be accepted.
         return since <= openedAt ? Math.min(since, acceptableSince) : since;
     }
@@ -142,9 +147,9 @@
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
         openedAt = clock.micros();
-        acceptableSince = server.acceptableSince();
-        startTimer(REQUEST_MS, this::stalled);
-        server.opened(this);
+        acceptableSince = server.door().acceptableSince();
+        startTimer(Request.READ_MS, this::stalled);
+        server.house().opened(this);
     }
 
     /** Guards against clients that connect and say nothing, or begin a request and never end it. */
@@ -153,7 +158,7 @@
         if (idle) {
             close();
         } else if (!answering) {
-            refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+            refuse(Answer.TOO_SLOW);
         }
     }
 
@@ -162,17 +167,17 @@
         stopTimer();
         pipelined.clear();
         reading = null;
-        server.closed(this);
-        server.unbuffer(buffered);
+        server.house().closed(this);
+        server.room().give(buffered);
         buffered = 0;
         withdraw();
     }
 
     /** Guards against delivering what its client gave up and may hand in again under another id. */
     private void withdraw() {
-        if (message != null) {
-            intake.withdraw(message);
-            message = null;
+        Message waiting = exchange.release();
+        if (waiting != null) {
+            intake.withdraw(waiting);
         }
     }
 
@@ -188,7 +193,7 @@
         }
         if (part instanceof HttpRequest head) {
             reading = new ClientRequest(head);
-            HttpResponseStatus why = reading.refusal();
+            Answer why = reading.refusal();
             if (why != null) {
                 refuse(why);
                 return;
@@ -206,12 +211,12 @@
     private void read(HttpContent content) {
         int bytes = content.content().readableBytes();
         if (content.decoderResult().isFailure()) {
-            refuse(HttpResponseStatus.BAD_REQUEST);
+            refuse(Answer.MALFORMED);
         } else if (!reading.add(content.content())) {
-            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        } else if (!server.buffer(bytes, reading.size())) {
+            refuse(Answer.TOO_LARGE);
+        } else if (!server.room().take(bytes, reading.size())) {
             // Guards against half-read bodies that together take all the memory.
-            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            refuse(Answer.NO_ROOM);
         } else {
             buffered += bytes;
             if (content instanceof LastHttpContent) {
@@ -228,13 +233,13 @@
     private void readMore() {
         boolean full = pipelined.size() >= MOST_PIPELINED;
         if (full) {
-            pausedSince = Math.min(pausedSince, server.unreadSince());
+            pausedSince = Math.min(pausedSince, server.door().unreadSince());
         }
         context.channel().config().setAutoRead(!full);
     }
 
     /** Answers, after all that came before it, a request that can't be read on; nothing after it is heeded. */
-    private void refuse(HttpResponseStatus why) {
+    private void refuse(Answer why) {
         reading = null;
         refusal = why;
         handleNext();
@@ -249,7 +254,7 @@
             ClientRequest next = pipelined.poll();
             handle(next);
             buffered -= next.size();
-            server.unbuffer(next.size());
+            server.room().give(next.size());
         }
         handling = false;
         if (refusal != null && !answering && !ending) {
@@ -262,47 +267,13 @@
         answering = true;
         HttpRequest head = request.head();
         keepAlive = HttpUtil.isKeepAlive(head);
-        if (head.uri().equals("/api")) {
-            if (head.method().equals(HttpMethod.POST)) {
-                takeOn(request);
-            } else {
-                answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
-            }
-        } else if (head.uri().equals("/-/ready")) {
-            answer(intake.isReady() && !server.isDraining() ? HttpResponseStatus.OK
-                    : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
-        } else {
-            answer(HttpResponseStatus.NOT_FOUND, 0);
-        }
-    }
-
-    private void takeOn(ClientRequest request) {
-        Message.Content content = request.content();
-        if (content == null || !intake.knows(content)) {
-            answer(HttpResponseStatus.BAD_REQUEST, 0);
-        } else {
-            message = intake.takeOn(content, server.unreadSince(), this);
-        }
-    }
-
-    @Override
-    public void taken() {
-        answer(HttpResponseStatus.ACCEPTED, 0);
-    }
-
-    @Override
-    public void refused(long retryIn) {
-        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryIn);
-    }
-
-    @Override
-    public void failed() {
-        answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, 0);
+        exchange.handle(head.method().asciiName(), head.uri(), server.isDraining(), request::content,
+                server.door().unreadSince());
     }
 
-    private void answer(HttpResponseStatus status, long retryIn) {
+    private void answer(Answer answer, long retryIn) {
         FullHttpResponse response =
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status(), Unpooled.EMPTY_BUFFER);
         HttpUtil.setContentLength(response, 0);
         ending = !keepAlive || server.isDraining() && pipelined.isEmpty();
         boolean last = ending;
@@ -310,10 +281,9 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         if (retryIn > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryIn / 1e6));
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, Answer.retryAfter(retryIn));
         }
-        Message answered = message;
-        message = null;
+        Message answered = exchange.release();
         answering = false;
         context.writeAndFlush(response).addListener(written -> {
             if (!written.isSuccess() && answered != null) {
@@ -335,10 +305,10 @@
         served = true;
         idle = pipelined.isEmpty() && reading == null && refusal == null;
         if (idle) {
-            server.fellIdle(this);
+            server.house().fellIdle(this);
             startTimer(IDLE_MS, this::close);
         } else if (reading != null) {
-            startTimer(REQUEST_MS, this::stalled);
+            startTimer(Request.READ_MS, this::stalled);
         }
         readMore();
         handleNext();
--- a/src/main/java/pipitstage/front/http/ClientRequest.java
+++ b/src/main/java/pipitstage/front/http/ClientRequest.java
@@ -5,25 +5,17 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import pipitstage.engine.Message;
-import pipitstage.http.Headers;
+import pipitstage.front.request.Answer;
+import pipitstage.front.request.Request;
 
 /** A client's request as it comes in: whether it can be read at all, and the message that it holds. */
 final class ClientRequest {
-    private static final int MOST_BODY = 64 << 10;
-    private static final Pattern TOKEN = Pattern.compile("[\\x21-\\x7e]{1,200}");
-    private static final Pattern MILLIS = Pattern.compile("\\d{1,9}");
-    private static final Pattern CONSIGNEE = Pattern.compile("(?:.*[;,\\s])?dest=(\\d{1,9})(?:[;,\\s].*)?");
-
     private final HttpRequest head;
-    private final ByteBuf body = Unpooled.buffer(0, MOST_BODY);
+    private final ByteBuf body = Unpooled.buffer(0, Request.MOST_BODY);
     private long came;
 
     ClientRequest(HttpRequest head) {
@@ -35,24 +27,24 @@
     }
 
     /** Why the request can't be read, told from its head alone; null where nothing speaks against it. */
-    HttpResponseStatus refusal() {
+    Answer refusal() {
         if (head.decoderResult().isFailure()) {
-            return HttpResponseStatus.BAD_REQUEST;
+            return Answer.MALFORMED;
         }
         // Guards against repeated lengths, of which the decoder takes the first in HTTP/1.0.
         if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-            return HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED;
+            return Answer.WRONG_VERSION;
         }
         List<String> lengths = head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH);
         List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         // Guards against a second request hidden in the body, for those who heed the other of the two.
         if (lengths.size() + codings.size() > 1
                 || codings.size() == 1 && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))) {
-            return HttpResponseStatus.BAD_REQUEST;
+            return Answer.MALFORMED;
         }
         // The decoder has made sure that a length is a number.
-        return lengths.size() == 1 && Long.parseLong(lengths.get(0)) > MOST_BODY
-                ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : null;
+        return lengths.size() == 1 && Long.parseLong(lengths.get(0)) > Request.MOST_BODY
+                ? Answer.TOO_LARGE : null;
     }
 
     /** Takes in a piece of the body; false where the body is larger than any may be. */
@@ -73,23 +65,8 @@
         return body.readableBytes();
     }
 
-    /**
-     * The message that the request holds, or null where a header is missing or makes no sense. Its time counts from
-     * when the client sent it, so that bytes that waited unread leave less of it.
-     */
+    /** The message that the request holds, or null where a header is missing or makes no sense. */
     Message.Content content() {
-        HttpHeaders headers = head.headers();
-        String callId = headers.get(Headers.CALL_ID, "");
-        String requestClass = headers.get(Headers.CALL_CLASS, "");
-        String tenant = headers.get(Headers.CALLER);
-        String key = headers.get(Headers.KEY);
-        String budget = headers.get(Headers.BUDGET, "");
-        Matcher consignee = CONSIGNEE.matcher(headers.get(Headers.CONSIGNEE, ""));
-        if (!TOKEN.matcher(callId).matches() || !MILLIS.matcher(budget).matches() || !consignee.matches()
-                || key != null && !TOKEN.matcher(key).matches()) {
-            return null;
-        }
-        return new Message.Content(callId, requestClass, tenant, key, came + Long.parseLong(budget) * 1000,
-                Integer.parseInt(consignee.group(1)), ByteBufUtil.getBytes(body));
+        return Request.content(head.headers()::get, came, ByteBufUtil.getBytes(body));
     }
 }
--- a/src/test/java/pipitstage/RoomsTest.java
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -72,8 +72,10 @@
     @CsvSource(delimiter = '|', value = {
         "engine | pipitstage pipitstage.engine pipitstage.log",
         "front | pipitstage.front",
-        "front.http | pipitstage.front pipitstage.engine pipitstage.front.http pipitstage.http pipitstage.log",
-        "front.amqp | pipitstage.front pipitstage.front.amqp pipitstage.engine pipitstage.amqp.. pipitstage.duplicates "
+        "front.door | pipitstage.engine pipitstage.front.door pipitstage.log",
+        "front.request | pipitstage.engine pipitstage.front.request pipitstage.http",
+        "front.http | pipitstage.front pipitstage.engine pipitstage.front.http pipitstage.front.door pipitstage.front.request",
+        "front.amqp | pipitstage.front pipitstage.front.amqp pipitstage.front.door pipitstage.engine pipitstage.amqp.. pipitstage.duplicates "
             + "pipitstage.log",
         "partner.amqp | pipitstage pipitstage.engine pipitstage.partner.amqp pipitstage.amqp.codec pipitstage.amqp.link "
             + "pipitstage.amqp.confirm pipitstage.http pipitstage.log",
