--- /dev/null
+++ b/src/test/java/pipitstage/front/http2/Measure.java
@@ -0,0 +1,351 @@
+package pipitstage.front.http2;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import pipitstage.config.tool.Tool;
+import pipitstage.standin.ServedRelay;
+import pipitstage.standin.StandInClient;
+import pipitstage.standin.StandInPartner;
+
+/**
+ * Measurements of HTTP/2 beside HTTP/1.1, each a command: {@code load CORE} (messages a second, CPU of one, p99 at 70%, the
+ * relay on one core, by turns), {@code memory} (of idle connections and open streams), {@code slow CORE} (fast clients beside
+ * ten that don't read), {@code standing} (a relay for clients of others, until it is ended).
+ */
+public final class Measure {
+    /** So many connections with so many requests out on each; HTTP/1.1 has one. */
+    private record Shape(boolean http2, int connections, int streams) {
+        @Override
+        public String toString() {
+            return http2 ? "HTTP/2 " + connections + " x " + streams : "HTTP/1.1 " + connections;
+        }
+    }
+
+    /** What a load has come to; spans in milliseconds from when a request was due, sorted. */
+    private record Outcome(long taken, long refused, List<Double> spans) {
+        double at(double share) {
+            return spans.isEmpty() ? 0 : spans.get((int) Math.min(spans.size() - 1, spans.size() * share));
+        }
+    }
+
+    private static final int ROUNDS = 2;
+    private static final double SECONDS = 5;
+    private static final String BODY = "x".repeat(300);
+    private static final AtomicLong IDS = new AtomicLong();
+
+    private Measure() { }
+
+    /** Runs one of them. */
+    public static void main(String[] args) throws Exception {
+        Path folder = Files.createTempDirectory("measure");
+        try {
+            switch (args.length > 0 ? args[0] : "") {
+                case "load" -> load(folder, args[1]);
+                case "memory" -> memory(folder);
+                case "slow" -> slow(folder, args[1]);
+                case "standing" -> standing(folder);
+                default -> say("load CORE, memory, slow CORE or standing");
+            }
+        } finally {
+            try (var files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            }
+        }
+        System.exit(0);
+    }
+
+    private static void say(String form, Object... values) {
+        System.out.println(String.format(Locale.ROOT, form, values));
+    }
+
+    private static ServedRelay relay(Path folder, String name, StandInPartner partner, int descriptors, String front)
+            throws Exception {
+        Path application = Files.writeString(folder.resolve(name + ".toml"), """
+                format = 1
+                name = "%s"
+                [machine]
+                memory = "256MiB"
+                descriptors = %d
+                disk = "512MiB"
+                folder = "%s"
+                [[front]]
+                listen = "127.0.0.1:0"
+                [[front]]
+                protocol = "http2"
+                listen = "127.0.0.1:0"
+                %s
+                [[class]]
+                name = "settlement"
+                repeat = "once"
+                wanted = "1s"
+                deadline = "2s"
+                peak-rate = "5000/s"
+                [[partner]]
+                name = "elevator"
+                number = 7
+                kind = "elevators"
+                response = "5ms"
+                [[partner.endpoint]]
+                id = "e1"
+                address = "%s"
+                """.formatted(name, descriptors, folder.resolve(name), front, partner.address()));
+        Tool.Outcome outcome = Tool.write(application, folder, true);
+        if (outcome.after() == null) {
+            throw new IOException(outcome.findings().toString());
+        }
+        ServedRelay relay = ServedRelay.start(outcome.file(), folder.resolve(name + ".log"), "-Xmx160m",
+                "-Dio.netty.allocator.type=unpooled").awaitServing();
+        while (!relay.log().contains("HTTP/2 on")) {
+            Thread.sleep(10);
+        }
+        return relay;
+    }
+
+    private static void pin(ServedRelay relay, String core) throws Exception {
+        new ProcessBuilder("taskset", "-a", "-p", "-c", core, Long.toString(relay.process().pid()))
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+    }
+
+    // ---- load
+
+    /** Hands messages in for a while: as fast as answers come, or so many a second, each counted from when it was due. */
+    private static Outcome run(ServedRelay relay, Shape shape, double seconds, double rate) throws Exception {
+        AtomicLong taken = new AtomicLong();
+        AtomicLong refused = new AtomicLong();
+        ConcurrentLinkedQueue<Double> spans = new ConcurrentLinkedQueue<>();
+        AtomicLong next = new AtomicLong();
+        long start = System.nanoTime();
+        long end = start + (long) (seconds * 1e9);
+        List<Thread> threads = new ArrayList<>();
+        for (int c = 0; c < shape.connections(); c++) {
+            Thread thread = new Thread(() -> {
+                try {
+                    if (shape.http2()) {
+                        http2(relay, shape, start, end, rate, next, taken, refused, spans);
+                    } else {
+                        http1(relay, start, end, rate, next, taken, refused, spans);
+                    }
+                } catch (IOException | InterruptedException e) {
+                    say("%s", e);
+                }
+            });
+            threads.add(thread);
+            thread.start();
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        return new Outcome(taken.get(), refused.get(), spans.stream().sorted().toList());
+    }
+
+    private static long due(long start, double rate, AtomicLong next) throws InterruptedException {
+        if (rate <= 0) {
+            return System.nanoTime();
+        }
+        long due = start + (long) (next.getAndIncrement() * 1e9 / rate);
+        TimeUnit.NANOSECONDS.sleep(due - System.nanoTime());
+        return due;
+    }
+
+    private static void http1(ServedRelay relay, long start, long end, double rate, AtomicLong next, AtomicLong taken,
+            AtomicLong refused, ConcurrentLinkedQueue<Double> spans) throws IOException, InterruptedException {
+        try (StandInClient client = relay.client()) {
+            while (System.nanoTime() < end) {
+                long due = due(start, rate, next);
+                boolean ok = client.handIn("m" + IDS.getAndIncrement(), "settlement", null, null, 7, 2_000, BODY) == 202;
+                (ok ? taken : refused).incrementAndGet();
+                spans.add((System.nanoTime() - due) / 1e6);
+            }
+        }
+    }
+
+    private static void http2(ServedRelay relay, Shape shape, long start, long end, double rate, AtomicLong next,
+            AtomicLong taken, AtomicLong refused, ConcurrentLinkedQueue<Double> spans) throws IOException, InterruptedException {
+        try (RawClient client = RawClient.open("127.0.0.1", relay.http2Port())) {
+            client.await(() -> !client.offered.isEmpty());
+            Semaphore room = new Semaphore(shape.streams());
+            Map<Integer, Long> out = new ConcurrentHashMap<>();
+            Thread reader = new Thread(() -> {
+                try {
+                    client.await(() -> {
+                        client.resets.keySet().forEach(id -> {
+                            client.resets.remove(id);
+                            heard(out.remove(id), false, taken, refused, spans, room);
+                        });
+                        client.statuses.forEach((id, status) -> {
+                            client.statuses.remove(id);
+                            client.answers.remove(id);
+                            heard(out.remove(id), status == 202, taken, refused, spans, room);
+                        });
+                        return false;
+                    });
+                } catch (IOException e) {
+                    // It was closed at the end.
+                }
+            });
+            reader.start();
+            while (System.nanoTime() < end) {
+                long due = due(start, rate, next);
+                room.acquire();
+                // Told before it is sent, as its answer may be quicker.
+                out.put(client.nextStream(), due);
+                client.send(RawClient.message("m" + IDS.getAndIncrement(), "settlement", null, 7, 2_000), BODY);
+            }
+            room.tryAcquire(shape.streams(), 5, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void heard(Long due, boolean ok, AtomicLong taken, AtomicLong refused, ConcurrentLinkedQueue<Double> spans,
+            Semaphore room) {
+        if (due != null) {
+            (ok ? taken : refused).incrementAndGet();
+            spans.add((System.nanoTime() - due) / 1e6);
+            room.release();
+        }
+    }
+
+    private static void load(Path folder, String core) throws Exception {
+        List<Shape> shapes = List.of(new Shape(false, 32, 1), new Shape(true, 1, 32), new Shape(true, 4, 32),
+                new Shape(true, 32, 32), new Shape(false, 400, 1), new Shape(true, 4, 100));
+        for (int round = 0; round < ROUNDS; round++) {
+            for (Shape shape : shapes) {
+                try (StandInPartner partner = new StandInPartner(0, 0);
+                        ServedRelay relay = relay(folder, "load" + round + shapes.indexOf(shape), partner, 1_024, "streams = 100")) {
+                    pin(relay, core);
+                    run(relay, shape, 4, 0);
+                    Thread.sleep(1_000);
+                    double before = relay.cpuSeconds();
+                    Outcome fast = run(relay, shape, SECONDS, 0);
+                    Thread.sleep(1_000);
+                    double each = (relay.cpuSeconds() - before) * 1e6 / fast.taken();
+                    double capacity = fast.taken() / SECONDS;
+                    Thread.sleep(1_000);
+                    Outcome paced = run(relay, shape, SECONDS, capacity * 0.7);
+                    say("%s: %.0f a second on one core (%d refused), %.0f us of CPU each; at 70%% p50 %.1f ms, p99 %.1f ms, %d of %d"
+                            + " refused", shape, capacity, fast.refused(), each, paced.at(0.5), paced.at(0.99), paced.refused(),
+                            paced.taken() + paced.refused());
+                }
+            }
+        }
+    }
+
+    // ---- memory
+
+    private static void memory(Path folder) throws Exception {
+        try (StandInPartner partner = new StandInPartner(0, 0);
+                ServedRelay relay = relay(folder, "memory", partner, 4_096, "streams = 1000\nidle = \"10m\"")) {
+            for (int i = 0; i < 2_000; i++) {
+                try (RawClient warm = RawClient.open("127.0.0.1", relay.http2Port())) {
+                    warm.status(warm.send(RawClient.message("w" + i), BODY));
+                }
+            }
+            collect(relay);
+            long before = relay.residentKib();
+            List<RawClient> idle = new ArrayList<>();
+            for (int i = 0; i < 1_000; i++) {
+                RawClient client = RawClient.open("127.0.0.1", relay.http2Port());
+                client.await(() -> !client.offered.isEmpty());
+                idle.add(client);
+            }
+            Thread.sleep(1_000);
+            long heap = collect(relay);
+            say("1,000 idle connections: %d KiB resident more, heap in use %d KiB", relay.residentKib() - before, heap);
+            // Open, and half read: they stay for 2.5 s.
+            for (int c = 0; c < 10; c++) {
+                for (int i = 0; i < 1_000; i++) {
+                    idle.get(c).head(RawClient.message("h" + c + "-" + i).add("content-length", "10"), false);
+                }
+            }
+            Thread.sleep(700);
+            say("10,000 open streams beside: %d KiB resident more, heap in use %d KiB", relay.residentKib() - before,
+                    collect(relay));
+            for (RawClient client : idle) {
+                client.close();
+            }
+        }
+    }
+
+    /** Asks the virtual machine to collect, by the JDK's own tool, and returns what is in use then, in KiB. */
+    private static long collect(ServedRelay relay) throws Exception {
+        for (String what : List.of("GC.run", "GC.heap_info")) {
+            Process tool = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                    Long.toString(relay.process().pid()), what).redirectErrorStream(true).start();
+            String text = new String(tool.getInputStream().readAllBytes());
+            tool.waitFor();
+            if (what.equals("GC.heap_info")) {
+                long used = 0;
+                var matcher = java.util.regex.Pattern.compile("(?:generation|new|tenured).*?used (\\d+)K").matcher(text);
+                while (matcher.find()) {
+                    used += Long.parseLong(matcher.group(1));
+                }
+                return used;
+            }
+        }
+        return 0;
+    }
+
+    // ---- beside slow ones
+
+    private static void slow(Path folder, String core) throws Exception {
+        for (int round = 0; round < ROUNDS; round++) {
+            for (int deaf : new int[] {0, 10}) {
+                try (StandInPartner partner = new StandInPartner(0, 0);
+                        ServedRelay relay = relay(folder, "slow" + round + deaf, partner, 1_024, "streams = 100")) {
+                    pin(relay, core);
+                    Shape shape = new Shape(true, 4, 32);
+                    run(relay, shape, 4, 0);
+                    AtomicInteger ended = new AtomicInteger();
+                    List<RawClient> deafOnes = new ArrayList<>();
+                    for (int i = 0; i < deaf; i++) {
+                        RawClient client = RawClient.open("127.0.0.1", relay.http2Port());
+                        client.await(() -> !client.offered.isEmpty());
+                        deafOnes.add(client);
+                        Thread talker = new Thread(() -> {
+                            try {
+                                // Wrong requests: each gets an answer, none of which is read.
+                                while (true) {
+                                    client.send(RawClient.message("bad id"), "x");
+                                }
+                            } catch (IOException e) {
+                                ended.incrementAndGet();
+                            }
+                        });
+                        talker.setDaemon(true);
+                        talker.start();
+                    }
+                    Thread.sleep(2_000);
+                    Outcome paced = run(relay, shape, SECONDS, 1_500);
+                    say("%d that don't read: %d of %d taken of fast ones at 1,500 a second, p50 %.1f ms, p99 %.1f ms; ended %d",
+                            deaf, paced.taken(), paced.taken() + paced.refused(), paced.at(0.5), paced.at(0.99), ended.get());
+                    for (RawClient client : deafOnes) {
+                        client.close();
+                    }
+                }
+            }
+        }
+    }
+
+    private static void standing(Path folder) throws Exception {
+        try (StandInPartner partner = new StandInPartner(0, 0);
+                ServedRelay relay = relay(folder, "standing", partner, 1_024, "")) {
+            say("HTTP/2 on %d", relay.http2Port());
+            while (System.in.read() >= 0) {
+                continue;
+            }
+            say("took effect: %d, twice %d", partner.effects().size(),
+                    partner.effects().values().stream().filter(n -> n > 1).count());
+        }
+    }
+}
--- a/src/test/java/pipitstage/front/http2/RawClient.java
+++ b/src/test/java/pipitstage/front/http2/RawClient.java
@@ -161,6 +161,11 @@
         return id;
     }
 
+    /** The stream that the next message will have. */
+    int nextStream() {
+        return next;
+    }
+
     /** Sends a whole message in one write, and returns its stream. */
     public int send(Http2Headers head, String body) throws IOException {
         int id = next;
