HTTP/2: streams beyond the offer are refused one by one, not with their whole connection

The load measurement found it: Netty does not create a stream beyond SETTINGS_MAX_CONCURRENT_STREAMS, and then ends the connection for the DATA on it as on one that never was, so that a client which had not heeded a smaller offer lost all its open streams. Allowance counts what a connection was offered and has acknowledged; the stream is created and refused.

--- a/src/main/java/pipitstage/front/http2/Session.java
+++ b/src/main/java/pipitstage/front/http2/Session.java
@@ -41,6 +41,7 @@
 import pipitstage.engine.Clock;
 import pipitstage.engine.Intake;
 import pipitstage.front.door.Room;
+import pipitstage.front.http2.limits.Allowance;
 import pipitstage.front.http2.limits.Budget;
 import pipitstage.front.http2.limits.Credit;
 import pipitstage.front.http2.limits.Farewell;
@@ -80,6 +81,7 @@
     private final Standing standing;
     private final Farewell farewell = new Farewell();
     private final Credit.Account account;
+    private final Allowance allowance;
     private final long acceptableSince;
     /** Streams whose requests are not whole, the oldest first. */
     private final Set<Stream> reading = new LinkedHashSet<>();
@@ -88,7 +90,6 @@
     private int answering;
     /** Half-read bytes by which the connection's window is to change yet. */
     private int lent;
-    private int told;
     private boolean spoke;
     private boolean answered;
     private boolean paused;
@@ -108,7 +109,7 @@
         standing = new Standing(server.options().standing(), clock.micros(), spread);
         account = server.credit().open();
         acceptableSince = server.door().acceptableSince();
-        told = settings.maxConcurrentStreams().intValue();
+        allowance = new Allowance(settings.maxConcurrentStreams().intValue());
         Listener listener = new Listener();
         connection().addListener(listener);
         decoder.frameListener(listener);
@@ -319,8 +320,8 @@
         if (farewell.hasBegun()) {
             boolean unsent = channel.bytesBeforeUnwritable() < channel.config().getWriteBufferHighWaterMark();
             step(farewell.look(now, open, unsent));
-        } else if (spoke && !over && server.worthTelling(told, streams)) {
-            told = streams;
+        } else if (spoke && !over && server.worthTelling(allowance.last(), streams)) {
+            allowance.offer(streams);
             encoder().writeSettings(context, new Http2Settings().maxConcurrentStreams(streams), context.newPromise());
             flushSoon();
         }
@@ -383,7 +384,7 @@
      * @throws Http2Exception where its stream is refused, or its head makes no sense
      */
     private Stream begin(Http2Stream http2, Http2Headers head) throws Http2Exception {
-        if (farewell.refusesNew() || !server.opens(open == 0)) {
+        if (farewell.refusesNew() || !allowance.allows(open) || !server.opens(open == 0)) {
             throw Http2Exception.streamError(http2.id(), Http2Error.REFUSED_STREAM, "never taken");
         }
         Stream stream = new Stream(this, intake, http2, head, clock.micros());
@@ -556,6 +557,10 @@
         /** The client knows what it may: until then it may have as much half read as every connection may at first. */
         @Override
         public void onSettingsAckRead(ChannelHandlerContext ctx) {
+            allowance.acknowledged();
+            // Guards against Netty's own rule: it would not create a stream that is one too many, and then end the whole
+            // connection for the DATA on it.
+            connection().remote().maxActiveStreams(Integer.MAX_VALUE);
             if (over || spoke) {
                 return;
             }
--- a/src/test/java/pipitstage/front/http2/EndsTest.java
+++ b/src/test/java/pipitstage/front/http2/EndsTest.java
@@ -212,6 +212,24 @@
         assertEquals(100, first.offered.get(0));
     }
 
+    /** A client that sends more than it was offered, bodies and all, loses those streams and not its connection. */
+    @Test
+    void whatIsMoreThanAConnectionWasOfferedIsRefusedOneByOne() throws IOException {
+        serve(with(10, 400, 1 << 20, new Standing.Spans(SECOND, 60 * SECOND, 0, SECOND)));
+        intake.takesAll = false;
+        RawClient client = client();
+        for (int i = 0; i < 30; i++) {
+            client.send(RawClient.message("m" + i), "x");
+        }
+        client.await(() -> client.resets.size() == 20);
+        assertEquals(Set.of(REFUSED), Set.copyOf(client.resets.values()));
+        assertEquals(10, intake.handed.size());
+        IntStream.range(0, 10).forEach(this::take);
+        client.await(() -> client.statuses.size() == 10);
+        assertEquals(202, statusOfNext(client));
+        assertEquals(List.of(), client.goAways);
+    }
+
     // ---- goodbyes
 
     @Test
--- a/src/test/java/pipitstage/front/http2/Measure.java
+++ b/src/test/java/pipitstage/front/http2/Measure.java
@@ -198,7 +198,13 @@
             reader.start();
             while (System.nanoTime() < end) {
                 long due = due(start, rate, next);
-                room.acquire();
+                if (!room.tryAcquire(5, TimeUnit.SECONDS)) {
+                    throw new IOException("no answer came for 5 s; " + out.size() + " are out, told " + client.goAways.stream()
+                            .map(g -> g[0] + "/" + g[1]).toList() + ", ended " + client.ended);
+                }
+                while (out.size() >= client.offered.get(client.offered.size() - 1)) {
+                    Thread.sleep(0, 100_000);
+                }
                 // Told before it is sent, as its answer may be quicker.
                 out.put(client.nextStream(), due);
                 client.send(RawClient.message("m" + IDS.getAndIncrement(), "settlement", null, 7, 2_000), BODY);
@@ -219,8 +225,9 @@
     private static void load(Path folder, String core) throws Exception {
         List<Shape> shapes = List.of(new Shape(false, 32, 1), new Shape(true, 1, 32), new Shape(true, 4, 32),
                 new Shape(true, 32, 32), new Shape(false, 400, 1), new Shape(true, 4, 100));
+        int only = Integer.getInteger("only", -1);
         for (int round = 0; round < ROUNDS; round++) {
-            for (Shape shape : shapes) {
+            for (Shape shape : only < 0 ? shapes : shapes.subList(only, only + 1)) {
                 try (StandInPartner partner = new StandInPartner(0, 0);
                         ServedRelay relay = relay(folder, "load" + round + shapes.indexOf(shape), partner, 1_024, "streams = 100")) {
                     pin(relay, core);
--- a/src/test/java/pipitstage/front/http2/limits/LimitsTest.java
+++ b/src/test/java/pipitstage/front/http2/limits/LimitsTest.java
@@ -115,6 +115,19 @@
         assertEquals(worth, new Offer(new Offer.Bounds(2, 200, 400)).worthTelling(told, now));
     }
 
+    @Test
+    void smallerOfferBindsOnceItIsHeard() {
+        Allowance allowance = new Allowance(10);
+        assertTrue(allowance.allows(1_000), "RFC 9113, 6.5.2: no limit before the first SETTINGS are heard");
+        allowance.offer(4);
+        allowance.offer(8);
+        assertEquals(8, allowance.last());
+        for (int expected : new int[] {10, 4, 8, 8}) {
+            allowance.acknowledged();
+            assertTrue(allowance.allows(expected - 1) && !allowance.allows(expected), "heard of " + expected);
+        }
+    }
+
     // ---- credit
 
     /** Wishes and returns in any order, against a plain model of who holds what. */
