--- a/src/test/java/pipitstage/pairs/AmqpCampaign.java
+++ b/src/test/java/pipitstage/pairs/AmqpCampaign.java
@@ -24,7 +24,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import pipitstage.Policy;
 import pipitstage.amqp.codec.Command;
 import pipitstage.amqp.codec.Method;
 import pipitstage.amqp.codec.Op;
--- a/src/test/java/pipitstage/pairs/FrontSide.java
+++ b/src/test/java/pipitstage/pairs/FrontSide.java
@@ -127,6 +127,10 @@
             return client.status(client.send(RawClient.message(id, type, key, destination, budgetMs), "body of " + id)) == 202;
         }
 
+        RawClient client() {
+            return client;
+        }
+
         @Override
         Map<String, Integer> ends() throws IOException {
             return Http.ofFile(state);
--- a/src/test/java/pipitstage/pairs/PairTestBase.java
+++ b/src/test/java/pipitstage/pairs/PairTestBase.java
@@ -21,9 +21,9 @@
 abstract class PairTestBase {
     @TempDir
     Path folder;
-    private FrontSide front;
-    private PartnerSide partner;
-    private ServedRelay relay;
+    FrontSide front;
+    PartnerSide partner;
+    ServedRelay relay;
     private Path file;
     private int starts;
 
@@ -94,7 +94,7 @@
         });
     }
 
-    private int told(String end) {
+    int told(String end) {
         try {
             return front.ends().getOrDefault(end, 0);
         } catch (Exception e) {
