HTTP/2: a connection's silence is none of its first message's time; one Unread for both fronts

Read once more, the front took the time at which a connection could have been accepted for the time of its first message, however long it had stood: after a minute of silence that message was over as it came. HTTP/1.1 had the right rule, and one for bytes that waited while nothing was read, which HTTP/2 lacked. Both are in front.door.Unread now, and both fronts use it.

--- a/src/main/java/pipitstage/front/http/ClientConnection.java
+++ b/src/main/java/pipitstage/front/http/ClientConnection.java
@@ -27,6 +27,7 @@
 import pipitstage.engine.Clock;
 import pipitstage.engine.Intake;
 import pipitstage.engine.Message;
+import pipitstage.front.door.Unread;
 import pipitstage.front.request.Answer;
 import pipitstage.front.request.Exchange;
 import pipitstage.front.request.Request;
@@ -43,10 +44,7 @@
     private final ArrayDeque<ClientRequest> pipelined = new ArrayDeque<>();
     private final Exchange exchange;
     private ChannelHandlerContext context;
-    private long openedAt;
-    private long acceptableSince;
-    /** Since when bytes may have waited that were not read while too many requests were pipelined. */
-    private long pausedSince = Long.MAX_VALUE;
+    private Unread unread;
     private long bytesSince;
     private boolean idle = true;
     private boolean served;
@@ -98,7 +96,7 @@
                 ReferenceCountUtil.release(bytes);
                 return;
             }
-            bytesSince = unreadSince();
+            bytesSince = unread.since();
             if (idle) {
                 idle = false;
                 server.house().began(ClientConnection.this);
@@ -112,19 +110,12 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (ctx.channel().config().isAutoRead()) {
-                pausedSince = Long.MAX_VALUE;
+                unread.caughtUp();
             }
             ctx.fireChannelReadComplete();
         }
     }
 
-    /** The earliest time at which the bytes that are read now can have come. */
-    private long unreadSince() {
-        long since = Math.min(pausedSince, server.door().unreadSince());
-        // Guards against bytes that came with the connection and waited, with it, to be accepted.
-        return since <= openedAt ? Math.min(since, acceptableSince) : since;
-    }
-
     /** Guards against two lengths, of which only one can be true: both stay, for the reader to see. */
     private static final class Decoder extends HttpRequestDecoder {
         @Override
@@ -146,8 +137,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
-        openedAt = clock.micros();
-        acceptableSince = server.door().acceptableSince();
+        unread = new Unread(server.door(), clock.micros());
         startTimer(Request.READ_MS, this::stalled);
         server.house().opened(this);
     }
@@ -233,7 +223,7 @@
     private void readMore() {
         boolean full = pipelined.size() >= MOST_PIPELINED;
         if (full) {
-            pausedSince = Math.min(pausedSince, server.door().unreadSince());
+            unread.paused();
         }
         context.channel().config().setAutoRead(!full);
     }
--- a/src/main/java/pipitstage/front/http2/Session.java
+++ b/src/main/java/pipitstage/front/http2/Session.java
@@ -42,6 +42,7 @@
 import pipitstage.engine.Clock;
 import pipitstage.engine.Intake;
 import pipitstage.front.door.Room;
+import pipitstage.front.door.Unread;
 import pipitstage.front.http2.limits.Allowance;
 import pipitstage.front.http2.limits.Budget;
 import pipitstage.front.http2.limits.Credit;
@@ -83,7 +84,7 @@
     private final Farewell farewell = new Farewell();
     private final Credit.Account account;
     private final Allowance allowance;
-    private final long acceptableSince;
+    private final Unread unread;
     /** Streams whose requests are not whole, the oldest first. */
     private final Set<Stream> reading = new LinkedHashSet<>();
     private ChannelHandlerContext context;
@@ -92,8 +93,6 @@
     /** Half-read bytes by which the connection's window is to change yet. */
     private int lent;
     private boolean spoke;
-    private boolean answered;
-    private boolean paused;
     private boolean flushDue;
     private boolean over;
 
@@ -109,7 +108,7 @@
         budget = new Budget(server.options().resets());
         standing = new Standing(server.options().standing(), clock.micros(), spread);
         account = server.credit().open();
-        acceptableSince = server.door().acceptableSince();
+        unread = new Unread(server.door(), clock.micros());
         allowance = new Allowance(settings.maxConcurrentStreams().intValue());
         Listener listener = new Listener();
         connection().addListener(listener);
@@ -218,19 +217,22 @@
         super.onStreamError(ctx, outbound, cause, error);
     }
 
+    /** Guards against a client that asks and does not read: it is not read from either until it does. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) throws Exception {
         super.channelWritabilityChanged(ctx);
-        pace();
+        if (!channel.isWritable()) {
+            unread.paused();
+        }
+        channel.config().setAutoRead(channel.isWritable());
     }
 
-    /** Guards against a client that asks and does not read: it is not read from either until it does. */
-    private void pace() {
-        boolean pause = !channel.isWritable();
-        if (pause != paused) {
-            paused = pause;
-            channel.config().setAutoRead(!pause);
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        if (channel.config().isAutoRead()) {
+            unread.caughtUp();
         }
+        super.channelReadComplete(ctx);
     }
 
     /** Ends at once, as the house is full. */
@@ -475,9 +477,7 @@
     private void whole(Stream stream) {
         reading.remove(stream);
         returnCredit(stream);
-        long unread = server.door().unreadSince();
-        // Guards against bytes that came with the connection and waited, with it, to be accepted.
-        stream.whole(server.isDraining(), answered ? unread : Math.min(unread, acceptableSince), unread);
+        stream.whole(server.isDraining(), unread.since(), server.door().unreadSince());
         if (stream.isWaiting()) {
             stream.life().on(Life.Event.RECORDED);
             answering++;
@@ -511,7 +511,6 @@
         if (stream.life().on(event) != Life.Deed.ANSWER) {
             return;
         }
-        answered = true;
         reading.remove(stream);
         returnCredit(stream);
         Http2Headers headers = ANSWERS.get(answer);
@@ -519,9 +518,8 @@
             headers = new DefaultHttp2Headers(false, 2).status(answer.status().codeAsText())
                     .add(HttpHeaderNames.RETRY_AFTER, Answer.retryAfter(retryIn));
         }
-        boolean unread = !stream.isWhole();
         encoder().writeHeaders(context, stream.stream().id(), headers, 0, true, context.newPromise());
-        if (unread) {
+        if (!stream.isWhole()) {
             resetStream(context, stream.stream().id(), Http2Error.NO_ERROR.code(), context.newPromise());
         }
         flushSoon();
--- a/src/test/java/pipitstage/front/http2/EndsTest.java
+++ b/src/test/java/pipitstage/front/http2/EndsTest.java
@@ -78,6 +78,19 @@
         assertFalse(on(() -> server.isAnswering()));
     }
 
+    /** A connection that has stood for long before its first message: its silence is none of the message's time. */
+    @Test
+    void firstMessageOfAConnectionThatStoodForLongHasAllItsTime() throws IOException {
+        serve(usual());
+        RawClient client = client();
+        long opened = clock.micros();
+        await(() -> clock.micros() - opened > 3 * SECOND);
+        long sent = clock.micros();
+        assertEquals(202, client.status(client.send(RawClient.message("m"), "x")));
+        long lost = sent + 8 * SECOND - intake.handed.get(0).message().content().deadline();
+        assertTrue(lost < 3 * SECOND / 2, "microseconds lost: " + lost);
+    }
+
     // ---- windows and clients that don't read
 
     /** Answers are HEADERS alone, which no window holds up (RFC 9113, 6.9). */
