Schema's machinery as Catalog, so that other forms of file are checked alike; lines for staff by port

Scenario files are to be read and checked by the same code as relay files. Catalog holds what any form has (settings, bounds, nearest names, reference); Schema is the relay's. The engine tells its lines for staff to whoever reads them, which is the log as before: a fleet of engines in one process would share the log's bound.

--- a/src/main/java/pipitstage/cli/Commands.java
+++ b/src/main/java/pipitstage/cli/Commands.java
@@ -21,6 +21,7 @@
 import picocli.CommandLine.Spec;
 import pipitstage.config.file.Finding;
 import pipitstage.config.file.SourceFile;
+import pipitstage.config.schema.Catalog;
 import pipitstage.config.schema.Schema;
 import pipitstage.config.schema.Setting;
 import pipitstage.config.tool.Tool;
@@ -28,7 +29,7 @@
 /** The command line beside {@code serve} and {@code simhost}. Exit codes: 0 clean, 1 findings, 2 unreadable or misuse. */
 @Command(name = "loftflow", version = "loftflow 0.1.0", mixinStandardHelpOptions = true,
         description = "An outbound message relay.", synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Commands.ServeHelp.class, Commands.SimhostHelp.class, Commands.ConfigCommand.class, TraceCommand.class,
+        subcommands = {Commands.ServeHelp.class, Commands.SimhostHelp.class, Commands.ConfigCommand.class, TraceCommand.class, LabCommand.class,
             UndeliverableCommand.class, DemoCommand.class, AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class})
 final class Commands implements Runnable {
     private static final int CLEAN = 0;
@@ -63,7 +64,7 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed: serve, simhost, config, trace, undeliverable,"
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed: serve, simhost, config, trace, lab, undeliverable,"
                 + " demo or generate-completion");
     }
 
@@ -248,12 +249,12 @@
 
         @Override
         public Integer call() {
-            Optional<Setting> setting = Schema.of(key).or(() -> Schema.loose(key));
+            Optional<Setting> setting = Schema.RELAY.of(key).or(() -> Schema.RELAY.loose(key));
             if (setting.isEmpty()) {
                 throw new CommandLine.ParameterException(spec.commandLine(), "there is no setting " + key
-                        + Schema.nearest(key, true).map(near -> "; did you mean " + near + "?").orElse(""));
+                        + Schema.RELAY.nearest(key, true).map(near -> "; did you mean " + near + "?").orElse(""));
             }
-            spec.commandLine().getOut().println(Schema.explanation(setting.get()));
+            spec.commandLine().getOut().println(Catalog.explanation(setting.get()));
             spec.commandLine().getOut().flush();
             return CLEAN;
         }
@@ -267,7 +268,7 @@
 
         @Override
         public Integer call() {
-            spec.commandLine().getOut().print(Schema.reference());
+            spec.commandLine().getOut().print(Schema.RELAY.reference());
             spec.commandLine().getOut().flush();
             return CLEAN;
         }
--- a/src/main/java/pipitstage/config/plan/Planner.java
+++ b/src/main/java/pipitstage/config/plan/Planner.java
@@ -152,12 +152,12 @@
     }
 
     private static long fallback(String key) {
-        String text = Schema.of(key).orElseThrow().fallback();
+        String text = Schema.RELAY.of(key).orElseThrow().fallback();
         return text.matches("\\d+") ? Long.parseLong(text) : Units.span(text);
     }
 
     private static double fraction(String key) {
-        return Double.parseDouble(Schema.of(key).orElseThrow().fallback());
+        return Double.parseDouble(Schema.RELAY.of(key).orElseThrow().fallback());
     }
 
     /** What staff can change where a derived figure doesn't fit: what it was derived from. */
--- a/src/main/java/pipitstage/config/schema/Section.java
+++ b/src/main/java/pipitstage/config/schema/Section.java
@@ -20,6 +20,7 @@
             + "property:(content-type|content-encoding|delivery-mode|priority|correlation-id|reply-to|expiration|message-id|"
             + "timestamp|type|user-id|app-id|cluster-id)";
 
+    private final Catalog catalog;
     private final String file;
     private final String key;
     private final Node node;
@@ -29,7 +30,8 @@
     private final Map<String, List<Section>> arrays = new HashMap<>();
     private boolean faulty;
 
-    private Section(String file, String key, Node node, boolean derived) {
+    private Section(Catalog catalog, String file, String key, Node node, boolean derived) {
+        this.catalog = catalog;
         this.file = file;
         this.key = key;
         this.node = node;
@@ -39,11 +41,12 @@
     /**
      * Reads a whole file.
      *
+     * @param catalog what may stand in it
      * @param derived whether derived settings may and must stand in it
      * @param findings takes everything that is wrong
      */
-    public static Section read(String file, Node top, boolean derived, List<Finding> findings) {
-        Section section = new Section(file, "", top, derived);
+    public static Section read(Catalog catalog, String file, Node top, boolean derived, List<Finding> findings) {
+        Section section = new Section(catalog, file, "", top, derived);
         section.readAll(findings);
         return section;
     }
@@ -51,11 +54,11 @@
     private void readAll(List<Finding> findings) {
         int before = findings.size();
         Map<String, Setting> known = new HashMap<>();
-        Schema.in(Schema.pattern(key)).forEach(s -> known.put(s.name(), s));
+        catalog.in(catalog.pattern(key)).forEach(s -> known.put(s.name(), s));
         node.table().forEach((name, value) -> {
             Setting setting = known.get(name);
             if (setting == null) {
-                findings.add(at(name).error("unknown setting" + Schema.nearest(full(name), derived)
+                findings.add(at(name).error("unknown setting" + catalog.nearest(full(name), derived)
                         .map(near -> "; did you mean " + near + "?").orElse("")));
             } else if (setting.derived() && !derived) {
                 findings.add(at(name).error("is derived by config write and has no place in an application file"));
@@ -79,7 +82,7 @@
                     findings.add(at(name).error("a table is needed, not " + value.kind()));
                 }
                 Node table = absent ? new Node(Map.of(), node.line(), node.column()) : value;
-                Section section = new Section(file, full(name), table, derived);
+                Section section = new Section(catalog, file, full(name), table, derived);
                 section.readAll(findings);
                 tables.put(name, section);
             }
@@ -114,7 +117,7 @@
                         .error("a table is needed, not " + entry.kind()));
                 continue;
             }
-            Section section = new Section(file, entryKey, entry, derived);
+            Section section = new Section(catalog, file, entryKey, entry, derived);
             section.readAll(findings);
             sections.add(section);
         }
@@ -128,8 +131,8 @@
             if (parsed instanceof Number number) {
                 double size = number.doubleValue();
                 if (!(size >= setting.least() && size <= setting.most())) {
-                    return Optional.of(Schema.inUnit(setting, size) + " is out of bounds: "
-                            + Schema.bounds(setting).replaceFirst("^, ", ""));
+                    return Optional.of(Catalog.inUnit(setting, size) + " is out of bounds: "
+                            + Catalog.bounds(setting).replaceFirst("^, ", ""));
                 }
             }
             values.put(setting.name(), parsed);
--- a/src/main/java/pipitstage/config/tool/CheckedFile.java
+++ b/src/main/java/pipitstage/config/tool/CheckedFile.java
@@ -10,6 +10,7 @@
 import pipitstage.config.plan.Figures;
 import pipitstage.config.plan.Planner;
 import pipitstage.config.plan.Surroundings;
+import pipitstage.config.schema.Schema;
 import pipitstage.config.schema.Section;
 
 /**
@@ -35,7 +36,7 @@
         Figures figures = null;
         // Guards against a second report of what the grammar's errors have left out.
         if (findings.isEmpty()) {
-            Section top = Section.read(file, node, derived, findings);
+            Section top = Section.read(Schema.RELAY, file, node, derived, findings);
             if (!top.isFaulty()) {
                 declared = Declared.of(top);
                 figures = derived ? Figures.of(top) : Planner.plan(declared).figures();
--- a/src/main/java/pipitstage/config/tool/RelayFileText.java
+++ b/src/main/java/pipitstage/config/tool/RelayFileText.java
@@ -50,7 +50,7 @@
 
     /** The settings of a table in the schema's order: values first, since tables end what they stand in. */
     private void table(String pattern, String header, Node node) {
-        List<Setting> settings = Schema.all().stream().filter(s -> s.parent().equals(pattern)).toList();
+        List<Setting> settings = Schema.RELAY.all().stream().filter(s -> s.parent().equals(pattern)).toList();
         for (Setting setting : settings) {
             Node value = node.table().get(setting.name());
             if (value != null && value.table() == null && setting.type() != Setting.Type.TABLES) {
@@ -100,7 +100,7 @@
         Map<String, String> values = Planner.values(plan.figures());
         String section = "";
         for (Map.Entry<String, String> value : values.entrySet()) {
-            Setting setting = Schema.of(value.getKey()).orElseThrow();
+            Setting setting = Schema.RELAY.of(value.getKey()).orElseThrow();
             if (!setting.parent().equals(section)) {
                 section = setting.parent();
                 out.append("\n[").append(section).append("]\n");
--- a/src/main/java/pipitstage/engine/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -40,6 +40,7 @@
     private Ends ends;
     private Keeper keeper = Keeper.NONE;
     private Consumer<Event> observer = event -> { };
+    private Consumer<String> staff = Log::line;
     private boolean spansUnknown;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
@@ -92,6 +93,11 @@
         observer = sees;
     }
 
+    /** Sets who reads lines for staff, in place of the log; once, before {@link #start}. */
+    public void logTo(Consumer<String> reads) {
+        staff = reads;
+    }
+
     /** Since the clocks don't tell how long ago an earlier process ended, no key window of its attempts is open. */
     public void spansUnknown() {
         spansUnknown = true;
@@ -281,7 +287,7 @@
     private void watchEnd(Message message) {
         long delay = message.content.deadline() + LATEST_END - clock.micros();
         message.endWatch = timers.after(Math.max(LATEST_END, delay), () -> {
-            Log.line("message " + message.content.callId() + " is overdue");
+            staff.accept("message " + message.content.callId() + " is overdue");
             end(message.number, new Message.End(false, 0));
         });
     }
@@ -309,7 +315,7 @@
             }
         } catch (RuntimeException e) {
             // Guards against one bad event that would end the relay and all that it holds.
-            Log.line("a round failed: " + e + " at " + List.of(e.getStackTrace()).stream().findFirst().orElse(null));
+            staff.accept("a round failed: " + e + " at " + List.of(e.getStackTrace()).stream().findFirst().orElse(null));
         }
         for (Message message : arrived) {
             if (message.client != null) {
@@ -549,6 +555,6 @@
 
     @Override
     public void log(String text) {
-        Log.line(text);
+        staff.accept(text);
     }
 }
--- a/src/test/java/pipitstage/config/ToolTest.java
+++ b/src/test/java/pipitstage/config/ToolTest.java
@@ -18,6 +18,7 @@
 import pipitstage.config.file.Finding;
 import pipitstage.config.file.SourceFile;
 import pipitstage.config.plan.Surroundings;
+import pipitstage.config.schema.Catalog;
 import pipitstage.config.schema.Schema;
 import pipitstage.config.schema.Setting;
 import pipitstage.config.tool.CheckedFile;
@@ -268,19 +269,19 @@
 
     @Test
     void referenceOnFileIsTheSchemasOwn() throws IOException {
-        assertEquals(Schema.reference(), Files.readString(Path.of("docs/operators/settings.md")),
+        assertEquals(Schema.RELAY.reference(), Files.readString(Path.of("docs/operators/settings.md")),
                 "run: java -jar target/loftflow.jar config reference > docs/operators/settings.md");
-        for (Setting setting : Schema.all()) {
-            assertTrue(Schema.explanation(setting).contains(setting.text()));
-            assertEquals(setting, Schema.of(setting.key()).orElseThrow());
+        for (Setting setting : Schema.RELAY.all()) {
+            assertTrue(Catalog.explanation(setting).contains(setting.text()));
+            assertEquals(setting, Schema.RELAY.of(setting.key()).orElseThrow());
         }
     }
 
     @Test
     void slipOfThePenNamesTheNearestKey() {
-        assertEquals(Optional.of("class[].deadline"), Schema.nearest("class[2].daedline", false));
-        assertEquals(Optional.of("class[].deadline"), Schema.nearest("class.deadlin", false));
-        assertEquals(Optional.empty(), Schema.nearest("zzzzzzzzzzzz", true));
-        assertEquals(Optional.empty(), Schema.nearest("buffer.messags", false));
+        assertEquals(Optional.of("class[].deadline"), Schema.RELAY.nearest("class[2].daedline", false));
+        assertEquals(Optional.of("class[].deadline"), Schema.RELAY.nearest("class.deadlin", false));
+        assertEquals(Optional.empty(), Schema.RELAY.nearest("zzzzzzzzzzzz", true));
+        assertEquals(Optional.empty(), Schema.RELAY.nearest("buffer.messags", false));
     }
 }
