--- /dev/null
+++ b/src/main/java/pipitstage/cli/LabCommand.java
@@ -0,0 +1,373 @@
+package pipitstage.cli;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import pipitstage.config.file.SourceFile;
+import pipitstage.lab.Lab;
+import pipitstage.lab.experiment.Capacity;
+import pipitstage.lab.experiment.Verdict;
+import pipitstage.lab.results.ResultsFolder;
+import pipitstage.lab.results.RunPage;
+import pipitstage.lab.scenario.Scenario;
+import pipitstage.lab.scenario.ScenarioFile;
+import pipitstage.lab.scenario.ScenarioForm;
+import pipitstage.lab.scenario.ScenarioText;
+import pipitstage.lab.service.Judge;
+import pipitstage.lab.service.Service;
+
+/** The laboratory. Exit codes: 0 clean, 1 a rule was broken, or a side is worse, or a file has errors; 2 misuse. */
+@Command(name = "lab", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
+        description = "Plays scenarios in an emulator of programs, partners and failures, and compares what comes of them.",
+        subcommands = {LabCommand.Scenarios.class, LabCommand.Check.class, LabCommand.Run.class, LabCommand.Compare.class,
+            LabCommand.Sweep.class, LabCommand.CapacityOf.class, LabCommand.Minimize.class, LabCommand.Reference.class})
+final class LabCommand implements Runnable {
+    private static final int CLEAN = 0;
+    private static final int FOUND = 1;
+    private static final JsonFactory JSON = new JsonFactory();
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(),
+                "a command is needed: scenarios, check, run, compare, sweep, capacity, minimize or reference");
+    }
+
+    /** What all that play a scenario share. */
+    private abstract static class Playing implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "SCENARIO", description = "A file, or the name of one that comes with the program.")
+        private String scenario;
+
+        @Spec
+        private CommandSpec spec;
+
+        PrintWriter out() {
+            return spec.commandLine().getOut();
+        }
+
+        CommandLine.ParameterException wrong(String why) {
+            return new CommandLine.ParameterException(spec.commandLine(), why);
+        }
+
+        /** The scenario, or null where it has errors, which are printed. */
+        Scenario scenario() throws IOException, SourceFile.UnreadableException {
+            return read(spec, scenario).scenario();
+        }
+    }
+
+    private static ScenarioFile.Read read(CommandSpec spec, String name) throws IOException, SourceFile.UnreadableException {
+        ScenarioFile.Read read = Lab.NAMED.contains(name) ? Lab.read(name, Lab.named(name))
+                : Lab.read(name, SourceFile.text(Path.of(name)));
+        read.findings().forEach(finding -> spec.commandLine().getErr().println(finding));
+        return read;
+    }
+
+    private static void print(PrintWriter out, Lab.Played played) {
+        Service.Report s = played.service();
+        out.println(String.format(Locale.ROOT, "%s, seed %d: service %.4f (whole %.4f, worst 10 s %.4f, worst class %.4f, worst tenant"
+                + " %.4f)", played.scenario().name(), played.seed(), s.figure(), s.whole(), s.worstWindow(), s.worstClass(),
+                s.worstTenant()));
+        out.println(String.format(Locale.ROOT, "  %-16s %8s %9s %8s %7s %8s %9s %9s %8s", "class", "asked", "delivered", "refused",
+                "failed", "service", "p50 ms", "p99 ms", "attempts"));
+        for (Service.OfClass c : s.classes()) {
+            out.println(String.format(Locale.ROOT, "  %-16s %8d %9d %8d %7d %8.4f %9.0f %9.0f %8.2f", c.name(), c.asked(),
+                    c.delivered(), c.refused(), c.failed(), c.service(), c.p50(), c.p99(), c.attempts()));
+        }
+        out.println(String.format(Locale.ROOT, "  highest load of an endpoint in a second: %.2f times what it could do", s.peakLoad()));
+        if (played.rules().isClean()) {
+            out.println("  no rule was broken");
+        } else {
+            out.println("  rules broken: " + played.rules().counts());
+            played.rules().first().forEach(b -> out.println("    " + b.rule() + " at " + b.at() + " us, message " + b.ask() + ": "
+                    + b.what()));
+        }
+    }
+
+    @Command(name = "scenarios", mixinStandardHelpOptions = true, description = "Lists the scenarios that come with the program.")
+    static final class Scenarios implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException {
+            for (String name : Lab.NAMED) {
+                spec.commandLine().getOut().println(String.format(Locale.ROOT, "%-22s %s", name, Lab.read(name, Lab.named(name))
+                        .scenario().text()));
+            }
+            return CLEAN;
+        }
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true, description = "Finds what is wrong with scenario files.")
+    static final class Check implements Callable<Integer> {
+        @Parameters(arity = "1..*", paramLabel = "SCENARIO", description = "Files, or names.")
+        private List<String> files;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException, SourceFile.UnreadableException {
+            boolean clean = true;
+            for (String file : files) {
+                clean &= read(spec, file).scenario() != null;
+            }
+            return clean ? CLEAN : FOUND;
+        }
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays a scenario and tells its service and the rules.")
+    static final class Run extends Playing {
+        @Option(names = "--seed", defaultValue = "1", description = "The first seed (${DEFAULT-VALUE}).")
+        private long seed;
+
+        @Option(names = "--seeds", defaultValue = "1", description = "How many seeds, from the first on (${DEFAULT-VALUE}).")
+        private int seeds;
+
+        @Option(names = "--json", paramLabel = "FILE", description = "Figures as JSON, a line for each run.")
+        private Path json;
+
+        @Option(names = "--csv", paramLabel = "FILE", description = "Figures as CSV, a row for each run.")
+        private Path csv;
+
+        @Option(names = "--page", paramLabel = "FILE", description = "A page with plots of the last run.")
+        private Path page;
+
+        @Override
+        public Integer call() throws IOException, SourceFile.UnreadableException {
+            Scenario scenario = scenario();
+            if (scenario == null) {
+                return FOUND;
+            }
+            List<Lab.Played> all = new ArrayList<>();
+            boolean clean = true;
+            for (int i = 0; i < seeds; i++) {
+                Lab.Played played = Lab.play(scenario, seed + i);
+                print(out(), played);
+                clean &= played.rules().isClean();
+                if (page != null && i == seeds - 1) {
+                    Files.writeString(page, RunPage.of(scenario, played.seed(), played.service(), played.rules(),
+                            played.history()));
+                }
+                all.add(played);
+            }
+            if (json != null) {
+                writeJson(json, all);
+            }
+            if (csv != null) {
+                writeCsv(csv, all);
+            }
+            return clean ? CLEAN : FOUND;
+        }
+    }
+
+    private static void writeJson(Path file, List<Lab.Played> all) throws IOException {
+        try (JsonGenerator json = JSON.createGenerator(Files.newBufferedWriter(file))) {
+            json.setRootValueSeparator(null);
+            for (Lab.Played played : all) {
+                json.writeStartObject();
+                json.writeStringField("scenario", played.scenario().name());
+                json.writeNumberField("seed", played.seed());
+                for (Map.Entry<String, Double> figure : played.figures().entrySet()) {
+                    json.writeNumberField(figure.getKey(), figure.getValue());
+                }
+                json.writeEndObject();
+                json.writeRaw('\n');
+            }
+        }
+    }
+
+    private static void writeCsv(Path file, List<Lab.Played> all) throws IOException {
+        List<String> lines = new ArrayList<>();
+        lines.add("scenario,seed," + String.join(",", all.get(0).figures().keySet()));
+        all.forEach(p -> lines.add(p.scenario().name() + "," + p.seed() + "," + String.join(",", p.figures().values().stream()
+                .map(v -> Double.toString(v)).toList())));
+        Files.write(file, lines);
+    }
+
+    /** What experiments share: a folder that is resumed, and seeds. */
+    private abstract static class Experiment extends Playing {
+        @Option(names = "--seeds", defaultValue = "12", description = "Pairs of runs (${DEFAULT-VALUE}).")
+        private int seeds;
+
+        @Option(names = "--folder", required = true, paramLabel = "DIR", description = "Where finished runs are kept: a"
+                + " run that is there is not made again.")
+        private Path folder;
+
+        int judge(String name, List<Lab.Side> sides) throws IOException {
+            List<Long> numbers = new ArrayList<>();
+            for (long seed = 1; seed <= seeds; seed++) {
+                numbers.add(seed);
+            }
+            boolean worse = false;
+            try (ResultsFolder results = ResultsFolder.open(folder)) {
+                if (results.cut() > 0) {
+                    out().println(results.cut() + " bytes of a run that was cut off were dropped: it is made again");
+                }
+                Map<String, List<Lab.Compared>> all = Lab.compare(results, name, sides, numbers, result -> out().println(
+                        String.format(Locale.ROOT, "  %s, seed %d: service %.4f", result.side(), result.seed(),
+                                result.figures().get("service"))));
+                for (Map.Entry<String, List<Lab.Compared>> side : all.entrySet()) {
+                    out().println(side.getKey() + " beside " + sides.get(0).name() + ":");
+                    for (Lab.Compared c : side.getValue()) {
+                        Verdict v = c.verdict();
+                        out().println(String.format(Locale.ROOT, "  %-14s %+.5f [%+.5f, %+.5f] p %.3f, %d pairs: %s", c.figure(),
+                                v.effect(), v.low(), v.high(), v.p(), v.pairs(), v.word().name().toLowerCase(Locale.ROOT)
+                                        .replace('_', ' ')));
+                        worse |= c.figure().equals("service") && v.word() == Verdict.Word.WORSE;
+                    }
+                }
+            }
+            return worse ? FOUND : CLEAN;
+        }
+    }
+
+    @Command(name = "compare", mixinStandardHelpOptions = true, description = "Plays two scenarios by turns on the same seeds,"
+            + " and says whether the second one is better.")
+    static final class Compare extends Experiment {
+        @Parameters(index = "1", paramLabel = "OTHER", description = "The scenario beside it, such as one with other slots.")
+        private String other;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException, SourceFile.UnreadableException {
+            Scenario first = scenario();
+            Scenario second = read(spec, other).scenario();
+            return first == null || second == null ? FOUND : judge(first.name() + " | " + second.name() + " | " + other,
+                    List.of(new Lab.Side("A", first, Lab.OWN), new Lab.Side("B", second, Lab.OWN)));
+        }
+    }
+
+    @Command(name = "sweep", mixinStandardHelpOptions = true, description = "Plays a scenario with several values of one factor by"
+            + " turns, each judged against the first.")
+    static final class Sweep extends Experiment {
+        /** What can be swept. */
+        enum Factor { load, slots, messages, relays }
+
+        @Option(names = "--factor", required = true, description = "${COMPLETION-CANDIDATES}.")
+        private Factor factor;
+
+        @Option(names = "--values", required = true, split = ",", description = "Such as 1,1.5,2.")
+        private List<Double> values;
+
+        @Override
+        public Integer call() throws IOException, SourceFile.UnreadableException {
+            Scenario scenario = scenario();
+            if (scenario == null) {
+                return FOUND;
+            }
+            if (values.size() < 2 || values.stream().anyMatch(v -> !(v > 0))) {
+                throw wrong("--values takes two or more numbers above 0");
+            }
+            judge(scenario.name() + " by " + factor, values.stream().map(v -> new Lab.Side(factor + "=" + v, with(scenario, v),
+                    Lab.OWN)).toList());
+            return CLEAN;
+        }
+
+        private Scenario with(Scenario s, double value) {
+            Scenario.Fleet f = s.fleet();
+            int whole = (int) Math.max(1, Math.round(value));
+            return switch (factor) {
+                case load -> s.withSpan(s.span(), value);
+                case slots -> s.withFleet(new Scenario.Fleet(f.relays(), f.skew(), whole, f.messages(), f.round(), f.restart()));
+                case messages -> s.withFleet(new Scenario.Fleet(f.relays(), f.skew(), f.slots(), whole, f.round(), f.restart()));
+                case relays -> s.withFleet(new Scenario.Fleet(whole, f.skew(), f.slots(), f.messages(), f.round(), f.restart()));
+            };
+        }
+    }
+
+    @Command(name = "capacity", mixinStandardHelpOptions = true, description = "Searches the highest load at which a scenario keeps"
+            + " a service and a latency.")
+    static final class CapacityOf extends Playing {
+        @Option(names = "--service", defaultValue = "0.95", description = "At least (${DEFAULT-VALUE}).")
+        private double service;
+
+        @Option(names = "--p99", defaultValue = "5000", paramLabel = "MS", description = "At the most (${DEFAULT-VALUE}).")
+        private double p99;
+
+        @Option(names = "--within", defaultValue = "0.05", description = "The answer may be off by that share (${DEFAULT-VALUE}).")
+        private double within;
+
+        @Override
+        public Integer call() throws IOException, SourceFile.UnreadableException {
+            Scenario scenario = scenario();
+            if (scenario == null) {
+                return FOUND;
+            }
+            if (!(within > 0)) {
+                throw wrong("--within takes a share above 0");
+            }
+            Capacity found = Lab.capacity(scenario, service, p99, within, line -> out().println("  " + line));
+            double rate = scenario.classes().stream().mapToDouble(Scenario.MessageClass::rate).sum() * scenario.load();
+            out().println(String.format(Locale.ROOT, "highest load that held: %.3f (%.1f messages a second); lowest that did not: %.3f;"
+                    + " %d runs", found.answer(), found.answer() * rate, found.beyond(), found.runs()));
+            return CLEAN;
+        }
+    }
+
+    @Command(name = "minimize", mixinStandardHelpOptions = true, description = "Makes a scenario that breaks a rule smaller, as long"
+            + " as it breaks it, and keeps the small one.")
+    static final class Minimize extends Playing {
+        @Option(names = "--seed", required = true, description = "The seed by which it breaks the rule.")
+        private long seed;
+
+        @Option(names = "--rule", required = true, description = "${COMPLETION-CANDIDATES}.")
+        private Judge.Rule rule;
+
+        @Option(names = "-o", required = true, paramLabel = "FILE", description = "Where the small one goes.")
+        private Path to;
+
+        @Option(names = "--runs", defaultValue = "300", description = "Runs at the most (${DEFAULT-VALUE}).")
+        private int runs;
+
+        @Override
+        public Integer call() throws IOException, SourceFile.UnreadableException {
+            Scenario scenario = scenario();
+            if (scenario == null) {
+                return FOUND;
+            }
+            try {
+                Scenario small = Lab.minimize(scenario, seed, rule, Lab.OWN, runs);
+                Files.writeString(to, ScenarioText.of(small));
+                out().println(to + ": " + small.failures().size() + " of " + scenario.failures().size() + " failures, "
+                        + small.groups().size() + " of " + scenario.groups().size() + " groups, " + small.classes().size() + " of "
+                        + scenario.classes().size() + " classes, " + small.fleet().relays() + " of " + scenario.fleet().relays()
+                        + " relays");
+                return CLEAN;
+            } catch (IllegalArgumentException e) {
+                throw wrong("seed " + seed + " does not break " + rule + ": there is nothing to make smaller");
+            }
+        }
+    }
+
+    @Command(name = "reference", mixinStandardHelpOptions = true, description = "Prints every setting of scenario files as Markdown.")
+    static final class Reference implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            spec.commandLine().getOut().print(ScenarioForm.SCENARIO.reference());
+            spec.commandLine().getOut().flush();
+            return CLEAN;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/lab/Lab.java
@@ -0,0 +1,190 @@
+package pipitstage.lab;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import pipitstage.Logic;
+import pipitstage.config.file.Finding;
+import pipitstage.config.file.TomlFile;
+import pipitstage.engine.Engine;
+import pipitstage.lab.experiment.Capacity;
+import pipitstage.lab.experiment.Order;
+import pipitstage.lab.experiment.Shrink;
+import pipitstage.lab.experiment.Verdict;
+import pipitstage.lab.history.History;
+import pipitstage.lab.model.ModelRun;
+import pipitstage.lab.model.Program;
+import pipitstage.lab.results.ResultsFolder;
+import pipitstage.lab.scenario.Arrivals;
+import pipitstage.lab.scenario.Scenario;
+import pipitstage.lab.scenario.ScenarioFile;
+import pipitstage.lab.scenario.ScenarioText;
+import pipitstage.lab.service.Judge;
+import pipitstage.lab.service.Service;
+
+/** Plays scenarios in the emulator and says what came of it. */
+public final class Lab {
+    /** The program that this is. */
+    public static final Program OWN = Program.of(Logic::new);
+    private static final int FINGERPRINT = 8;
+    private static final Scenario.Rules RULES = Scenario.Rules.USUAL;
+    /** The scenarios that come with the program. */
+    public static final List<String> NAMED = List.of("quiet-day", "harvest-peak", "afternoon-outage", "half-the-fleet-dies",
+            "one-slow-building", "brown-out");
+
+    private Lab() { }
+
+    /** What came of one run; {@code events} is how much happened in the emulator. */
+    public record Played(Scenario scenario, long seed, Service.Report service, Judge.Found rules, History history,
+            long events) {
+        /** The figures that are kept and compared. */
+        public Map<String, Double> figures() {
+            Map<String, Double> figures = new LinkedHashMap<>();
+            figures.put("service", service.figure());
+            figures.put("whole", service.whole());
+            figures.put("worst-window", service.worstWindow());
+            figures.put("worst-class", service.worstClass());
+            figures.put("worst-tenant", service.worstTenant());
+            figures.put("p50-ms", service.p50());
+            figures.put("p99-ms", service.p99());
+            figures.put("refused", (double) service.refused());
+            figures.put("failed", (double) service.failed());
+            figures.put("attempts", service.attempts());
+            figures.put("peak-load", service.peakLoad());
+            figures.put("breaches", (double) rules.counts().values().stream().mapToInt(i -> i).sum());
+            return figures;
+        }
+    }
+
+    /** A side of an experiment: a scenario as it is, or changed, and the program that plays it. */
+    public record Side(String name, Scenario scenario, Program program) { }
+
+    /** The text of a scenario that comes with the program. */
+    public static String named(String name) throws IOException {
+        try (InputStream in = Lab.class.getResourceAsStream("/scenarios/" + name + ".toml")) {
+            if (in == null) {
+                throw new IOException("there is no scenario " + name + ": " + String.join(", ", NAMED));
+            }
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Reads a scenario's text. */
+    public static ScenarioFile.Read read(String file, String text) {
+        List<Finding> grammar = new ArrayList<>();
+        return ScenarioFile.read(file, TomlFile.read(file, text, grammar), grammar);
+    }
+
+    /** Plays a scenario with the module of this program. */
+    public static Played play(Scenario scenario, long seed) {
+        return play(scenario, seed, OWN);
+    }
+
+    /** Plays a scenario with a program. */
+    public static Played play(Scenario scenario, long seed, Program program) {
+        ModelRun.Outcome outcome = new ModelRun(scenario, RULES, seed, layout -> new Arrivals(scenario, layout, seed), program)
+                .run();
+        return new Played(scenario, seed, Service.of(scenario, RULES, outcome.history()),
+                Judge.of(scenario, RULES, outcome.history()), outcome.history(), outcome.events());
+    }
+
+    /** What is said of one figure of two sides. */
+    public record Compared(String figure, Verdict verdict) { }
+
+    /** Figures that are better where they are higher; the others are better where they are lower. */
+    private static final Set<String> HIGHER = Set.of("service", "whole", "worst-window", "worst-class", "worst-tenant");
+
+    /**
+     * Runs what is left of an experiment and judges each side against the first.
+     *
+     * @param experiment the name under which its runs are kept; what is run is part of their name too, so that a scenario or a
+     *     program that has changed is run anew
+     * @param progress hears of each run that has finished
+     * @return for each further side its verdicts, by the side's name
+     */
+    public static Map<String, List<Compared>> compare(ResultsFolder folder, String experiment, List<Side> sides,
+            List<Long> seeds, Consumer<ResultsFolder.Result> progress) throws IOException {
+        Map<Order.Run, Map<String, Double>> finished = new LinkedHashMap<>();
+        List<String> names = new ArrayList<>();
+        for (Side side : sides) {
+            names.add(experiment + " " + fingerprint(side));
+        }
+        for (ResultsFolder.Result result : folder.results()) {
+            for (int side = 0; side < sides.size(); side++) {
+                if (result.experiment().equals(names.get(side)) && result.side().equals(sides.get(side).name())) {
+                    finished.put(new Order.Run(side, result.seed()), result.figures());
+                }
+            }
+        }
+        for (Order.Run run : Order.left(Order.of(sides.size(), seeds, experiment.hashCode()), finished.keySet())) {
+            Side side = sides.get(run.side());
+            Map<String, Double> figures = play(side.scenario(), run.seed(), side.program()).figures();
+            ResultsFolder.Result result = new ResultsFolder.Result(names.get(run.side()), side.name(), run.seed(), figures);
+            folder.add(result);
+            finished.put(run, figures);
+            progress.accept(result);
+        }
+        Map<String, List<Compared>> verdicts = new LinkedHashMap<>();
+        for (int side = 1; side < sides.size(); side++) {
+            int of = side;
+            List<Compared> compared = new ArrayList<>();
+            for (String figure : finished.values().iterator().next().keySet().stream().sorted().toList()) {
+                compared.add(new Compared(figure, Verdict.of(figures(finished, 0, seeds, figure),
+                        figures(finished, of, seeds, figure), HIGHER.contains(figure))));
+            }
+            verdicts.put(sides.get(side).name(), compared);
+        }
+        return verdicts;
+    }
+
+    /** Tells one scenario and program from another. */
+    private static String fingerprint(Side side) throws IOException {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(ScenarioText.of(side.scenario()).getBytes(StandardCharsets.UTF_8));
+            for (Class<?> part : List.of(Logic.class, Engine.class, ModelRun.class)) {
+                try (InputStream code = Lab.class.getResourceAsStream("/" + part.getName().replace('.', '/') + ".class")) {
+                    digest.update(code.readAllBytes());
+                }
+            }
+            return HexFormat.of().formatHex(digest.digest(), 0, FINGERPRINT);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JVM has SHA-256", e);
+        }
+    }
+
+    private static double[] figures(Map<Order.Run, Map<String, Double>> finished, int side, List<Long> seeds, String figure) {
+        return seeds.stream().mapToDouble(seed -> finished.get(new Order.Run(side, seed)).get(figure)).toArray();
+    }
+
+    /** The highest load at which a scenario keeps a service and a 99th percentile, in multiples of the scenario's own. */
+    public static Capacity capacity(Scenario scenario, double service, double p99, double tolerance,
+            Consumer<String> progress) {
+        Capacity search = new Capacity(1, tolerance, 0.01, 100);
+        for (long seed = 1; !search.isDone(); seed++) {
+            double load = search.next();
+            Played played = play(scenario.withSpan(scenario.span(), scenario.load() * load), seed);
+            boolean held = played.service().figure() >= service && played.service().p99() <= p99 && played.rules().isClean();
+            progress.accept(String.format(Locale.ROOT, "load %.3f seed %d: service %.3f, p99 %.0f ms, %s", load, seed,
+                    played.service().figure(), played.service().p99(), held ? "held" : "not held"));
+            search.ran(held);
+        }
+        return search;
+    }
+
+    /** The smallest scenario that still breaks a rule by one seed. */
+    public static Scenario minimize(Scenario scenario, long seed, Judge.Rule rule,
+            Program program, int most) {
+        return new Shrink(s -> play(s, seed, program).rules().counts().containsKey(rule), most).of(scenario);
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/lab/model/MemoryJournal.java
@@ -0,0 +1,80 @@
+package pipitstage.lab.model;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pipitstage.Policy;
+import pipitstage.engine.Message;
+import pipitstage.engine.WriteAhead;
+
+/** What a relay has recorded. It outlasts the relay, and gives back messages of its own, so that no more than that does. */
+final class MemoryJournal implements WriteAhead {
+    private record Tried(String route, long sentAt) { }
+
+    private static final class Kept {
+        private final Message.Content content;
+        private final List<Tried> attempts = new ArrayList<>(2);
+        private final List<Policy.Result> results = new ArrayList<>(2);
+        private Message.End end;
+
+        Kept(Message.Content content) {
+            this.content = content;
+        }
+    }
+
+    private final Map<Long, Kept> kept = new LinkedHashMap<>();
+    private long next;
+
+    @Override
+    public long nextNumber() {
+        return next;
+    }
+
+    @Override
+    public List<Message> open() {
+        List<Message> open = new ArrayList<>();
+        kept.forEach((number, k) -> {
+            Message message = new Message(number, k.content);
+            for (int i = 0; i < k.attempts.size(); i++) {
+                message.addAttempt(k.attempts.get(i).route(), k.attempts.get(i).sentAt()).result(k.results.get(i));
+            }
+            message.decide(k.end);
+            open.add(message);
+        });
+        return open;
+    }
+
+    @Override
+    public boolean accept(Message message) {
+        kept.put(message.number(), new Kept(message.content()));
+        next = message.number() + 1;
+        return true;
+    }
+
+    @Override
+    public boolean attempt(Message.Attempt attempt) {
+        Kept k = kept.get(attempt.message().number());
+        k.attempts.add(new Tried(attempt.route(), attempt.sentAt()));
+        k.results.add(null);
+        return true;
+    }
+
+    @Override
+    public void result(Message.Attempt attempt) {
+        Kept k = kept.get(attempt.message().number());
+        if (k != null) {
+            k.results.set(attempt.number(), attempt.result());
+        }
+    }
+
+    @Override
+    public void decided(Message message) {
+        kept.get(message.number()).end = message.end();
+    }
+
+    @Override
+    public void done(Message message) {
+        kept.remove(message.number());
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/lab/model/ModelRun.java
@@ -0,0 +1,309 @@
+package pipitstage.lab.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import pipitstage.Policy;
+import pipitstage.Policy.LimitReport;
+import pipitstage.Policy.Result;
+import pipitstage.engine.Message;
+import pipitstage.engine.Target;
+import pipitstage.lab.history.Ask;
+import pipitstage.lab.history.History;
+import pipitstage.lab.scenario.Arrival;
+import pipitstage.lab.scenario.Draws;
+import pipitstage.lab.scenario.Faults;
+import pipitstage.lab.scenario.Scenario;
+
+/** One run of a scenario in virtual time. The same scenario, seed and module give the same history. */
+public final class ModelRun {
+    private static final long SECOND = 1_000_000;
+    /** News of the list come to each relay within this span. */
+    private static final long NEWS = 2 * SECOND;
+    private static final byte[] BODY = new byte[0];
+
+    private final Scenario scenario;
+    private final Scenario.Rules rules;
+    private final Scenario.Layout layout;
+    private final Faults faults;
+    private final VirtualTime time = new VirtualTime();
+    private final History history = new History();
+    private final Iterator<Arrival> arrivals;
+    private final List<EndpointModel> endpoints = new ArrayList<>();
+    private final Map<String, EndpointModel> byRoute = new HashMap<>();
+    private final List<RelayModel> relays = new ArrayList<>();
+    private final List<Target> list = new ArrayList<>();
+    private final Keys keys = new Keys();
+    private final Map<String, Integer> asks = new HashMap<>();
+    private final UniformRandomProvider random;
+    /** For each relay what its clients wait for an answer for, by number. */
+    private final List<Map<Integer, Ask>> waiting = new ArrayList<>();
+    private long version = 1;
+
+    /**
+     * A run that is yet to happen.
+     *
+     * @param arrivals in the order of their times
+     * @param program what each relay is made of
+     */
+    public ModelRun(Scenario scenario, Scenario.Rules rules, long seed, Function<Scenario.Layout, Iterator<Arrival>> arrivals,
+            Program program) {
+        this.scenario = scenario;
+        this.rules = rules;
+        layout = scenario.layout();
+        faults = Faults.of(scenario, layout, seed);
+        this.arrivals = arrivals.apply(layout);
+        random = Draws.of(seed, "news", 0);
+        for (Scenario.Partner partner : layout.partners()) {
+            Scenario.Group group = partner.group();
+            EndpointModel.Limit shared = new EndpointModel.Limit(group.limit());
+            for (Scenario.Endpoint e : partner.endpoints()) {
+                EndpointModel model = new EndpointModel(e, group, rules, faults, group.routesApart()
+                        ? new EndpointModel.Limit(group.limit()) : shared, history, Draws.of(seed, "endpoint", e.number()));
+                endpoints.add(model);
+                byRoute.put(e.route(), model);
+                list.add(target(e, Policy.Availability.LISTED));
+            }
+        }
+        for (int i = 0; i < scenario.fleet().relays(); i++) {
+            waiting.add(new LinkedHashMap<>());
+            relays.add(new RelayModel(i, time, scenario.settings(i, seed, layout, rules), scenario.fleet().round(), program,
+                    new Hands()));
+        }
+    }
+
+    /** An entry of the list; it has no address, as the model carries calls by name. */
+    private Target target(Scenario.Endpoint e, Policy.Availability availability) {
+        return new Target(new Policy.Listed(e.route(), e.partner(), layout.partners().get(e.partner()).group().kind(),
+                e.building(), availability, 0), null);
+    }
+
+    /** What came of it, and how much happened: the unit of the emulator's speed. */
+    public record Outcome(History history, long events) { }
+
+    /** Runs until every message's time is up. */
+    public Outcome run() {
+        relays.forEach(relay -> time.at(0, relay::start));
+        faults.deaths().forEach(this::dies);
+        faults.drains().forEach(this::drains);
+        time.at(0, this::arrive);
+        long longest = scenario.classes().stream().mapToLong(Scenario.MessageClass::deadline).max().orElse(0);
+        long tries = (scenario.clients().repeats() + 1) * (longest + scenario.clients().pause());
+        time.run(scenario.span() + tries + SECOND);
+        return new Outcome(history, time.happened());
+    }
+
+    // ---- failures of the fleet and of discovery
+
+    private void dies(Faults.Death death) {
+        RelayModel relay = relays.get(death.relay());
+        time.at(death.at(), () -> {
+            if (relay.isUp()) {
+                relay.die();
+                history.away(new History.Away(death.relay(), death.at(), death.back()));
+                cut(waiting.get(death.relay()), death.back());
+                time.at(death.back(), relay::start);
+            }
+        });
+    }
+
+    /**
+     * Clients whose connections broke before an answer: what is safe to repeat is handed in again once the relay is back; what
+     * is not, and may have been taken on, is left alone. A key is no help: another building would not know it.
+     */
+    private void cut(Map<Integer, Ask> clients, long back) {
+        clients.forEach((number, ask) -> {
+            ask.cut();
+            if (scenario.classes().get(ask.type()).repeat() == Policy.Repeat.REPEATABLE) {
+                time.at(back + scenario.clients().pause(), () -> handIn(number, ask));
+            }
+        });
+        clients.clear();
+    }
+
+    private void drains(Faults.Drain drain) {
+        Scenario.Endpoint e = endpoints.get(drain.endpoint()).endpoint();
+        time.at(drain.from(), () -> news(e, Policy.Availability.DRAINING));
+        time.at(drain.gone(), () -> news(e, Policy.Availability.REMOVED));
+    }
+
+    private void news(Scenario.Endpoint e, Policy.Availability availability) {
+        list.removeIf(t -> t.listed().route().equals(e.route()));
+        if (availability == Policy.Availability.DRAINING) {
+            list.add(target(e, availability));
+        }
+        version++;
+        long now = version;
+        for (RelayModel relay : relays) {
+            time.at(faults.told(time.micros() + random.nextLong(NEWS)), () -> {
+                if (relay.isUp()) {
+                    history.drained(new History.DrainTold(relay.number(), e.number(), time.micros()));
+                    relay.hears(List.of(target(e, availability)), now);
+                }
+            });
+        }
+    }
+
+    // ---- programs
+
+    private void arrive() {
+        if (arrivals.hasNext()) {
+            Arrival arrival = arrivals.next();
+            time.at(arrival.at(), () -> {
+                Scenario.MessageClass type = scenario.classes().get(arrival.type());
+                Ask ask = new Ask(arrival.type(), arrival.tenant(), arrival.partner(), arrival.relay(), time.micros(),
+                        time.micros() + type.deadline());
+                history.asked(ask);
+                handIn(history.asks().size() - 1, ask);
+                arrive();
+            });
+        }
+    }
+
+    private void handIn(int number, Ask ask) {
+        Scenario.MessageClass type = scenario.classes().get(ask.type());
+        ask.tried(time.micros());
+        RelayModel relay = relays.get(ask.relay());
+        if (!relay.isUp()) {
+            refused(number, ask, 0);
+            return;
+        }
+        String id = number + "-" + ask.tries();
+        asks.put(id, number);
+        Map<Integer, Ask> clients = waiting.get(ask.relay());
+        clients.put(number, ask);
+        String key = type.repeat() == Policy.Repeat.BY_KEY ? "k" + number : null;
+        String tenant = ask.tenant() < 0 ? null : scenario.tenants().get(ask.tenant()).name();
+        relay.handIn(new Message.Content(id, type.name(), tenant, key, time.micros() + type.deadline(), ask.partner(), BODY),
+                new Message.ClientReply() {
+                    @Override
+                    public void taken() {
+                        clients.remove(number);
+                        ask.taken(time.micros());
+                    }
+
+                    @Override
+                    public void refused(long retryIn) {
+                        clients.remove(number);
+                        ModelRun.this.refused(number, ask, retryIn);
+                    }
+
+                    @Override
+                    public void failed() {
+                        clients.remove(number);
+                        ask.ended(time.micros(), Ask.Told.FAILED);
+                    }
+                });
+    }
+
+    /** Nothing of it has run: its client may hand it in again. */
+    private void refused(int number, Ask ask, long retryIn) {
+        ask.ended(time.micros(), Ask.Told.REFUSED);
+        if (ask.tries() <= scenario.clients().repeats()) {
+            time.after(Math.max(scenario.clients().pause(), retryIn), () -> handIn(number, ask));
+        }
+    }
+
+    // ---- what relays need
+
+    private final class Hands implements RelayModel.World {
+        @Override
+        public List<Target> list() {
+            return List.copyOf(list);
+        }
+
+        @Override
+        public void told(Message message) {
+            String id = message.content().callId();
+            Ask ask = history.asks().get(asks.get(id));
+            switch (message.end().kind()) {
+                case REFUSED -> refused(asks.get(id), ask, message.end().retryIn());
+                case FAILED -> ask.ended(time.micros(), Ask.Told.FAILED);
+                case DELIVERED -> { }
+            }
+        }
+
+        @Override
+        public void carry(RelayModel.Life from, String route, List<Message.Attempt> attempts) {
+            EndpointModel endpoint = byRoute.get(route);
+            int batch = endpoint.group().batch();
+            for (int i = 0; i < attempts.size(); i += batch) {
+                call(from, endpoint, attempts.subList(i, Math.min(attempts.size(), i + batch)));
+            }
+        }
+
+        private long way(RelayModel.Life from, EndpointModel endpoint) {
+            return scenario.building(from.relay(), layout).equals(endpoint.endpoint().building())
+                    ? scenario.network().inside() : scenario.network().across();
+        }
+
+        private void call(RelayModel.Life from, EndpointModel endpoint, List<Message.Attempt> attempts) {
+            long way = way(from, endpoint);
+            long sent = time.micros();
+            time.after(way, () -> {
+                EndpointModel.Met met = endpoint.meet(from.relay(), time.micros());
+                for (Message.Attempt attempt : attempts) {
+                    arrived(from, endpoint, attempt, met, sent);
+                }
+                if (met.answerAt() >= 0) {
+                    time.at(met.answerAt() + way, () -> answered(from, endpoint, attempts, met));
+                }
+            });
+        }
+
+        private void arrived(RelayModel.Life from, EndpointModel endpoint, Message.Attempt attempt, EndpointModel.Met met,
+                long sent) {
+            int number = asks.get(attempt.message().content().callId());
+            Ask ask = history.asks().get(number);
+            Scenario.MessageClass type = scenario.classes().get(ask.type());
+            boolean ran = met.ran() && (type.repeat() != Policy.Repeat.BY_KEY || keys.runs(number, ask.partner(),
+                    type.keysByBuilding() ? endpoint.endpoint().building() : "", time.micros(), type.keyWindow()));
+            ask.posted(new Ask.Posting(from.relay(), endpoint.endpoint().number(), sent, time.micros(), ran, met.answer()));
+            if (met.answer() == Ask.Answer.DONE) {
+                time.at(met.answerAt(), () -> ask.answeredDone(time.micros()));
+            }
+        }
+
+        private void answered(RelayModel.Life from, EndpointModel endpoint, List<Message.Attempt> attempts,
+                EndpointModel.Met met) {
+            Scenario.Group group = endpoint.group();
+            long wait = met.answer() == Ask.Answer.FULL ? group.toldWait() : 0;
+            if (wait > 0) {
+                history.waited(new History.Wait(from.relay(), endpoint.endpoint().number(), time.micros(),
+                        time.micros() + wait));
+            }
+            LimitReport report = group.told() ? new LimitReport(endpoint.limit().left(), group.limit()) : LimitReport.NONE;
+            Result result = result(met.answer());
+            attempts.forEach(attempt -> from.end(attempt, result, wait, report));
+        }
+
+        @Override
+        public void check(RelayModel.Life from, String route) {
+            EndpointModel endpoint = byRoute.get(route);
+            long way = way(from, endpoint);
+            long sent = time.micros();
+            time.after(way, () -> {
+                EndpointModel.Met met = endpoint.meet(from.relay(), time.micros());
+                long back = met.answerAt() < 0 ? sent + SECOND : met.answerAt() + way;
+                Result result = met.answerAt() < 0 ? Result.TIMEOUT : result(met.answer());
+                time.at(back, () -> from.probed(route, result, result == Result.FULL ? endpoint.group().toldWait() : 0,
+                        time.micros() - sent, LimitReport.NONE));
+            });
+        }
+    }
+
+    private static Result result(Ask.Answer answer) {
+        return switch (answer) {
+            case DONE -> Result.OK;
+            case FAULT -> Result.ERROR;
+            case FULL -> Result.FULL;
+            case UNREACHED -> Result.CONNECT_FAILED;
+            case NONE -> Result.RESET;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/lab/results/RunPage.java
@@ -0,0 +1,154 @@
+package pipitstage.lab.results;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.function.IntToDoubleFunction;
+import pipitstage.lab.history.Ask;
+import pipitstage.lab.history.History;
+import pipitstage.lab.scenario.Faults;
+import pipitstage.lab.scenario.Scenario;
+import pipitstage.lab.service.Judge;
+import pipitstage.lab.service.Service;
+
+/** One run as a page by itself: no script, no font and no picture from elsewhere. */
+public final class RunPage {
+    private static final long SECOND = 1_000_000;
+    private static final int WIDTH = 900;
+    private static final int HEIGHT = 150;
+    private static final int LEFT = 60;
+    private static final int BOTTOM = 20;
+
+    private final StringBuilder page = new StringBuilder();
+    private final Scenario scenario;
+    private final int seconds;
+    private final Faults faults;
+
+    private RunPage(Scenario scenario, long seed) {
+        this.scenario = scenario;
+        seconds = (int) (scenario.span() / SECOND) + 1;
+        faults = Faults.of(scenario, scenario.layout(), seed);
+    }
+
+    /** The page's text. */
+    public static String of(Scenario scenario, long seed, Service.Report service, Judge.Found rules, History history) {
+        return new RunPage(scenario, seed).write(seed, service, rules, history);
+    }
+
+    private String write(long seed, Service.Report service, Judge.Found rules, History history) {
+        page.append("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>").append(plain(scenario.name()))
+                .append("</title><style>body{font:14px sans-serif;margin:2em;max-width:980px;color:#222}table{border-collapse:"
+                        + "collapse}td,th{padding:3px 10px;text-align:right;border-bottom:1px solid #ddd}td:first-child,th:first"
+                        + "-child{text-align:left}svg{display:block;margin:4px 0 18px}h2{font-size:15px;margin:18px 0 0}"
+                        + ".bad{color:#b00}</style></head><body>\n<h1>").append(plain(scenario.name())).append(", seed ")
+                .append(seed).append("</h1><p>").append(plain(scenario.text())).append("</p>\n");
+        line("<p><b>Service %.4f</b>: whole run %.4f, worst 10 s %.4f, worst class %.4f, worst tenant %.4f. %d asked, %d delivered,"
+                + " %d refused, %d failed; %.2f attempts a message.</p>", service.figure(), service.whole(), service.worstWindow(),
+                service.worstClass(), service.worstTenant(), service.asked(), service.delivered(), service.refused(),
+                service.failed(), service.attempts());
+        page.append(rules.isClean() ? "<p>No rule was broken.</p>\n" : "<p class=\"bad\">Rules broken: " + rules.counts()
+                + "</p>\n");
+        line("<table><tr><th>class</th><th>asked</th><th>delivered</th><th>refused</th><th>failed</th><th>service</th><th>p50 ms"
+                + "</th><th>p99 ms</th><th>attempts</th></tr>");
+        for (Service.OfClass c : service.classes()) {
+            line("<tr><td>%s</td><td>%d</td><td>%d</td><td>%d</td><td>%d</td><td>%.4f</td><td>%.0f</td><td>%.0f</td><td>%.2f</td>"
+                    + "</tr>", plain(c.name()), c.asked(), c.delivered(), c.refused(), c.failed(), c.service(), c.p50(), c.p99(),
+                    c.attempts());
+        }
+        line("</table>");
+        plots(history);
+        failures();
+        return page.append("</body></html>\n").toString();
+    }
+
+    private void plots(History history) {
+        double[] asked = new double[seconds];
+        double[] delivered = new double[seconds];
+        double[] worth = new double[seconds];
+        double[] got = new double[seconds];
+        double[] latency = new double[seconds];
+        double[] calls = new double[seconds];
+        for (Ask ask : history.asks()) {
+            int second = (int) Math.min(seconds - 1, ask.at() / SECOND);
+            Scenario.MessageClass type = scenario.classes().get(ask.type());
+            asked[second]++;
+            worth[second] += type.worth();
+            if (ask.isDelivered()) {
+                delivered[second]++;
+                got[second] += type.worth() * Service.left(type, ask.doneAt() - ask.at());
+                latency[second] = Math.max(latency[second], (ask.doneAt() - ask.at()) / 1_000.0);
+            }
+        }
+        double[] load = new double[seconds];
+        for (History.Load l : history.loads()) {
+            int second = (int) Math.min(seconds - 1, l.from() / SECOND);
+            calls[second] += l.calls();
+            load[second] = Math.max(load[second], l.calls() > 1 ? l.calls() / l.able() : 0);
+        }
+        plot("Worth delivered of worth asked, by the second of handing in", 1, s -> worth[s] == 0 ? 1 : got[s] / worth[s], null);
+        plot("Messages a second: asked (grey), delivered (blue)", max(asked), s -> delivered[s], s -> asked[s]);
+        plot("Calls a second at all endpoints", max(calls), s -> calls[s], null);
+        plot("Longest time to a delivery, ms", max(latency), s -> latency[s], null);
+        plot("Highest load of an endpoint beside what it can do then", Math.max(2.5, max(load)), s -> load[s], s -> 1);
+    }
+
+    private static double max(double[] values) {
+        return Math.max(1, Arrays.stream(values).max().orElse(1));
+    }
+
+    private void plot(String title, double top, IntToDoubleFunction values, IntToDoubleFunction beside) {
+        line("<h2>%s</h2><svg width=\"%d\" height=\"%d\" role=\"img\" aria-label=\"%s\">", title, LEFT + WIDTH, HEIGHT + BOTTOM,
+                title);
+        for (Faults.Strike strike : faults.strikes()) {
+            double from = x(strike.from() / (double) SECOND);
+            double to = x(Math.min(seconds, strike.to() / (double) SECOND));
+            line("<rect x=\"%.1f\" y=\"0\" width=\"%.1f\" height=\"%d\" fill=\"#f6d5c8\" fill-opacity=\"0.6\"><title>%s</title></rect>",
+                    from, Math.max(2, to - from), HEIGHT, strike.failure().kind().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        }
+        line("<line x1=\"%d\" y1=\"%d\" x2=\"%d\" y2=\"%d\" stroke=\"#888\"/>", LEFT, HEIGHT, LEFT + WIDTH, HEIGHT);
+        for (int part = 0; part <= 2; part++) {
+            line("<text x=\"%d\" y=\"%d\" font-size=\"11\" text-anchor=\"end\">%.3g</text>", LEFT - 6, HEIGHT - part * (HEIGHT - 10)
+                    / 2, top * part / 2);
+        }
+        for (int second = 0; second < seconds; second += Math.max(1, seconds / 10)) {
+            line("<text x=\"%.1f\" y=\"%d\" font-size=\"11\">%d s</text>", x(second), HEIGHT + 15, second);
+        }
+        if (beside != null) {
+            curve(beside, top, "#999");
+        }
+        curve(values, top, "#2060c0");
+        line("</svg>");
+    }
+
+    private void curve(IntToDoubleFunction values, double top, String colour) {
+        page.append("<polyline fill=\"none\" stroke=\"").append(colour).append("\" stroke-width=\"1.5\" points=\"");
+        for (int second = 0; second < seconds; second++) {
+            page.append(String.format(Locale.ROOT, "%.1f,%.1f ", x(second), HEIGHT - values.applyAsDouble(second) / top
+                    * (HEIGHT - 10)));
+        }
+        line("\"/>");
+    }
+
+    private double x(double second) {
+        return LEFT + second / Math.max(1, seconds - 1) * WIDTH;
+    }
+
+    private void failures() {
+        if (!faults.strikes().isEmpty()) {
+            line("<h2>What went wrong (red above)</h2><table><tr><th>what</th><th>from s</th><th>to s</th></tr>");
+            for (Faults.Strike s : faults.strikes()) {
+                line("<tr><td>%s</td><td>%.1f</td><td>%.1f</td></tr>", s.failure().kind().name().toLowerCase(Locale.ROOT)
+                        .replace('_', '-'), s.from() / (double) SECOND, s.to() / (double) SECOND);
+            }
+            line("</table>");
+        }
+    }
+
+    private void line(String form, Object... values) {
+        page.append(String.format(Locale.ROOT, form, values)).append('\n');
+    }
+
+    /** Guards against text of a scenario that would be taken for the page's own. */
+    private static String plain(String text) {
+        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+    }
+}
--- a/src/test/java/pipitstage/RoomsTest.java
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -59,6 +59,7 @@
         module(REMEMBERED).check(ALL);
         module("pipitstage\\.front\\.http2\\.limits\\..*").check(ALL);
         module("pipitstage\\.trace\\.[A-Z].*").check(ALL);
+        module("pipitstage\\.lab\\.(scenario|history|model|service|experiment)\\..*").check(ALL);
         classes().that().haveNameMatching(MODULE).should()
                 .onlyDependOnClassesThat(DescribedPredicate.or(nameMatching(MODULE), DescribedPredicate.not(ours()))).check(ALL);
     }
@@ -109,6 +110,14 @@
         "amqp.link | pipitstage.amqp.codec pipitstage.amqp.link",
         "amqp.confirm | pipitstage.amqp.confirm",
         "amqp.mapping | pipitstage pipitstage.engine pipitstage.amqp.codec pipitstage.amqp.mapping",
+        "lab.scenario | pipitstage pipitstage.lab.scenario pipitstage.config.schema pipitstage.config.file",
+        "lab.history | pipitstage.lab.history",
+        "lab.model | pipitstage pipitstage.engine pipitstage.lab.model pipitstage.lab.scenario pipitstage.lab.history",
+        "lab.service | pipitstage pipitstage.lab.service pipitstage.lab.scenario pipitstage.lab.history",
+        "lab.experiment | pipitstage.lab.experiment pipitstage.lab.scenario",
+        "lab.results | pipitstage.lab.results pipitstage.lab.scenario pipitstage.lab.history pipitstage.lab.service "
+            + "pipitstage.records",
+        "lab | pipitstage pipitstage.lab.. pipitstage.engine pipitstage.config.file",
         "standin | pipitstage.standin pipitstage.http pipitstage.amqp.."})
     void packageUsesOnlyWhatItSays(String name, String allowed) {
         classes().that().resideInAPackage("pipitstage." + name).should().onlyDependOnClassesThat(
@@ -130,6 +139,8 @@
                 resideInAnyPackage("org.sqlite..", "java.sql..")).check(ALL);
         noClasses().that().resideOutsideOfPackage("pipitstage.trace.read").should().dependOnClassesThat(
                 resideInAnyPackage("de.siegmar..")).check(ALL);
+        noClasses().that().resideOutsideOfPackage("pipitstage.lab..").should().dependOnClassesThat(
+                resideInAnyPackage("org.apache.commons..", "org.HdrHistogram..")).check(ALL);
         noClasses().that().doNotHaveSimpleName("TomlFile").should().dependOnClassesThat(
                 resideInAnyPackage("org.tomlj..", "org.antlr..")).check(ALL);
     }
--- a/src/test/java/pipitstage/cli/CommandsTest.java
+++ b/src/test/java/pipitstage/cli/CommandsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pipitstage.Fields;
+import pipitstage.lab.Lab;
 
 /** The command line: exit codes, what it prints, and that nothing ends with a stack trace. */
 class CommandsTest {
@@ -65,6 +66,39 @@
         assertTrue(err.toString().contains("csv is none of google-2011-task-events"), err.toString());
     }
 
+    @Test
+    void laboratoryPlaysComparesAndSearches() throws IOException {
+        assertEquals(0, run("lab", "scenarios"));
+        assertTrue(out.toString().contains("half-the-fleet-dies"), out.toString());
+        assertEquals(0, run("lab", "run", "one-slow-building", "--seeds", 2, "--json", folder.resolve("r.json"), "--csv",
+                folder.resolve("r.csv"), "--page", folder.resolve("r.html")));
+        assertTrue(out.toString().contains("one-slow-building, seed 2: service 0.9"), out.toString());
+        assertTrue(out.toString().contains("no rule was broken"), out.toString());
+        assertEquals(2, Files.readAllLines(folder.resolve("r.json")).size());
+        assertEquals(3, Files.readAllLines(folder.resolve("r.csv")).size());
+        String page = Files.readString(folder.resolve("r.html"));
+        assertTrue(page.contains("<svg") && page.endsWith("</html>\n") && !page.contains("http"), "a page by itself");
+        Path small = Files.writeString(folder.resolve("small.toml"), Lab.named("quiet-day").replace("slots = 24",
+                "slots = 2").replace("span = \"60s\"", "span = \"20s\""));
+        assertEquals(1, run("lab", "compare", "quiet-day", small, "--seeds", 8, "--folder", folder.resolve("x")));
+        assertTrue(out.toString().contains("pairs: worse") && out.toString().contains("A, seed 8"), out.toString());
+        assertEquals(1, run("lab", "compare", "quiet-day", small, "--seeds", 8, "--folder", folder.resolve("x")));
+        assertFalse(out.toString().contains("A, seed"), "finished runs are not made again");
+        assertEquals(0, run("lab", "sweep", small, "--factor", "slots", "--values", "2,4", "--seeds", 2, "--folder",
+                folder.resolve("y")));
+        assertTrue(out.toString().contains("too few runs"), out.toString());
+        assertEquals(0, run("lab", "capacity", small, "--within", "0.3"));
+        assertTrue(out.toString().contains("highest load that held"), out.toString());
+        Path broken = Files.writeString(folder.resolve("b.toml"), "format = 1\nname = \"b\"\nspan = \"0s\"\n");
+        assertEquals(1, run("lab", "check", "quiet-day", broken));
+        assertEquals(1, run("lab", "run", broken));
+        assertEquals(2, run("lab", "run", "nosuch"));
+        assertTrue(err.toString().contains("does not exist"), err.toString());
+        assertEquals(2, run("lab", "minimize", small, "--seed", 1, "--rule", "TWICE", "-o", folder.resolve("m.toml")));
+        assertTrue(err.toString().contains("does not break TWICE"), err.toString());
+        assertEquals(2, run("lab", "sweep", small, "--factor", "slots", "--values", "2", "--folder", folder.resolve("y")));
+    }
+
     /** Chicago's clocks left out two to three o'clock on 10 March 2024, and showed one to two twice on 3 November. */
     @Test
     void mappingFileReadsAnyCsvAndTimesAsItsZonesClocksShowThem() throws IOException {
--- /dev/null
+++ b/src/test/java/pipitstage/lab/ExperimentTest.java
@@ -0,0 +1,148 @@
+package pipitstage.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pipitstage.lab.experiment.Capacity;
+import pipitstage.lab.experiment.Order;
+import pipitstage.lab.experiment.Verdict;
+import pipitstage.lab.results.ResultsFolder;
+import pipitstage.lab.scenario.Draws;
+import pipitstage.lab.scenario.Scenario;
+
+/** What is run next, what runs say, and what is kept of them. */
+class ExperimentTest {
+    @TempDir
+    Path folder;
+
+    /**
+     * Two sides that are the same, or differ by so much of the noise: how often a difference is found. Of sides that are
+     * the same it is five in a hundred at the most.
+     */
+    @ParameterizedTest
+    @CsvSource({"6, 0, 0, 0.07", "12, 0, 0, 0.07", "30, 0, 0, 0.07", "12, 1.5, 0.9, 1", "30, 0.8, 0.9, 1", "5, 10, 0, 0"})
+    void verdictFindsDifferencesAndFewThatAreNone(int pairs, double shift, double least, double most) {
+        UniformRandomProvider random = Draws.of(7, "noise", pairs);
+        var noise = ZigguratSampler.NormalizedGaussian.of(random);
+        int found = 0;
+        int covered = 0;
+        for (int i = 0; i < 400; i++) {
+            double[] before = new double[pairs];
+            double[] after = new double[pairs];
+            for (int k = 0; k < pairs; k++) {
+                // A seed makes both sides good or bad together.
+                before[k] = 10 * noise.sample();
+                after[k] = before[k] + shift + noise.sample();
+            }
+            Verdict verdict = Verdict.of(before, after, true);
+            found += verdict.word() == Verdict.Word.BETTER || verdict.word() == Verdict.Word.WORSE ? 1 : 0;
+            covered += verdict.low() <= shift && shift <= verdict.high() ? 1 : 0;
+            assertTrue(pairs >= Verdict.LEAST_PAIRS == (verdict.word() != Verdict.Word.TOO_FEW_RUNS));
+        }
+        assertTrue(found / 400.0 >= least && found / 400.0 <= most, found + " of 400");
+        assertTrue(pairs < 12 || covered / 400.0 > 0.88, "the interval holds the truth in " + covered + " of 400");
+    }
+
+    @Test
+    void directionCountsAndNoDifferenceAtAllIsNone() {
+        double[] low = {1, 2, 3, 4, 5, 6, 7};
+        double[] high = {2, 3.1, 4, 5.2, 6, 7, 8.3};
+        assertEquals(Verdict.Word.BETTER, Verdict.of(low, high, true).word());
+        assertEquals(Verdict.Word.WORSE, Verdict.of(low, high, false).word());
+        assertEquals(Verdict.Word.NO_DIFFERENCE_SHOWN, Verdict.of(low, low, true).word());
+        assertThrows(IllegalArgumentException.class, () -> Verdict.of(low, new double[1], true));
+    }
+
+    @Test
+    void everySideFollowsEveryOtherAsOftenInOneOrderAsInTheOther() {
+        List<Long> seeds = LongStream.range(0, 20).boxed().toList();
+        List<Order.Run> runs = Order.of(3, seeds, 5);
+        assertEquals(runs, Order.of(3, seeds, 5));
+        assertEquals(60, new HashSet<>(runs).size());
+        int[][] ahead = new int[3][3];
+        for (int block = 0; block < 20; block++) {
+            for (int i = 0; i < 3; i++) {
+                for (int k = i + 1; k < 3; k++) {
+                    ahead[runs.get(block * 3 + i).side()][runs.get(block * 3 + k).side()]++;
+                }
+            }
+        }
+        assertEquals("[[0, 10, 10], [10, 0, 10], [10, 10, 0]]", Arrays.deepToString(ahead));
+    }
+
+    /** An edge anywhere is found to the tolerance, also where runs near it hold by chance. */
+    @ParameterizedTest
+    @CsvSource({"0.37, 0", "1, 0", "7.9, 0", "0.37, 0.05", "1.3, 0.05", "7.9, 0.05", "300, 0", "0.001, 0"})
+    void capacityFindsTheEdge(double edge, double noise) {
+        double worst = 0;
+        int runs = 0;
+        for (int i = 0; i < 100; i++) {
+            UniformRandomProvider random = Draws.of(i, "edge", 0);
+            var drawn = ZigguratSampler.NormalizedGaussian.of(random);
+            Capacity search = new Capacity(1, 0.05, 0.01, 100);
+            while (!search.isDone()) {
+                assertTrue(search.runs() < 200, "it ends");
+                search.ran(search.next() * (1 + noise * drawn.sample()) <= edge);
+            }
+            runs += search.runs();
+            double truth = Math.max(0, Math.min(100, edge));
+            worst = Math.max(worst, edge < 0.01 ? search.answer() : Math.abs(search.answer() / truth - 1));
+        }
+        assertTrue(worst <= 0.05 + 3.5 * noise, "off by " + worst);
+        assertTrue(runs / 100 < 45, runs / 100 + " runs each");
+    }
+
+    private static List<Lab.Side> same(String a, String b) throws IOException {
+        Scenario scenario = Lab.read("s", Lab.named("one-slow-building")).scenario().withSpan(25_000_000, 1);
+        return List.of(new Lab.Side(a, scenario, Lab.OWN), new Lab.Side(b, scenario, Lab.OWN));
+    }
+
+    /** A kill after any byte of a record: what is whole stays, what is torn is run again, and the verdict is the same. */
+    @Test
+    void experimentThatIsCutOffAnywhereGoesOnWithoutRepeatingWhatIsFinished() throws IOException {
+        List<Long> seeds = List.of(1L, 2L, 3L);
+        List<ResultsFolder.Result> made = new ArrayList<>();
+        Map<String, List<Lab.Compared>> whole;
+        try (ResultsFolder results = ResultsFolder.open(folder)) {
+            whole = Lab.compare(results, "x", same("A", "B"), seeds, made::add);
+            assertThrows(IOException.class, () -> ResultsFolder.open(folder), "two at once");
+        }
+        assertEquals(6, made.size());
+        byte[] all = Files.readAllBytes(folder.resolve("results.log"));
+        for (int cut = all.length - 1; cut > 0; cut -= all.length / 7) {
+            Path again = folder.resolve("cut" + cut);
+            Files.createDirectories(again);
+            Files.write(again.resolve("results.log"), Arrays.copyOf(all, cut));
+            List<ResultsFolder.Result> remade = new ArrayList<>();
+            try (ResultsFolder results = ResultsFolder.open(again)) {
+                int kept = results.results().size();
+                assertEquals(made.subList(0, kept), results.results());
+                assertEquals(whole, Lab.compare(results, "x", same("A", "B"), seeds, remade::add));
+                assertEquals(made.subList(kept, 6), remade);
+            }
+        }
+        try (ResultsFolder results = ResultsFolder.open(folder)) {
+            List<ResultsFolder.Result> other = new ArrayList<>();
+            List<Lab.Side> sides = same("A", "B");
+            Lab.compare(results, "x", List.of(sides.get(0), new Lab.Side("B", sides.get(1).scenario().withSpan(25_000_000, 1.1),
+                    Lab.OWN)), seeds, other::add);
+            assertEquals(3, other.size(), "a side that has changed is run anew, the other one is not");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/lab/RulesBrokenTest.java
@@ -0,0 +1,121 @@
+package pipitstage.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import pipitstage.Logic;
+import pipitstage.Policy;
+import pipitstage.Policy.Result;
+import pipitstage.engine.WriteAhead;
+import pipitstage.lab.model.Program;
+import pipitstage.lab.scenario.Scenario;
+import pipitstage.lab.service.Judge.Rule;
+
+/** Each rule is broken on purpose by a relay that is made badly in one respect, and found; a sound one breaks none there. */
+class RulesBrokenTest {
+    private static final long SECOND = 1_000_000;
+
+    /** A relay with one fault, and a scenario in which it matters. */
+    enum Bad {
+        /** Takes what may have run for what has not: sends again, and twice takes effect. */
+        TRUSTING(Rule.TWICE, hearing(e -> e instanceof Policy.Outcome o && (o.result() == Result.ERROR
+                || o.result() == Result.TIMEOUT || o.result() == Result.RESET) ? outcome(o, Result.CONNECT_FAILED, 0) : e),
+                "kind = \"errors\"\nat = \"5s\"\nlasts = \"20s\"\npart = 0.5"),
+        /** The same relay; what is found is the call that was made with no proof. */
+        HASTY(Rule.UNPROVEN, TRUSTING.program, TRUSTING.failure),
+        /** Hears of no wait. */
+        IMPATIENT(Rule.WAIT, hearing(e -> e instanceof Policy.Outcome o ? outcome(o, o.result(), 0)
+                : e instanceof Policy.ProbeDone p ? new Policy.ProbeDone(p.route(), p.result(), 0, p.elapsed(), p.report()) : e),
+                "kind = \"shut\"\nat = \"5s\"\nlasts = \"20s\""),
+        /** Hears of no drain. */
+        STUBBORN(Rule.DRAINED, hearing(e -> e instanceof Policy.RouteList l && l.kind() == Policy.ListKind.CHANGES ? null : e),
+                "kind = \"drain\"\nat = \"5s\"\nlasts = \"20s\"\nshare = 0.2"),
+        /** Learns nothing from failures, and goes on at a partner that returns cold. */
+        DEAF(Rule.OVERRUN, hearing(e -> e instanceof Policy.Outcome o && o.result() != Result.OK
+                ? outcome(o, Result.NOT_SENT, 0) : e), "kind = \"shut\"\nat = \"5s\"\nlasts = \"15s\""),
+        /** Comes back with nothing of what it had recorded. */
+        FORGETFUL(Rule.MISSING, new Program(Logic::new, Bad::forgetting, UnaryOperator.identity()),
+                "kind = \"shut\"\nat = \"5s\"\nlasts = \"20s\"\n[[failure]]\nkind = \"relays-die\"\nat = \"15s\""),
+        /** Has a clock that is a second behind. */
+        SLOW(Rule.LATE, new Program(Logic::new, UnaryOperator.identity(), clock -> () -> clock.micros() - SECOND),
+                "kind = \"silent\"\nat = \"2s\"\nlasts = \"28s\"");
+
+        private final Rule rule;
+        private final Program program;
+        private final String failure;
+
+        Bad(Rule rule, Program program, String failure) {
+            this.rule = rule;
+            this.program = program;
+            this.failure = failure;
+        }
+
+        private static Program hearing(Function<Policy.Event, Policy.Event> ear) {
+            return Program.of(settings -> {
+                Policy sound = new Logic(settings);
+                return (now, events, actions) -> sound.onRound(now, events.stream().map(ear).filter(e -> e != null).toList(),
+                        actions);
+            });
+        }
+
+        private static Policy.Event outcome(Policy.Outcome o, Result result, long wait) {
+            return new Policy.Outcome(o.id(), o.attempt(), o.route(), result, o.closed(), wait, o.elapsed(), o.report());
+        }
+
+        private static WriteAhead forgetting(WriteAhead journal) {
+            return (WriteAhead) Proxy.newProxyInstance(Bad.class.getClassLoader(), new Class<?>[] {WriteAhead.class},
+                    (proxy, method, given) -> method.getName().equals("open") ? List.of() : method.invoke(journal, given));
+        }
+
+        Scenario scenario() throws IOException {
+            String text = Lab.named("quiet-day").replace("span = \"60s\"", "span = \"30s\"").replace("response = \"290ms\"",
+                    "response = \"290ms\"\nwait = \"1500ms\"\ncold-from = 0.05\nwarm-up = \"20s\"").replace("response = \"250ms\"",
+                    "response = \"250ms\"\nwait = \"1500ms\"\ncold-from = 0.05\nwarm-up = \"20s\"") + "\n[[failure]]\n" + failure;
+            return Lab.read("bad", text).scenario();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Bad.class)
+    void badRelayIsFoundAndASoundOneIsNot(Bad bad) throws IOException {
+        Map<Rule, Integer> found = Lab.play(bad.scenario(), 1, bad.program).rules().counts();
+        assertTrue(found.containsKey(bad.rule), bad + " breaks " + bad.rule + ", found " + found);
+        assertEquals(Map.of(), Lab.play(bad.scenario(), 1).rules().counts());
+    }
+
+    /** The whole of what a run says hangs on scenario, seed and program alone. */
+    @Test
+    void sameSeedGivesTheSameHistoryToTheByteAndAnotherDoesNot() throws IOException {
+        Scenario scenario = Lab.read("s", Lab.named("half-the-fleet-dies")).scenario();
+        assertEquals(text(scenario, 5), text(scenario, 5));
+        assertTrue(!text(scenario, 5).equals(text(scenario, 6)));
+    }
+
+    private static String text(Scenario scenario, long seed) {
+        Lab.Played played = Lab.play(scenario, seed);
+        StringBuilder text = new StringBuilder().append(played.service()).append(played.events());
+        played.history().asks().forEach(a -> text.append(a.at()).append(a.told()).append(a.endedAt()).append(a.doneAt())
+                .append(a.postings()));
+        return text.append(played.history().loads()).toString();
+    }
+
+    /** A rule that breaks in a large scenario breaks in a small one, which says what it takes. */
+    @Test
+    void scenarioThatBreaksARuleIsMadeSmall() throws IOException {
+        Scenario large = Lab.read("s", Lab.named("brown-out")).scenario();
+        Scenario small = Lab.minimize(large, 1, Rule.UNPROVEN, Bad.TRUSTING.program, 200);
+        assertTrue(small.failures().size() <= 1 && small.classes().size() == 1 && small.groups().size() == 1
+                && small.fleet().relays() == 1, small.toString());
+        assertEquals("settlement", small.classes().get(0).name());
+        assertTrue(Lab.play(small, 1, Bad.TRUSTING.program).rules().counts().containsKey(Rule.UNPROVEN));
+    }
+}
--- /dev/null
+++ b/src/test/java/pipitstage/lab/ScenarioFileTest.java
@@ -0,0 +1,151 @@
+package pipitstage.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pipitstage.config.file.Finding;
+import pipitstage.lab.scenario.Arrival;
+import pipitstage.lab.scenario.Arrivals;
+import pipitstage.lab.scenario.Faults;
+import pipitstage.lab.scenario.Scenario;
+import pipitstage.lab.scenario.ScenarioFile;
+import pipitstage.lab.scenario.ScenarioForm;
+import pipitstage.lab.scenario.ScenarioText;
+
+/** Scenario files, and what they ask for: failures by seed, arrivals by rate. */
+class ScenarioFileTest {
+    private static final long SECOND = 1_000_000;
+
+    /** Each row changes one thing in a sound scenario; what is found names the setting and says why. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "name = \"settlement\" | name = \"car-order\" | class[3].name | stands above",
+        "deadline = \"5s\" | deadline = \"1s\" | class[1].deadline | no longer than wanted = 1500ms",
+        "key-window = \"7500ms\" |  | class[2].key-window | is missing",
+        "to = [\"railways\"] | to = [\"ships\"] | class[3].to | no group",
+        "response = \"250ms\" | response = \"1m\" | class[1].deadline | no partner of it could deliver",
+        "name = \"short-lines\" | name = \"elevators\" | group[3].name | stands above",
+        "kind = \"short-lines\" | kind = \"railways\" | group[3].kind | a kind has one of each",
+        "buildings = [\"main\", \"annex\", \"yard\"] | buildings = [] | group[1].buildings | names no building",
+        "limit = \"26.4/s\" |  | group[1].told | no limit to tell",
+        "rate = \"18.48/s\" | rate = 18.48 | class[1].rate | with its unit",
+        "skew = 0.5 | skew = 9 | fleet.skew | out of bounds",
+        "relays = 3 | relais = 3 | fleet.relais | did you mean fleet.relays?",
+        "share = 54 | share = -1 | tenant[1].share | out of bounds",
+        "name = \"lumber-desk\" | name = \"grain-desk\" | tenant[3].name | stands above",
+        "span = \"60s\" | span = \"2d\" | span | out of bounds",
+        "span = \"60s\" | span = \"1d\"\\nload = 900 | span | no run of more than",
+        "#end | [[failure]]\\nkind = \"down\"\\nat = \"61s\" | failure[1].at | when nothing is handed in any more",
+        "#end | [[failure]]\\nkind = \"down\"\\nat = \"1s\"\\ngroup = \"x\" | failure[1].group | there is no group x",
+        "#end | [[failure]]\\nkind = \"down\"\\nat = \"1s\"\\nbuilding = \"x\" | failure[1].building | no endpoint stands in x",
+        "#end | [[failure]]\\nkind = \"relays-die\"\\nat = \"1s\"\\ngroup = \"railways\" | failure[1].group | strikes no endpoints",
+        "#end | [[failure]]\\nkind = \"down\"\\nat = \"1s\"\\nfactor = 2 | failure[1].factor | for slow and leak alone",
+        "#end | [[failure]]\\nkind = \"slow\"\\nat = \"1s\"\\npart = 0.5 | failure[1].part | for errors alone",
+        "#end | [[failure]]\\nkind = \"flood\"\\nat = \"1s\" | failure[1].kind | is none of down",
+        "#end | [[failure] | * | "})
+    void contradictionIsFound(String old, String changed, String key, String why) throws IOException {
+        String text = Lab.named("quiet-day") + "\n#end\n";
+        assertTrue(text.contains(old), old);
+        String broken = text.replaceFirst(Pattern.quote(old), Matcher.quoteReplacement(
+                changed == null ? "" : changed.replace("\\n", "\n")));
+        ScenarioFile.Read read = Lab.read("broken", broken);
+        assertEquals(null, read.scenario());
+        assertTrue(read.findings().stream().filter(Finding::isError).anyMatch(f -> (key.equals("*") || f.key().equals(key))
+                && f.reason().contains(why == null ? "" : why) && f.line() > 0), read.findings().toString());
+    }
+
+    /** What stands in the repository is sound, and a scenario that is written reads the same. */
+    @Test
+    void namedScenariosAreSoundAndReadAsTheyAreWritten() throws IOException {
+        for (String name : Lab.NAMED) {
+            ScenarioFile.Read read = Lab.read(name, Lab.named(name));
+            assertEquals(List.of(), read.findings());
+            assertEquals(name, read.scenario().name());
+            assertEquals(read.scenario(), Lab.read(name, ScenarioText.of(read.scenario())).scenario());
+        }
+        try (var files = Files.list(Path.of("src/main/resources/scenarios"))) {
+            assertEquals(Lab.NAMED.size(), files.count());
+        }
+        assertEquals(ScenarioForm.SCENARIO.reference(), Files.readString(Path.of("docs/operators/scenarios.md")),
+                "written by: loftflow lab reference");
+    }
+
+    private static Scenario with(String failure) throws IOException {
+        return Lab.read("s", Lab.named("quiet-day") + "\n[[failure]]\n" + failure).scenario();
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        // Failure; endpoints that it strikes; the state at 9 s, at 15 s, and at 25 s with what is able then.
+        "kind = \"down\"\\nat = \"10s\"\\nlasts = \"10s\"\\ngroup = \"railways\" | 9 | DOWN | 0.575 | 1",
+        "kind = \"shut\"\\nat = \"10s\"\\nlasts = \"10s\"\\nbuilding = \"annex\" | 11 | SHUT | 0.575 | 1",
+        "kind = \"silent\"\\nat = \"10s\"\\nlasts = \"10s\"\\ngroup = \"elevators\"\\nshare = 0.5 | 5 | SILENT | 0.575 | 1",
+        "kind = \"slow\"\\nat = \"10s\"\\nlasts = \"10s\"\\nfactor = 4 | 29 | CALLS | 1 | 4",
+        "kind = \"leak\"\\nat = \"10s\"\\nlasts = \"10s\"\\nfactor = 4 | 29 | CALLS | 1 | 2",
+        "kind = \"drain\"\\nat = \"10s\"\\nlasts = \"10s\"\\ngroup = \"short-lines\"\\nshare = 0.4 | 4 | CALLS | 1 | 1"})
+    void failureStrikesWhatItSaysAndWhileItLasts(String failure, int struck, Faults.Meets meets, double able, double slower)
+            throws IOException {
+        Scenario scenario = with(failure.replace("\\n", "\n"));
+        Scenario.Layout layout = scenario.layout();
+        Faults faults = Faults.of(scenario, layout, 3);
+        boolean drains = failure.contains("drain");
+        List<Integer> hit = layout.endpoints().stream().map(Scenario.Endpoint::number).filter(e -> drains
+                ? faults.drains().stream().anyMatch(d -> d.endpoint() == e)
+                : !faults.state(e, 15 * SECOND).equals(Faults.State.WELL)).toList();
+        assertEquals(struck, hit.size(), hit.toString());
+        for (int e : hit) {
+            assertEquals(Faults.State.WELL, faults.state(e, 9 * SECOND));
+            assertEquals(meets, faults.state(e, 15 * SECOND).meets());
+            assertEquals(slower, faults.state(e, 15 * SECOND).slower(), 1e-9);
+            assertEquals(able, faults.state(e, 25 * SECOND).able(), 1e-9);
+            assertEquals(drains ? Faults.Meets.GONE : Faults.Meets.CALLS, faults.state(e, 25 * SECOND).meets());
+        }
+    }
+
+    @Test
+    void hazardComesAsOftenAsItSaysAndElsewhereEachTime() throws IOException {
+        Scenario scenario = with("kind = \"down\"\nat = \"0s\"\nlasts = \"1s\"\nhazard = 600\nshare = 0.1");
+        double strikes = 0;
+        for (long seed = 0; seed < 200; seed++) {
+            strikes += Faults.of(scenario, scenario.layout(), seed).strikes().size();
+        }
+        assertEquals(10, strikes / 200, 0.7, "ten a minute");
+        Scenario dies = with("kind = \"relays-die\"\nat = \"5s\"\nshare = 0.5");
+        assertEquals(2, Faults.of(dies, dies.layout(), 1).deaths().size(), "half of three, rounded");
+        Faults silent = Faults.of(with("kind = \"discovery\"\nat = \"5s\"\nlasts = \"4s\""), scenario.layout(), 1);
+        assertEquals(List.of(4 * SECOND, 9 * SECOND, 9 * SECOND), List.of(silent.told(4 * SECOND), silent.told(6 * SECOND),
+                silent.told(9 * SECOND)));
+    }
+
+    /** Rates, shares and clumps are kept, whatever the clumps are. */
+    @ParameterizedTest
+    @CsvSource({"0, 8", "0.3, 8", "1, 50"})
+    void arrivalsKeepTheirRates(double clumped, int clump) throws IOException {
+        Scenario quiet = Lab.read("s", Lab.named("quiet-day")).scenario();
+        Scenario scenario = new Scenario("s", "", 2_000 * SECOND, 1, quiet.fleet(), new Scenario.Clients(2, SECOND, clumped,
+                clump), quiet.network(), quiet.classes(), quiet.tenants(), quiet.groups(), List.of());
+        Arrivals arrivals = new Arrivals(scenario, scenario.layout(), 1);
+        long count = 0;
+        long orders = 0;
+        long last = 0;
+        while (arrivals.hasNext()) {
+            Arrival arrival = arrivals.next();
+            assertTrue(arrival.at() >= last);
+            last = arrival.at();
+            count++;
+            orders += arrival.type() == 1 ? 1 : 0;
+            assertTrue(arrival.type() != 2 || arrival.partner() < 3, "settlements go to railways alone");
+        }
+        assertEquals(44, count / 2_000.0, clump == 50 ? 4 : 1);
+        assertEquals(0.32, (double) orders / count, clump == 50 ? 0.05 : 0.02);
+    }
+}
