The laboratory's second driver: whole relays on loopback; replay of public traces by both

The same scenario file is played by relays as processes: endpoints on sockets answer what the emulator's endpoint says, an open loop lets each message go at its time, notices and discovery are stand-ins, relays are killed and started. The same history is written, so service and rules are judged by the same code. Lateness is counted and a run that is late is marked invalid; times count from when a message was due (RealRunTest stalls the generator for 700 ms). loftflow replay takes traces by either driver; rows read still add up. trace check says why a file that is missing can't be read.

--- a/src/main/java/pipitstage/cli/LabCommand.java
+++ b/src/main/java/pipitstage/cli/LabCommand.java
@@ -21,8 +21,10 @@
 import pipitstage.lab.Lab;
 import pipitstage.lab.experiment.Capacity;
 import pipitstage.lab.experiment.Verdict;
+import pipitstage.lab.real.RealRun;
 import pipitstage.lab.results.ResultsFolder;
 import pipitstage.lab.results.RunPage;
+import pipitstage.lab.scenario.Replayed;
 import pipitstage.lab.scenario.Scenario;
 import pipitstage.lab.scenario.ScenarioFile;
 import pipitstage.lab.scenario.ScenarioForm;
@@ -36,8 +38,8 @@
         subcommands = {LabCommand.Scenarios.class, LabCommand.Check.class, LabCommand.Run.class, LabCommand.Compare.class,
             LabCommand.Sweep.class, LabCommand.CapacityOf.class, LabCommand.Minimize.class, LabCommand.Reference.class})
 final class LabCommand implements Runnable {
-    private static final int CLEAN = 0;
-    private static final int FOUND = 1;
+    static final int CLEAN = 0;
+    static final int FOUND = 1;
     private static final JsonFactory JSON = new JsonFactory();
 
     @Spec
@@ -71,14 +73,14 @@
         }
     }
 
-    private static ScenarioFile.Read read(CommandSpec spec, String name) throws IOException, SourceFile.UnreadableException {
+    static ScenarioFile.Read read(CommandSpec spec, String name) throws IOException, SourceFile.UnreadableException {
         ScenarioFile.Read read = Lab.NAMED.contains(name) ? Lab.read(name, Lab.named(name))
                 : Lab.read(name, SourceFile.text(Path.of(name)));
         read.findings().forEach(finding -> spec.commandLine().getErr().println(finding));
         return read;
     }
 
-    private static void print(PrintWriter out, Lab.Played played) {
+    static void print(PrintWriter out, Lab.Played played) {
         Service.Report s = played.service();
         out.println(String.format(Locale.ROOT, "%s, seed %d: service %.4f (whole %.4f, worst 10 s %.4f, worst class %.4f, worst tenant"
                 + " %.4f)", played.scenario().name(), played.seed(), s.figure(), s.whole(), s.worstWindow(), s.worstClass(),
@@ -149,6 +151,10 @@
         @Option(names = "--page", paramLabel = "FILE", description = "A page with plots of the last run.")
         private Path page;
 
+        @Option(names = "--real", paramLabel = "DIR", description = "By whole relays on loopback, in real time; their files, journals"
+                + " and logs go there.")
+        private Path real;
+
         @Override
         public Integer call() throws IOException, SourceFile.UnreadableException {
             Scenario scenario = scenario();
@@ -158,7 +164,8 @@
             List<Lab.Played> all = new ArrayList<>();
             boolean clean = true;
             for (int i = 0; i < seeds; i++) {
-                Lab.Played played = Lab.play(scenario, seed + i);
+                Lab.Played played = real == null ? Lab.play(scenario, seed + i) : real(out(), scenario, seed + i, null,
+                        real.resolve("seed" + (seed + i)));
                 print(out(), played);
                 clean &= played.rules().isClean();
                 if (page != null && i == seeds - 1) {
@@ -177,6 +184,23 @@
         }
     }
 
+    /** Plays by whole relays and says whether the machine kept up. */
+    static Lab.Played real(PrintWriter out, Scenario scenario, long seed, Replayed replayed, Path folder) throws IOException {
+        Files.createDirectories(folder);
+        try {
+            Lab.Real real = Lab.real(scenario, seed, replayed, folder, history -> { });
+            RealRun.Outcome o = real.outcome();
+            out.println(String.format(Locale.ROOT, "messages left late by %.1f ms at p50, %.1f at p99, %.1f at the most%s; %.0f us of"
+                    + " CPU a message", o.lateness().p50() / 1e3, o.lateness().p99() / 1e3,
+                    o.lateness().most() / 1e3, o.isValid() ? "" : ": INVALID, this machine did not keep up",
+                    o.cpuSeconds() * 1e6 / Math.max(1, o.history().asks().size())));
+            return real.played();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
     private static void writeJson(Path file, List<Lab.Played> all) throws IOException {
         try (JsonGenerator json = JSON.createGenerator(Files.newBufferedWriter(file))) {
             json.setRootValueSeparator(null);
--- /dev/null
+++ b/src/main/java/pipitstage/cli/ReplayCommand.java
@@ -0,0 +1,98 @@
+package pipitstage.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import pipitstage.Policy;
+import pipitstage.config.file.SourceFile;
+import pipitstage.lab.Lab;
+import pipitstage.lab.results.RunPage;
+import pipitstage.lab.scenario.Replayed;
+import pipitstage.lab.scenario.Scenario;
+import pipitstage.trace.Arrivals;
+import pipitstage.trace.Call;
+import pipitstage.trace.Columns;
+import pipitstage.trace.Mapping;
+import pipitstage.trace.Tally;
+
+/** Replays a public trace against a scenario's partners and failures. */
+@Command(name = "replay", mixinStandardHelpOptions = true, description = {"Replays a trace against a scenario: the trace says when"
+        + " messages come and how they hang together, the scenario says to whom they go and what goes wrong.", "Exit code 1 where"
+        + " a row is rejected or a rule was broken, 2 where a file can't be read."})
+final class ReplayCommand implements Callable<Integer> {
+    @Mixin
+    private TraceCommand.Files files;
+
+    @Option(names = "--scenario", required = true, paramLabel = "SCENARIO", description = "A file, or the name of one that comes"
+            + " with the program; its classes' rates are the shares of the classes.")
+    private String scenario;
+
+    @Option(names = "--seed", defaultValue = "1", paramLabel = "N", description = "Another one maps flows elsewhere, and draws other"
+            + " failures (1).")
+    private long seed;
+
+    @Option(names = "--speed", defaultValue = "1", paramLabel = "X", description = "How many times as fast as the trace (1).")
+    private double speed;
+
+    @Option(names = "--page", paramLabel = "FILE", description = "A page with plots.")
+    private Path page;
+
+    @Option(names = "--real", paramLabel = "DIR", description = "By whole relays on loopback, in real time; their files, journals and"
+            + " logs go there.")
+    private Path real;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, SourceFile.UnreadableException {
+        Scenario read = LabCommand.read(spec, scenario).scenario();
+        if (read == null) {
+            return LabCommand.FOUND;
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        try {
+            Mapping mapping = new Mapping(scheme(read), seed, files.from(), speed);
+            Replayed replayed = new Replayed(read, seed);
+            Tally tally = files.read(row -> {
+                Call call = mapping.call(row);
+                replayed.add(call.at(), call.type(), call.tenant(), call.destination());
+            });
+            TraceCommand.print(tally, out);
+            if (replayed.size() == 0) {
+                out.println("nothing is left to replay");
+                return LabCommand.FOUND;
+            }
+            Scenario lasting = replayed.lasting(read);
+            Lab.Played played = real == null ? Lab.replay(lasting, seed, replayed)
+                    : LabCommand.real(out, lasting, seed, replayed, real);
+            out.println(String.format(Locale.ROOT, "%d messages in %.1f s", replayed.size(), replayed.last() / 1e6));
+            LabCommand.print(out, played);
+            if (page != null) {
+                Files.writeString(page, RunPage.of(played.scenario(), seed, played.service(), played.rules(), played.history()));
+            }
+            return tally.rowsRejected() == 0 && played.rules().isClean() ? LabCommand.CLEAN : LabCommand.FOUND;
+        } catch (Arrivals.LateException | Columns.NoSuchColumnException e) {
+            return TraceCommand.unreadable(spec, e);
+        } catch (IllegalArgumentException e) {
+            throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
+        }
+    }
+
+    private static Mapping.Scheme scheme(Scenario s) {
+        Scenario.Layout layout = s.layout();
+        return new Mapping.Scheme(s.classes().stream().map(c -> new Mapping.Type(c.name(), c.rate(),
+                c.repeat() == Policy.Repeat.BY_KEY, 1, 1, c.deadline(), layout.partners().stream().filter(p ->
+                        c.goesTo(p.group().kind()) && p.weight() > 0).map(Scenario.Partner::number).toList())).toList(),
+                s.tenants().stream().map(Scenario.Tenant::name).toList());
+    }
+}
--- a/src/main/java/pipitstage/cli/TraceCommand.java
+++ b/src/main/java/pipitstage/cli/TraceCommand.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.UncheckedIOException;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
@@ -130,7 +131,7 @@
         }
     }
 
-    private static void print(Tally tally, PrintWriter out) {
+    static void print(Tally tally, PrintWriter out) {
         out.printf(Locale.ROOT, "%d rows read = %d sent + %d cut + %d rejected%n", tally.rowsRead(), tally.rowsSent(),
                 tally.rowsCut(), tally.rowsRejected());
         tally.rejected().forEach((fault, r) -> out.printf(Locale.ROOT, "%s: %d (lines %s%s), such as: %s%n", fault.text(),
@@ -139,8 +140,10 @@
         out.flush();
     }
 
-    private static int unreadable(CommandSpec spec, Exception e) {
-        spec.commandLine().getErr().println("loftflow: " + e.getMessage());
+    static int unreadable(CommandSpec spec, Exception e) {
+        // Of a file that is not there the system says no more than its name.
+        String why = e instanceof NoSuchFileException ? e.getMessage() + ": does not exist" : e.getMessage();
+        spec.commandLine().getErr().println("loftflow: " + why);
         return 2;
     }
 
--- a/src/main/java/pipitstage/lab/Lab.java
+++ b/src/main/java/pipitstage/lab/Lab.java
@@ -3,16 +3,19 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HexFormat;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import pipitstage.Logic;
 import pipitstage.config.file.Finding;
 import pipitstage.config.file.TomlFile;
@@ -24,8 +27,11 @@
 import pipitstage.lab.history.History;
 import pipitstage.lab.model.ModelRun;
 import pipitstage.lab.model.Program;
+import pipitstage.lab.real.RealRun;
 import pipitstage.lab.results.ResultsFolder;
+import pipitstage.lab.scenario.Arrival;
 import pipitstage.lab.scenario.Arrivals;
+import pipitstage.lab.scenario.Replayed;
 import pipitstage.lab.scenario.Scenario;
 import pipitstage.lab.scenario.ScenarioFile;
 import pipitstage.lab.scenario.ScenarioText;
@@ -92,12 +98,42 @@
 
     /** Plays a scenario with a program. */
     public static Played play(Scenario scenario, long seed, Program program) {
-        ModelRun.Outcome outcome = new ModelRun(scenario, RULES, seed, layout -> new Arrivals(scenario, layout, seed), program)
-                .run();
+        return play(scenario, seed, layout -> new Arrivals(scenario, layout, seed), program);
+    }
+
+    /** Plays a scenario with what a trace asks for in place of its rates. */
+    public static Played replay(Scenario scenario, long seed, Replayed replayed) {
+        return play(scenario, seed, layout -> replayed.iterator(), OWN);
+    }
+
+    private static Played play(Scenario scenario, long seed, Function<Scenario.Layout, Iterator<Arrival>> arrivals,
+            Program program) {
+        ModelRun.Outcome outcome = new ModelRun(scenario, RULES, seed, arrivals, program).run();
         return new Played(scenario, seed, Service.of(scenario, RULES, outcome.history()),
                 Judge.of(scenario, RULES, outcome.history()), outcome.history(), outcome.events());
     }
 
+    /** A run by whole relays, with how late its messages left and what the relays used. */
+    public record Real(Played played, RealRun.Outcome outcome) { }
+
+    /**
+     * Plays a scenario by whole relays on loopback, in real time.
+     *
+     * @param folder for the relays' files, empty
+     * @param replayed what to send in place of what its rates ask for, or null
+     * @param progress is shown the history now and then; it is written meanwhile, so that only counts may be read
+     */
+    public static Real real(Scenario scenario, long seed, Replayed replayed, Path folder, Consumer<History> progress)
+            throws IOException, InterruptedException {
+        Scenario.Layout layout = scenario.layout();
+        try (RealRun run = new RealRun(scenario, RULES, seed, folder)) {
+            RealRun.Outcome outcome = run.play(replayed == null ? new Arrivals(scenario, layout, seed) : replayed.iterator(),
+                    at -> { }, progress);
+            return new Real(new Played(scenario, seed, Service.of(scenario, RULES, outcome.history()), Judge.of(scenario, RULES,
+                    outcome.history()), outcome.history(), 0), outcome);
+        }
+    }
+
     /** What is said of one figure of two sides. */
     public record Compared(String figure, Verdict verdict) { }
 
--- a/src/main/java/pipitstage/lab/model/EndpointModel.java
+++ b/src/main/java/pipitstage/lab/model/EndpointModel.java
@@ -17,7 +17,7 @@
  * What an endpoint does with calls: servers that work for a drawn time, a queue before them, a limit, failures, and a cold
  * return on which it falls over where it gets too much.
  */
-final class EndpointModel {
+public final class EndpointModel {
     private static final long SECOND = 1_000_000;
     private static final long CLOSES = 1_000;
 
@@ -27,14 +27,15 @@
      * @param ran it runs, or has run by the time of an answer
      * @param answerAt when the answer leaves; -1 where none does
      */
-    record Met(Ask.Answer answer, boolean ran, long answerAt) { }
+    public record Met(Ask.Answer answer, boolean ran, long answerAt) { }
 
     /** A limit that one partner's endpoints share, or that one has for itself: calls that were taken in the last second. */
-    static final class Limit {
+    public static final class Limit {
         private final ArrayDeque<Long> taken = new ArrayDeque<>();
         private final double rate;
 
-        Limit(double rate) {
+        /** So many calls a second; 0 for any. */
+        public Limit(double rate) {
             this.rate = rate;
         }
 
@@ -49,7 +50,8 @@
             return true;
         }
 
-        double left() {
+        /** The share of it that is left. */
+        public double left() {
             return Math.max(0, 1 - taken.size() / Math.max(1, rate));
         }
     }
@@ -76,7 +78,8 @@
     private long bucket;
     private int calls;
 
-    EndpointModel(Scenario.Endpoint endpoint, Scenario.Group group, Scenario.Rules rules, Faults faults, Limit limit,
+    /** An endpoint that has met no call yet. */
+    public EndpointModel(Scenario.Endpoint endpoint, Scenario.Group group, Scenario.Rules rules, Faults faults, Limit limit,
             History history, UniformRandomProvider random) {
         this.endpoint = endpoint;
         this.group = group;
@@ -97,20 +100,20 @@
                 Math.log(response) - sigma * sigma / 2, sigma);
     }
 
-    Scenario.Endpoint endpoint() {
+    public Scenario.Endpoint endpoint() {
         return endpoint;
     }
 
-    Scenario.Group group() {
+    public Scenario.Group group() {
         return group;
     }
 
-    Limit limit() {
+    public Limit limit() {
         return limit;
     }
 
-    /** A call of a relay has come. */
-    Met meet(int relay, long now) {
+    /** A call of a relay has come; times may not go back. */
+    public Met meet(int relay, long now) {
         Faults.State state = faults.state(endpoint.number(), now);
         count(now, state);
         if (state.meets() == Faults.Meets.CALLS && state.able() < 1) {
--- /dev/null
+++ b/src/main/java/pipitstage/lab/real/RealRun.java
@@ -0,0 +1,280 @@
+package pipitstage.lab.real;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import pipitstage.lab.history.Ask;
+import pipitstage.lab.history.History;
+import pipitstage.lab.model.EndpointModel;
+import pipitstage.lab.scenario.Arrival;
+import pipitstage.lab.scenario.Draws;
+import pipitstage.lab.scenario.Faults;
+import pipitstage.lab.scenario.Scenario;
+import pipitstage.standin.ServedRelay;
+import pipitstage.standin.StandInDiscovery;
+
+/**
+ * One run of a scenario by whole relays. Threads beside the relays' own processes: one for all sockets and the history, one
+ * that lets messages go at their times, one that starts and kills relays and changes discovery's list.
+ */
+public final class RealRun implements AutoCloseable {
+    /** Several relays may start at once. */
+    private static final int STAGE_THREADS = 8;
+    private static final long LOOK_MS = 50;
+    /** Everything is ready before the first message is due. */
+    private static final long AHEAD_MS = 500;
+
+    /**
+     * What came of it.
+     *
+     * @param lateness by how much messages left late
+     * @param cpuSeconds of all relays from the first message on, with what restarts took
+     */
+    public record Outcome(History history, Lateness lateness, double cpuSeconds) {
+        /** Beyond this lateness of one message in a hundred the run says more of this machine than of a relay. */
+        public static final long MOST_LATE = 50_000;
+
+        /** True where messages left when they were due. */
+        public boolean isValid() {
+            return lateness.p99() <= MOST_LATE;
+        }
+    }
+
+    /** By how many microseconds messages left late: half of them, one in a hundred, and the latest. */
+    public record Lateness(long p50, long p99, long most) { }
+
+    private final Scenario scenario;
+    private final Scenario.Layout layout;
+    private final Faults faults;
+    private final Path folder;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final ScheduledExecutorService stage = new ScheduledThreadPoolExecutor(STAGE_THREADS);
+    private final StandInDiscovery discovery = new StandInDiscovery();
+    private final List<EndpointServer> endpoints = new ArrayList<>();
+    private final List<String> states = new ArrayList<>();
+    private final List<ServedRelay> relays = new CopyOnWriteArrayList<>();
+    private final List<Path> files = new ArrayList<>();
+    private final World world;
+    private final Programs programs;
+    private final NoticesServer notices;
+    private final long startNanos;
+    /** What relays had used before the first message, taken off, and what those used that have died. */
+    private double cpuBefore;
+    private double cpuOfTheDead;
+    private Exception broken;
+
+    /**
+     * Starts everything a run needs, the relays too.
+     *
+     * @param folder for the relays' files, journals and logs
+     */
+    public RealRun(Scenario scenario, Scenario.Rules rules, long seed, Path folder) throws IOException, InterruptedException {
+        this.scenario = scenario;
+        this.folder = folder;
+        layout = scenario.layout();
+        faults = Faults.of(scenario, layout, seed);
+        // The time that starting takes is not known: the clock of the run begins when it is over.
+        StartClock clock = new StartClock();
+        world = new World(scenario, loop, clock);
+        programs = new Programs(world);
+        try {
+            notices = new NoticesServer(world, programs);
+            for (Scenario.Partner partner : layout.partners()) {
+                EndpointModel.Limit shared = new EndpointModel.Limit(partner.group().limit());
+                for (Scenario.Endpoint e : partner.endpoints()) {
+                    endpoints.add(new EndpointServer(world, new EndpointModel(e, partner.group(), rules, faults,
+                            partner.group().routesApart() ? new EndpointModel.Limit(partner.group().limit()) : shared,
+                            world.history(), Draws.of(seed, "endpoint", e.number())), layout));
+                    states.add("in_service");
+                }
+            }
+            tell();
+            for (int i = 0; i < scenario.fleet().relays(); i++) {
+                files.add(RelayFiles.write(scenario, layout, i, discovery.address(), notices.address(), folder));
+                relays.add(start(i));
+            }
+            for (int i = 0; i < relays.size(); i++) {
+                serves(i);
+            }
+            startNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AHEAD_MS);
+            clock.begin(startNanos);
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            close();
+            throw e;
+        }
+    }
+
+    private ServedRelay start(int relay) throws IOException {
+        return ServedRelay.start(files.get(relay), folder.resolve("log" + relay), "-Xms48m", "-Xmx128m",
+                "-XX:MaxDirectMemorySize=32m");
+    }
+
+    private void serves(int relay) throws IOException, InterruptedException {
+        ServedRelay served = relays.get(relay).awaitServing();
+        try (var client = served.client()) {
+            for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30); !client.isReady();) {
+                if (System.nanoTime() > end) {
+                    throw new IOException("relay " + relay + " does not get ready: " + served.log().strip());
+                }
+                TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+            }
+        }
+        InetSocketAddress address = new InetSocketAddress(served.host(), served.port());
+        loop.submit(() -> programs.at(relay, address)).syncUninterruptibly();
+    }
+
+    private synchronized void tell() {
+        List<String> entries = new ArrayList<>();
+        for (Scenario.Endpoint e : layout.endpoints()) {
+            entries.add(StandInDiscovery.entry(e.route(), e.partner(), layout.partners().get(e.partner()).group().kind(),
+                    e.building(), states.get(e.number()), endpoints.get(e.number()).address()));
+        }
+        discovery.list(entries);
+    }
+
+    /**
+     * Plays messages until nothing more is to come of any.
+     *
+     * @param beforeEach is told what is due next; a test stalls there
+     * @throws IOException where a relay did not come back, or discovery did not
+     */
+    public Outcome play(Iterator<Arrival> arrivals, LongConsumer beforeEach, Consumer<History> progress)
+            throws IOException, InterruptedException {
+        cpuBefore = cpuSeconds();
+        schedule();
+        Pace pace = new Pace(arrivals, startNanos, arrival -> loop.execute(() -> programs.arrive(arrival)), beforeEach);
+        Thread thread = new Thread(pace, "lab-pace");
+        thread.start();
+        long longest = scenario.classes().stream().mapToLong(Scenario.MessageClass::deadline).max().orElse(0);
+        long end = scenario.span() + (scenario.clients().repeats() + 1) * (longest + scenario.clients().pause());
+        while (thread.isAlive() || !isSettled() && world.now() < end) {
+            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+            progress.accept(world.history());
+            checkStage();
+        }
+        thread.join();
+        checkStage();
+        double cpu = cpuSeconds() - cpuBefore;
+        History history = loop.submit(() -> {
+            endpoints.forEach(EndpointServer::down);
+            return world.history();
+        }).syncUninterruptibly().getNow();
+        return new Outcome(history, pace.lateness(), cpu);
+    }
+
+    private synchronized double cpuSeconds() throws IOException {
+        double cpu = cpuOfTheDead;
+        for (ServedRelay relay : relays) {
+            cpu += relay.process().isAlive() ? relay.cpuSeconds() : 0;
+        }
+        return cpu;
+    }
+
+    private synchronized void checkStage() throws IOException {
+        if (broken != null) {
+            throw new IOException("the run broke off: " + broken.getMessage(), broken);
+        }
+    }
+
+    private boolean isSettled() {
+        return loop.submit(() -> programs.unsettled() == 0 && world.history().asks().stream().allMatch(a -> a.told() != Ask.Told
+                .TAKEN || a.doneAt() >= 0)).syncUninterruptibly().getNow();
+    }
+
+    // ---- what goes wrong
+
+    private void schedule() {
+        for (Faults.Strike strike : faults.strikes()) {
+            if (strike.failure().kind() == Scenario.Kind.DISCOVERY) {
+                at(strike.from(), discovery::stop);
+                at(strike.to(), discovery::restart);
+            } else if (strike.failure().kind() == Scenario.Kind.DOWN) {
+                for (int e = 0; e < endpoints.size(); e++) {
+                    EndpointServer endpoint = endpoints.get(e);
+                    if (faults.state(e, strike.from()).meets() == Faults.Meets.DOWN) {
+                        at(strike.from(), () -> loop.submit(endpoint::down).sync());
+                        at(strike.to(), () -> loop.submit(endpoint::up).sync().getNow().sync());
+                    }
+                }
+            }
+        }
+        for (Faults.Drain drain : faults.drains()) {
+            at(drain.from(), () -> drains(drain.endpoint(), "terminating"));
+            at(drain.gone(), () -> {
+                drains(drain.endpoint(), "terminated");
+                loop.submit(endpoints.get(drain.endpoint())::down).sync();
+            });
+        }
+        for (Faults.Death death : faults.deaths()) {
+            at(death.at(), () -> {
+                ServedRelay relay = relays.get(death.relay());
+                loop.submit(() -> programs.at(death.relay(), null)).sync();
+                died(relay.cpuSeconds());
+                relay.close();
+            });
+            at(death.back(), () -> {
+                relays.set(death.relay(), start(death.relay()));
+                serves(death.relay());
+                long back = world.now();
+                loop.submit(() -> world.history().away(new History.Away(death.relay(), death.at(), back))).sync();
+            });
+        }
+    }
+
+    private void drains(int endpoint, String state) throws InterruptedException {
+        synchronized (this) {
+            states.set(endpoint, state);
+        }
+        tell();
+        loop.submit(() -> {
+            for (int relay = 0; relay < relays.size(); relay++) {
+                world.drains(relay, endpoint);
+            }
+        }).sync();
+    }
+
+    private synchronized void died(double cpuSeconds) {
+        cpuOfTheDead += cpuSeconds;
+    }
+
+    private interface Step {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private void at(long micros, Step step) {
+        stage.schedule(() -> {
+            try {
+                step.run();
+            } catch (IOException | RuntimeException e) {
+                breaks(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, startNanos + TimeUnit.MICROSECONDS.toNanos(micros) - System.nanoTime(), TimeUnit.NANOSECONDS);
+    }
+
+    private synchronized void breaks(Exception e) {
+        broken = broken == null ? e : broken;
+    }
+
+    @Override
+    public void close() throws IOException {
+        stage.shutdownNow();
+        relays.forEach(ServedRelay::close);
+        discovery.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/lab/real/StartClock.java
@@ -0,0 +1,20 @@
+package pipitstage.lab.real;
+
+import java.util.function.LongSupplier;
+
+/** The time of a run, which begins when all that takes part is ready; it is 0 until then. */
+final class StartClock implements LongSupplier {
+    private volatile long startNanos;
+    private volatile boolean begun;
+
+    void begin(long at) {
+        startNanos = at;
+        begun = true;
+    }
+
+    /** Microseconds from the beginning. */
+    @Override
+    public long getAsLong() {
+        return begun ? Math.max(0, (System.nanoTime() - startNanos) / 1_000) : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/pipitstage/lab/real/World.java
@@ -0,0 +1,73 @@
+package pipitstage.lab.real;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import pipitstage.Policy;
+import pipitstage.lab.history.Ask;
+import pipitstage.lab.history.History;
+import pipitstage.lab.model.Keys;
+import pipitstage.lab.scenario.Scenario;
+
+/** What programs and partners of one run know in common. Everything happens on one event loop. */
+final class World {
+    /** What left before a word was heard may come after it: so much is granted. */
+    private static final long ON_THE_WAY = 100_000;
+
+    private final Scenario scenario;
+    private final EventLoop loop;
+    private final StartClock clock;
+    private final History history = new History();
+    private final Keys keys = new Keys();
+    private final Map<String, Integer> numbers = new HashMap<>();
+
+    World(Scenario scenario, EventLoop loop, StartClock clock) {
+        this.scenario = scenario;
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    Scenario scenario() {
+        return scenario;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    History history() {
+        return history;
+    }
+
+    /** Microseconds from the beginning of the run. */
+    long now() {
+        return clock.getAsLong();
+    }
+
+    /** A try of a message goes out under an id. */
+    void named(String id, int number) {
+        numbers.put(id, number);
+    }
+
+    /** The message of an id; null where nobody handed it in. */
+    Ask ask(String id) {
+        Integer number = numbers.get(id);
+        return number == null ? null : history.asks().get(number);
+    }
+
+    /** Whether a message that an endpoint runs takes effect there, as its key is new. */
+    boolean takesEffect(String id, Scenario.Endpoint endpoint) {
+        Ask ask = ask(id);
+        Scenario.MessageClass type = scenario.classes().get(ask.type());
+        return type.repeat() != Policy.Repeat.BY_KEY || keys.runs(numbers.get(id), ask.partner(), type.keysByBuilding()
+                ? endpoint.building() : "", now(), type.keyWindow());
+    }
+
+    void waits(int relay, int endpoint, long wait) {
+        history.waited(new History.Wait(relay, endpoint, now() + ON_THE_WAY, now() + wait));
+    }
+
+    void drains(int relay, int endpoint) {
+        history.drained(new History.DrainTold(relay, endpoint, now() + ON_THE_WAY));
+    }
+}
--- a/src/test/java/pipitstage/RoomsTest.java
+++ b/src/test/java/pipitstage/RoomsTest.java
@@ -117,6 +117,8 @@
         "lab.experiment | pipitstage.lab.experiment pipitstage.lab.scenario",
         "lab.results | pipitstage.lab.results pipitstage.lab.scenario pipitstage.lab.history pipitstage.lab.service "
             + "pipitstage.records",
+        "lab.real | pipitstage pipitstage.lab.real pipitstage.lab.scenario pipitstage.lab.history pipitstage.lab.model "
+            + "pipitstage.config.tool pipitstage.config.file pipitstage.standin pipitstage.http",
         "lab | pipitstage pipitstage.lab.. pipitstage.engine pipitstage.config.file",
         "standin | pipitstage.standin pipitstage.http pipitstage.amqp.."})
     void packageUsesOnlyWhatItSays(String name, String allowed) {
--- a/src/test/java/pipitstage/cli/CommandsTest.java
+++ b/src/test/java/pipitstage/cli/CommandsTest.java
@@ -99,6 +99,30 @@
         assertEquals(2, run("lab", "sweep", small, "--factor", "slots", "--values", "2", "--folder", folder.resolve("y")));
     }
 
+    /** The same trace and seed say the same to the byte; every row is accounted for; a trace of bursts is one. */
+    @Test
+    void replayPlaysATraceAndAccountsForEveryRow() throws IOException {
+        StringBuilder rows = new StringBuilder("when,who,what\n");
+        for (int i = 0; i < 600; i++) {
+            // Two hundred rows in one millisecond, and one that can't be read.
+            rows.append(i == 7 ? "x" : i < 200 ? "5000" : Integer.toString(5_000 + (i - 200) * 25)).append(",o").append(i % 7)
+                    .append(",f").append(i % 40).append('\n');
+        }
+        Path trace = Files.writeString(folder.resolve("t.csv"), rows);
+        Path map = Files.writeString(folder.resolve("map.toml"), "time = \"when\"\nunit = \"ms\"\nowner = \"who\"\nflow = \"what\"\n");
+        Object[] call = {"replay", trace, "--map", map, "--scenario", "quiet-day", "--seed", 3, "--from", "5s"};
+        assertEquals(1, run(call), err.toString());
+        String first = out.toString();
+        assertTrue(first.startsWith("601 rows read = 599 sent + 1 cut + 1 rejected"), first);
+        assertTrue(first.contains("599 messages in 10.0 s") && first.contains("no rule was broken"), first);
+        run(call);
+        assertEquals(first, out.toString());
+        assertEquals(2, run("replay", folder.resolve("none.csv"), "--map", map, "--scenario", "quiet-day"));
+        assertTrue(err.toString().contains("does not exist"), err.toString());
+        assertEquals(1, run("replay", trace, "--map", map, "--scenario", "quiet-day", "--from", "1h"));
+        assertTrue(out.toString().contains("nothing is left to replay"), out.toString());
+    }
+
     /** Chicago's clocks left out two to three o'clock on 10 March 2024, and showed one to two twice on 3 November. */
     @Test
     void mappingFileReadsAnyCsvAndTimesAsItsZonesClocksShowThem() throws IOException {
--- /dev/null
+++ b/src/test/java/pipitstage/lab/RealRunTest.java
@@ -0,0 +1,86 @@
+package pipitstage.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import pipitstage.lab.history.Ask;
+import pipitstage.lab.real.RealRun;
+import pipitstage.lab.scenario.Arrivals;
+import pipitstage.lab.scenario.Scenario;
+import pipitstage.lab.service.Judge;
+
+/** The second driver: whole relays on loopback play what the emulator plays. */
+@Timeout(120)
+class RealRunTest {
+    @TempDir
+    Path folder;
+
+    private static Scenario scenario(String failures) throws IOException {
+        String text = Lab.named("quiet-day").replace("span = \"60s\"", "span = \"6s\"").replace("relays = 3", "relays = 2")
+                .replace("deadline = \"28s\"", "deadline = \"8s\"").replace("deadline = \"20s\"", "deadline = \"8s\"");
+        return Lab.read("real", text + failures).scenario();
+    }
+
+    /** A relay is killed in mid-run, a partner is down, an endpoint drains: every message has its end, and no rule is broken. */
+    @Test
+    void fleetThatDiesAndPartnersThatFailLeaveNoMessageWithoutAnEnd() throws Exception {
+        Scenario scenario = scenario("""
+                [[failure]]
+                kind = "relays-die"
+                at = "2s"
+                share = 0.5
+                [[failure]]
+                kind = "down"
+                at = "1s"
+                lasts = "2s"
+                group = "elevators"
+                share = 0.4
+                [[failure]]
+                kind = "drain"
+                at = "3s"
+                lasts = "1s"
+                group = "railways"
+                building = "yard"
+                """);
+        Lab.Real real = Lab.real(scenario, 1, null, folder, history -> { });
+        assertEquals(Map.of(), real.played().rules().counts(), real.played().rules().first().toString());
+        assertEquals(1, real.played().history().aways().size(), "the relay died and came back");
+        assertTrue(real.played().service().asked() > 150, "asked " + real.played().service().asked());
+        assertTrue(real.played().service().delivered() > real.played().service().asked() / 2, real.played().service().toString());
+        assertTrue(real.outcome().cpuSeconds() > 0);
+    }
+
+    /** A generator that stands still for half a second shows: as lateness, as an invalid run, and in what messages took. */
+    @Test
+    void stallOfTheGeneratorIsCountedAndNotHidden() throws Exception {
+        Scenario scenario = scenario("");
+        boolean[] stalled = new boolean[1];
+        try (RealRun run = new RealRun(scenario, Scenario.Rules.USUAL, 1, folder)) {
+            RealRun.Outcome outcome = run.play(new Arrivals(scenario, scenario.layout(), 1), at -> {
+                if (at > 2_000_000 && !stalled[0]) {
+                    stalled[0] = true;
+                    try {
+                        TimeUnit.MILLISECONDS.sleep(700);
+                    } catch (InterruptedException e) {
+                        throw new AssertionError(e);
+                    }
+                }
+            }, history -> { });
+            assertTrue(outcome.lateness().most() >= 500_000, outcome.lateness().most() + " us");
+            assertFalse(outcome.isValid());
+            long hit = outcome.history().asks().stream().filter(a -> a.at() > 2_000_000 && a.at() < 2_300_000
+                    && a.doneAt() - a.at() > 500_000).count();
+            assertTrue(hit > 0, "what was due in the stall took so much longer");
+            assertEquals(Map.of(), Judge.of(scenario, Scenario.Rules.USUAL, outcome.history()).counts());
+            assertTrue(outcome.history().asks().stream().allMatch(a -> a.told() != Ask.Told.NOTHING));
+        }
+    }
+}
