--- a/src/main/java/pipitstage/cli/Commands.java
+++ b/src/main/java/pipitstage/cli/Commands.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,14 +55,22 @@
             return MISUSE;
         });
         line.setExecutionExceptionHandler((e, command, parsed) -> {
-            err.println("loftflow: " + (e instanceof SourceFile.UnreadableException || e instanceof IOException
-                    ? e.getMessage() : e.toString()));
+            err.println("loftflow: " + why(e));
             err.flush();
             return MISUSE;
         });
         return line.execute(args);
     }
 
+    /** Why something could not be done, in a line for staff. */
+    static String why(Exception e) {
+        if (e instanceof NoSuchFileException) {
+            // The system says no more than its name.
+            return e.getMessage() + ": does not exist";
+        }
+        return e instanceof SourceFile.UnreadableException || e instanceof IOException ? e.getMessage() : e.toString();
+    }
+
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed: serve, simhost, config, trace, lab, replay, undeliverable,"
--- a/src/main/java/pipitstage/cli/TraceCommand.java
+++ b/src/main/java/pipitstage/cli/TraceCommand.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.UncheckedIOException;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
@@ -141,9 +140,7 @@
     }
 
     static int unreadable(CommandSpec spec, Exception e) {
-        // Of a file that is not there the system says no more than its name.
-        String why = e instanceof NoSuchFileException ? e.getMessage() + ": does not exist" : e.getMessage();
-        spec.commandLine().getErr().println("loftflow: " + why);
+        spec.commandLine().getErr().println("loftflow: " + (e instanceof IOException io ? Commands.why(io) : e.getMessage()));
         return 2;
     }
 
