A young relay's usual calls are not taken for fewer: partners are released by what was asked of them

The demonstration's second partner, back after two seconds, took almost nothing for four more. The rule that held it: what a relay usually calls is a count that fades over ten seconds, and a relay that has run for two had counted a fifth of it, so that the release after the outage went at a fifth of what the partner bears.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -64,6 +64,8 @@
     private static final double MOST_FACTOR = 2; // a rough rate may be this much too low
 
     private static final long RATE_SPAN = 10_000_000; // a relay may call a destination once in so long
+    private static final long LEAST_COUNTED = 2_500_000; // what came in a shorter time is no rate yet
+    private static final double LEAST_TO_TELL = 12; // nor are few calls
     private static final long SECOND = 1_000_000;
     private static final long HORIZON = 2_000_000; // what those that wait now may wait longer
     private static final long WAKE = 1; // timer of whatever is due next
@@ -496,7 +498,7 @@
             circuit.bySilence = bySilence;
             if (circuit == group.circuit) {
                 if (!releasing(group)) {
-                    group.usualRate = rate(group.sent);
+                    group.usualRate = usual(group.sent);
                 }
                 actions.log("out: " + group.routes.get(0).name + (bySilence ? ", silent" : ""));
             }
@@ -550,7 +552,15 @@
         return rate.count * Math.exp((rate.at - now) / (double) RATE_SPAN) * SECOND / RATE_SPAN;
     }
 
+    /** As above; a count that began less than the span ago is no smaller for that, if it tells. */
+    private double usual(Rate rate) {
+        long counted = now - rate.since;
+        boolean tells = rate.count >= LEAST_TO_TELL && counted >= LEAST_COUNTED;
+        return rate(rate) / (tells ? 1 - Math.exp(-counted / (double) RATE_SPAN) : 1);
+    }
+
     private void count(Rate rate) {
+        rate.since = rate.since == 0 ? now : rate.since;
         rate.count = 1 + rate.count * Math.exp((rate.at - now) / (double) RATE_SPAN);
         rate.at = now;
     }
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -34,6 +34,8 @@
     static final class Rate {
         double count;
         long at;
+        /** When the first was counted; 0 where none was. */
+        long since;
     }
 
     static final class Route {
--- a/src/main/java/pipitstage/cli/LabCommand.java
+++ b/src/main/java/pipitstage/cli/LabCommand.java
@@ -265,9 +265,14 @@
     @Command(name = "compare", mixinStandardHelpOptions = true, description = "Plays two scenarios by turns on the same seeds,"
             + " and says whether the second one is better.")
     static final class Compare extends Experiment {
-        @Parameters(index = "1", paramLabel = "OTHER", description = "The scenario beside it, such as one with other slots.")
+        @Parameters(index = "1", paramLabel = "OTHER", description = "The scenario beside it, such as one with other slots; the same"
+                + " one for another build.")
         private String other;
 
+        @Option(names = "--build", paramLabel = "JAR", description = "The second side is played by the decision module of another"
+                + " build: its jar, or a folder of classes.")
+        private Path build;
+
         @Spec
         private CommandSpec spec;
 
@@ -276,7 +281,7 @@
             Scenario first = scenario();
             Scenario second = read(spec, other).scenario();
             return first == null || second == null ? FOUND : judge(first.name() + " | " + second.name() + " | " + other,
-                    List.of(new Lab.Side("A", first, Lab.OWN), new Lab.Side("B", second, Lab.OWN)));
+                    List.of(new Lab.Side("A", first, null), new Lab.Side("B", second, build)));
         }
     }
 
@@ -302,7 +307,7 @@
                 throw wrong("--values takes two or more numbers above 0");
             }
             judge(scenario.name() + " by " + factor, values.stream().map(v -> new Lab.Side(factor + "=" + v, with(scenario, v),
-                    Lab.OWN)).toList());
+                    null)).toList());
             return CLEAN;
         }
 
--- a/src/main/java/pipitstage/lab/Lab.java
+++ b/src/main/java/pipitstage/lab/Lab.java
@@ -46,7 +46,7 @@
     private static final Scenario.Rules RULES = Scenario.Rules.USUAL;
     /** The scenarios that come with the program. */
     public static final List<String> NAMED = List.of("quiet-day", "harvest-peak", "afternoon-outage", "half-the-fleet-dies",
-            "one-slow-building", "brown-out");
+            "one-slow-building", "brown-out", "young-outage");
 
     private Lab() { }
 
@@ -72,8 +72,13 @@
         }
     }
 
-    /** A side of an experiment: a scenario as it is, or changed, and the program that plays it. */
-    public record Side(String name, Scenario scenario, Program program) { }
+    /**
+     * A side of an experiment.
+     *
+     * @param scenario as it is, or changed
+     * @param build a jar or a folder of classes whose decision module plays it; null for this program's own
+     */
+    public record Side(String name, Scenario scenario, Path build) { }
 
     /** The text of a scenario that comes with the program. */
     public static String named(String name) throws IOException {
@@ -152,7 +157,9 @@
             List<Long> seeds, Consumer<ResultsFolder.Result> progress) throws IOException {
         Map<Order.Run, Map<String, Double>> finished = new LinkedHashMap<>();
         List<String> names = new ArrayList<>();
+        List<Program> programs = new ArrayList<>();
         for (Side side : sides) {
+            programs.add(side.build() == null ? OWN : Program.of(ModuleOf.at(side.build())));
             names.add(experiment + " " + fingerprint(side));
         }
         for (ResultsFolder.Result result : folder.results()) {
@@ -164,7 +171,7 @@
         }
         for (Order.Run run : Order.left(Order.of(sides.size(), seeds, experiment.hashCode()), finished.keySet())) {
             Side side = sides.get(run.side());
-            Map<String, Double> figures = play(side.scenario(), run.seed(), side.program()).figures();
+            Map<String, Double> figures = play(side.scenario(), run.seed(), programs.get(run.side())).figures();
             ResultsFolder.Result result = new ResultsFolder.Result(names.get(run.side()), side.name(), run.seed(), figures);
             folder.add(result);
             finished.put(run, figures);
@@ -188,6 +195,9 @@
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
             digest.update(ScenarioText.of(side.scenario()).getBytes(StandardCharsets.UTF_8));
+            if (side.build() != null) {
+                digest.update(ModuleOf.code(side.build()));
+            }
             for (Class<?> part : List.of(Logic.class, Engine.class, ModelRun.class)) {
                 try (InputStream code = Lab.class.getResourceAsStream("/" + part.getName().replace('.', '/') + ".class")) {
                     digest.update(code.readAllBytes());
--- /dev/null
+++ b/src/main/java/pipitstage/lab/ModuleOf.java
@@ -0,0 +1,71 @@
+package pipitstage.lab;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.lang.reflect.Constructor;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Function;
+import pipitstage.Logic;
+import pipitstage.Policy;
+
+/** The decision module of another build of this program, to be played beside this one's. */
+final class ModuleOf {
+    private ModuleOf() { }
+
+    /** Finds the module's own classes in the other build first; what it speaks in is this one's. */
+    private static final class Loader extends URLClassLoader {
+        Loader(URL from) {
+            super(new URL[] {from}, Logic.class.getClassLoader());
+        }
+
+        private static boolean isOfTheModule(String name) {
+            return name.matches("pipitstage\\.(Logic|State)(\\$.*)?");
+        }
+
+        @Override
+        protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+            if (!isOfTheModule(name)) {
+                return super.loadClass(name, resolve);
+            }
+            synchronized (getClassLoadingLock(name)) {
+                Class<?> loaded = findLoadedClass(name);
+                return loaded == null ? findClass(name) : loaded;
+            }
+        }
+    }
+
+    /**
+     * The module in a jar or a folder of classes.
+     *
+     * @throws IOException where there is none, or it is none for this program
+     */
+    static Function<Policy.Settings, Policy> at(Path build) throws IOException {
+        if (!Files.exists(build)) {
+            throw new IOException(build + ": does not exist");
+        }
+        Loader loader = new Loader(build.toUri().toURL());
+        try {
+            Constructor<?> made = loader.loadClass(Logic.class.getName()).getConstructor(Policy.Settings.class);
+            return settings -> {
+                try {
+                    return (Policy) made.newInstance(settings);
+                } catch (ReflectiveOperationException e) {
+                    throw new IllegalStateException(build + ": its module can't be made: " + e.getCause(), e);
+                }
+            };
+        } catch (ReflectiveOperationException | LinkageError e) {
+            throw new IOException(build + ": holds no decision module for this program", e);
+        }
+    }
+
+    /** The code of the module, for a digest. */
+    static byte[] code(Path build) throws IOException {
+        try (Loader loader = new Loader(build.toUri().toURL());
+                InputStream in = loader.findResource(Logic.class.getName().replace('.', '/') + ".class").openStream()) {
+            return in.readAllBytes();
+        }
+    }
+}
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -228,6 +228,28 @@
         assertTrue(relay.sent.size() - before <= 2, "sent on release: " + (relay.sent.size() - before));
     }
 
+    /** What is usual is not taken for less because the relay has run for a short time only: it would be released at a crawl. */
+    @Test
+    void destinationOfAYoungRelayIsReleasedByWhatWasAskedOfItASecond() {
+        int id = 100;
+        for (int i = 0; i < 40; i++) {
+            relay.accept(id, "safe", 2).answer(id, Result.OK).pass(100 * MS);
+            id++;
+        }
+        openC();
+        for (int i = 0; i < 60; i++) {
+            relay.accept(id++, "safe", 2);
+        }
+        relay.pass(6 * S).answer(relay.unanswered.get(0).id(), Result.OK);
+        int before = relay.sent.size();
+        for (int i = 0; i < 30; i++) {
+            relay.pass(100 * MS);
+            List.copyOf(relay.unanswered).forEach(s -> relay.answer(s.id(), Result.OK));
+        }
+        int released = relay.sent.size() - before;
+        assertTrue(released >= 10 && released <= 25, "ten a second were usual; released in three seconds: " + released);
+    }
+
     @Test
     void testsPreferWhatLosesLeast() {
         openC();
--- a/src/test/java/pipitstage/lab/ExperimentTest.java
+++ b/src/test/java/pipitstage/lab/ExperimentTest.java
@@ -110,7 +110,7 @@
 
     private static List<Lab.Side> same(String a, String b) throws IOException {
         Scenario scenario = Lab.read("s", Lab.named("one-slow-building")).scenario().withSpan(25_000_000, 1);
-        return List.of(new Lab.Side(a, scenario, Lab.OWN), new Lab.Side(b, scenario, Lab.OWN));
+        return List.of(new Lab.Side(a, scenario, null), new Lab.Side(b, scenario, null));
     }
 
     /** A kill after any byte of a record: what is whole stays, what is torn is run again, and the verdict is the same. */
@@ -141,8 +141,23 @@
             List<ResultsFolder.Result> other = new ArrayList<>();
             List<Lab.Side> sides = same("A", "B");
             Lab.compare(results, "x", List.of(sides.get(0), new Lab.Side("B", sides.get(1).scenario().withSpan(25_000_000, 1.1),
-                    Lab.OWN)), seeds, other::add);
+                    null)), seeds, other::add);
             assertEquals(3, other.size(), "a side that has changed is run anew, the other one is not");
         }
     }
+
+    /** Another build's module plays its side; the same build as a folder is the same program. */
+    @Test
+    void anotherBuildPlaysItsSide() throws IOException {
+        Scenario scenario = same("A", "B").get(0).scenario();
+        Path own = Path.of("target/classes");
+        try (ResultsFolder results = ResultsFolder.open(folder)) {
+            Map<String, List<Lab.Compared>> verdicts = Lab.compare(results, "x", List.of(new Lab.Side("A", scenario, null),
+                    new Lab.Side("B", scenario, own)), LongStream.range(0, 7).boxed().toList(), result -> { });
+            assertTrue(verdicts.get("B").stream().allMatch(c -> c.verdict().word() == Verdict.Word.NO_DIFFERENCE_SHOWN
+                    && c.verdict().effect() == 0), verdicts.toString());
+            assertThrows(IOException.class, () -> Lab.compare(results, "x", List.of(new Lab.Side("A", scenario, folder)),
+                    List.of(1L), result -> { }));
+        }
+    }
 }
