--- a/src/main/java/pipitstage/cli/LabCommand.java
+++ b/src/main/java/pipitstage/cli/LabCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.googlecode.lanterna.terminal.DefaultTerminalFactory;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
@@ -11,6 +12,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -31,6 +33,7 @@
 import pipitstage.lab.scenario.ScenarioText;
 import pipitstage.lab.service.Judge;
 import pipitstage.lab.service.Service;
+import pipitstage.lab.service.Snapshot;
 
 /** The laboratory. Exit codes: 0 clean, 1 a rule was broken, or a side is worse, or a file has errors; 2 misuse. */
 @Command(name = "lab", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
@@ -184,21 +187,64 @@
         }
     }
 
-    /** Plays by whole relays and says whether the machine kept up. */
+    /** Plays by whole relays, shown while it goes on, and says whether the machine kept up. */
     static Lab.Played real(PrintWriter out, Scenario scenario, long seed, Replayed replayed, Path folder) throws IOException {
         Files.createDirectories(folder);
-        try {
-            Lab.Real real = Lab.real(scenario, seed, replayed, folder, history -> { });
-            RealRun.Outcome o = real.outcome();
-            out.println(String.format(Locale.ROOT, "messages left late by %.1f ms at p50, %.1f at p99, %.1f at the most%s; %.0f us of"
-                    + " CPU a message", o.lateness().p50() / 1e3, o.lateness().p99() / 1e3,
-                    o.lateness().most() / 1e3, o.isValid() ? "" : ": INVALID, this machine did not keep up",
-                    o.cpuSeconds() * 1e6 / Math.max(1, o.history().asks().size())));
-            return real.played();
+        Lab.Real real;
+        try (Showing showing = new Showing(out, scenario.name() + ", seed " + seed)) {
+            real = Lab.real(scenario, seed, replayed, folder, showing);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
         }
+        RealRun.Outcome o = real.outcome();
+        out.println(String.format(Locale.ROOT, "messages left late by %.1f ms at p50, %.1f at p99, %.1f at the most%s; %.0f us of CPU"
+                + " a message", o.lateness().p50() / 1e3, o.lateness().p99() / 1e3, o.lateness().most() / 1e3, o.isValid() ? ""
+                        : ": INVALID, this machine did not keep up", o.cpuSeconds() * 1e6 / Math.max(1, o.history().asks().size())));
+        return real.played();
+    }
+
+    /** A screen where there is a terminal, and a line every ten seconds where there is none, or it has been left. */
+    private static final class Showing implements Consumer<Snapshot>, AutoCloseable {
+        private static final int EVERY = 10;
+
+        private final PrintWriter out;
+        private LabScreen screen;
+        private int seen;
+
+        Showing(PrintWriter out, String title) throws IOException {
+            this.out = out;
+            if (System.console() != null) {
+                screen = new LabScreen(new DefaultTerminalFactory().setForceTextTerminal(true).createTerminal(), title);
+            }
+        }
+
+        @Override
+        public void accept(Snapshot s) {
+            try {
+                if (screen != null && screen.isLeft()) {
+                    close();
+                }
+                if (screen != null) {
+                    screen.show(s);
+                } else if (seen++ % EVERY == EVERY - 1) {
+                    out.println(String.format(Locale.ROOT, "%4.0f s: service so far %.4f, asked %d, delivered %d, refused %d, failed"
+                            + " %d, open %d", s.at() / 1e6, s.service(), s.asked(), s.delivered(), s.refused(), s.failed(), s.open()));
+                    out.flush();
+                }
+            } catch (IOException e) {
+                // A terminal that is gone takes nothing from the run.
+                screen = null;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            if (screen != null) {
+                screen.close();
+                screen = null;
+            }
+        }
     }
 
     private static void writeJson(Path file, List<Lab.Played> all) throws IOException {
--- a/src/main/java/pipitstage/lab/real/RealRun.java
+++ b/src/main/java/pipitstage/lab/real/RealRun.java
@@ -22,6 +22,7 @@
 import pipitstage.lab.scenario.Draws;
 import pipitstage.lab.scenario.Faults;
 import pipitstage.lab.scenario.Scenario;
+import pipitstage.lab.service.Snapshot;
 import pipitstage.standin.ServedRelay;
 import pipitstage.standin.StandInDiscovery;
 
@@ -149,9 +150,10 @@
      * Plays messages until nothing more is to come of any.
      *
      * @param beforeEach is told what is due next; a test stalls there
+     * @param progress is shown once a second how the run stands
      * @throws IOException where a relay did not come back, or discovery did not
      */
-    public Outcome play(Iterator<Arrival> arrivals, LongConsumer beforeEach, Consumer<History> progress)
+    public Outcome play(Iterator<Arrival> arrivals, LongConsumer beforeEach, Consumer<Snapshot> progress)
             throws IOException, InterruptedException {
         cpuBefore = cpuSeconds();
         schedule();
@@ -160,9 +162,14 @@
         thread.start();
         long longest = scenario.classes().stream().mapToLong(Scenario.MessageClass::deadline).max().orElse(0);
         long end = scenario.span() + (scenario.clients().repeats() + 1) * (longest + scenario.clients().pause());
+        long shown = System.nanoTime();
         while (thread.isAlive() || !isSettled() && world.now() < end) {
             TimeUnit.MILLISECONDS.sleep(LOOK_MS);
-            progress.accept(world.history());
+            if (System.nanoTime() >= shown + TimeUnit.SECONDS.toNanos(1)) {
+                shown = System.nanoTime();
+                progress.accept(loop.submit(() -> Snapshot.of(scenario, layout, faults, world.history(), world.now()))
+                        .syncUninterruptibly().getNow());
+            }
             checkStage();
         }
         thread.join();
