--- a/src/main/java/pipitstage/config/plan/Checks.java
+++ b/src/main/java/pipitstage/config/plan/Checks.java
@@ -103,9 +103,10 @@
         unique(declared.amqp().queues(), q -> q.name(), q -> q.at(), "name");
         unique(declared.fronts().stream().filter(Declared.Front::amqp).toList(), f -> f.name(), f -> f.at(), "name");
         if (declared.fleet().number() >= declared.fleet().relays()) {
-            error(declared.fleet().at(), "number", declared.fleet().number() + " is no number of one of fleet.relays = "
-                    + declared.fleet().relays() + ": they count from 0");
+            error(declared.fleet().at(), "number", declared.fleet().number() + " is beyond the last relay: with "
+                    + "fleet.relays = " + declared.fleet().relays() + " they are numbered from 0 to " + (declared.fleet().relays() - 1));
         }
+        tenants();
         Set<String> used = new HashSet<>();
         declared.partners().forEach(p -> used.add(p.kind()));
         for (Declared.Kind kind : declared.kinds()) {
@@ -115,6 +116,17 @@
         }
     }
 
+    /** Tenants' shares that fall short of what comes at the busiest make part of it count as beyond a share. */
+    private void tenants() {
+        double shares = declared.tenants().stream().mapToDouble(Declared.Tenant::rate).sum();
+        double peak = declared.classes().stream().mapToDouble(MessageClass::peakRate).sum();
+        boolean all = !declared.tenants().isEmpty() && declared.tenants().stream().allMatch(t -> t.rate() > 0);
+        if (all && shares < peak) {
+            warn(declared.tenants().get(0).at(), "rate", "all tenants together have " + Units.ofRate(shares) + ", and the classes'"
+                    + " peak-rate add up to " + Units.ofRate(peak) + ": what is beyond a share counts for less");
+        }
+    }
+
     private <T> void unique(List<T> parts, Function<T, String> name, Function<T, Section> at, String key) {
         Map<String, Section> seen = new HashMap<>();
         for (T part : parts) {
--- a/src/test/java/pipitstage/config/ToolTest.java
+++ b/src/test/java/pipitstage/config/ToolTest.java
@@ -187,6 +187,15 @@
         assertTrue(finding.reason().contains("too short for 1 of 2 partners (copper-line)"), finding.reason());
     }
 
+    @Test
+    void tenantsSharesBelowThePeakAreAWarning() throws IOException {
+        List<Finding> findings = check(base().replace("rate = \"30/s\"", "rate = \"20/s\""), Surroundings.UNKNOWN);
+        assertEquals(List.of("tenant[1].rate"), findings.stream().map(Finding::key).toList());
+        assertFalse(findings.get(0).isError());
+        assertTrue(findings.get(0).reason().contains("together have 35/s") && findings.get(0).reason().contains("43/s"),
+                findings.toString());
+    }
+
     @Test
     void keysThatDoNotCrossBuildingsAreAWarning() throws IOException {
         List<Finding> findings = check(base().replace("key-window = \"7.5s\"",
