--- a/src/main/java/pipitstage/lab/real/RealRun.java
+++ b/src/main/java/pipitstage/lab/real/RealRun.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import pipitstage.lab.history.Ask;
@@ -68,6 +69,7 @@
     private final List<String> states = new ArrayList<>();
     private final List<ServedRelay> relays = new CopyOnWriteArrayList<>();
     private final List<Path> files = new ArrayList<>();
+    private final AtomicInteger away = new AtomicInteger();
     private final World world;
     private final Programs programs;
     private final NoticesServer notices;
@@ -163,7 +165,8 @@
         long longest = scenario.classes().stream().mapToLong(Scenario.MessageClass::deadline).max().orElse(0);
         long end = scenario.span() + (scenario.clients().repeats() + 1) * (longest + scenario.clients().pause());
         long shown = System.nanoTime();
-        while (thread.isAlive() || !isSettled() && world.now() < end) {
+        // A relay that is to come back may yet owe something, and its absence is recorded only then.
+        while (thread.isAlive() || (away.get() > 0 || !isSettled()) && world.now() < end) {
             TimeUnit.MILLISECONDS.sleep(LOOK_MS);
             if (System.nanoTime() >= shown + TimeUnit.SECONDS.toNanos(1)) {
                 shown = System.nanoTime();
@@ -227,6 +230,7 @@
         }
         for (Faults.Death death : faults.deaths()) {
             at(death.at(), () -> {
+                away.incrementAndGet();
                 ServedRelay relay = relays.get(death.relay());
                 loop.submit(() -> programs.at(death.relay(), null)).sync();
                 died(relay.cpuSeconds());
@@ -237,6 +241,7 @@
                 serves(death.relay());
                 long back = world.now();
                 loop.submit(() -> world.history().away(new History.Away(death.relay(), death.at(), back))).sync();
+                away.decrementAndGet();
             });
         }
     }
