--- a/src/test/java/pipitstage/pairs/AmqpCampaign.java
+++ b/src/test/java/pipitstage/pairs/AmqpCampaign.java
@@ -83,11 +83,13 @@
     private static final class Way implements CampaignRelay.Way {
         private final int brokerPort;
         private final boolean listens;
+        private final String host;
         private final int listenPort;
         private AmqpServer server;
         private QueueConsumer consumer;
 
-        Way(int brokerPort, boolean listens, int listenPort) {
+        Way(int brokerPort, boolean listens, String host, int listenPort) {
+            this.host = host;
             this.brokerPort = brokerPort;
             this.listens = listens;
             this.listenPort = listenPort;
@@ -118,13 +120,14 @@
                 relay.loop().execute(consumer::start);
                 return 0;
             }
-            return CampaignRelay.bound(address -> server.listen(relay.loop(), address), listenPort);
+            return CampaignRelay.bound(host, address -> server.listen(relay.loop(), address), listenPort);
         }
     }
 
     /** A program that publishes to the relay's listener, again where it has heard nothing, and takes its ends. */
     private static final class Publisher implements ClientLink.Owner {
         private final EventLoop loop;
+        private final String host;
         private volatile int port;
         private final Map<String, Properties> untaken = new LinkedHashMap<>();
         private final TreeMap<Long, String> out = new TreeMap<>();
@@ -134,7 +137,8 @@
         private long published;
         private boolean ready;
 
-        Publisher(EventLoop loop, int port) {
+        Publisher(EventLoop loop, String host, int port) {
+            this.host = host;
             this.loop = loop;
             this.port = port;
         }
@@ -149,7 +153,7 @@
                 return;
             }
             // A relay that is killed in this same process may leave a socket behind that nobody answers for.
-            link = ClientLink.dial(loop, new ClientLink.Broker(new InetSocketAddress("127.0.0.1", port),
+            link = ClientLink.dial(loop, new ClientLink.Broker(new InetSocketAddress(host, port),
                     new ClientLink.Login("a", "b", "/", 2), null, null), 1 << 16, 400 * MS, this);
         }
 
@@ -291,7 +295,7 @@
 
         private Tally play(StandInBroker broker, Path folder, EventLoop programs) throws Exception {
             CampaignRelay life = life(folder, broker, 0);
-            Publisher publisher = new Publisher(programs, life.port());
+            Publisher publisher = new Publisher(programs, CampaignRelay.host(seed), life.port());
             Set<String> ids = new HashSet<>();
             try {
                 if (listens) {
@@ -342,7 +346,7 @@
         }
 
         private CampaignRelay life(Path folder, StandInBroker broker, int listenPort) throws Exception {
-            return new CampaignRelay(folder, broker.port(), forgetful, others, new Way(broker.port(), listens, listenPort));
+            return new CampaignRelay(folder, broker.port(), forgetful, others, new Way(broker.port(), listens, CampaignRelay.host(seed), listenPort));
         }
 
         private Map<String, Set<String>> ends(StandInBroker broker, Publisher publisher) {
--- a/src/test/java/pipitstage/pairs/CampaignRelay.java
+++ b/src/test/java/pipitstage/pairs/CampaignRelay.java
@@ -104,10 +104,18 @@
         port = way.start(this);
     }
 
-    /** Binds to a port that an earlier life had, or to any where another run has it by now. */
-    static int bound(Function<InetSocketAddress, ChannelFuture> listen, int port) {
-        ChannelFuture bound = listen.apply(new InetSocketAddress("127.0.0.1", port)).awaitUninterruptibly();
-        bound = bound.isSuccess() ? bound : listen.apply(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly();
+    /**
+     * An address that is one run's alone. Guards against runs side by side that meet: while a relay is dead another run may have
+     * its port, and a program of the one would be heard by the other, with the same ids.
+     */
+    static String host(long run) {
+        return "127." + (1 + run / 62_500 % 250) + "." + (1 + run / 250 % 250) + "." + (1 + run % 250);
+    }
+
+    /** Binds to a port that an earlier life had, or to any where it can't be had by now. */
+    static int bound(String host, Function<InetSocketAddress, ChannelFuture> listen, int port) {
+        ChannelFuture bound = listen.apply(new InetSocketAddress(host, port)).awaitUninterruptibly();
+        bound = bound.isSuccess() ? bound : listen.apply(new InetSocketAddress(host, 0)).syncUninterruptibly();
         return ((InetSocketAddress) bound.channel().localAddress()).getPort();
     }
 
--- a/src/test/java/pipitstage/pairs/Http2Campaign.java
+++ b/src/test/java/pipitstage/pairs/Http2Campaign.java
@@ -91,8 +91,8 @@
         private volatile boolean dropped;
         private volatile long pausedUntil;
 
-        Line(int port) throws IOException {
-            client = RawClient.open("127.0.0.1", port);
+        Line(String host, int port) throws IOException {
+            client = RawClient.open(host, port);
             reader = new Thread(this::read);
             reader.start();
         }
@@ -138,10 +138,12 @@
     private static final class Way implements CampaignRelay.Way {
         private final Set<String> recorded;
         private final Mutant mutant;
+        private final String host;
         private final int port;
         private volatile Http2Server server;
 
-        Way(Set<String> recorded, Mutant mutant, int port) {
+        Way(Set<String> recorded, Mutant mutant, String host, int port) {
+            this.host = host;
             this.recorded = recorded;
             this.mutant = mutant;
             this.port = port;
@@ -158,7 +160,7 @@
 
         @Override
         public int start(CampaignRelay relay) {
-            return CampaignRelay.bound(address -> server.listen(relay.loop(), address), port);
+            return CampaignRelay.bound(host, address -> server.listen(relay.loop(), address), port);
         }
 
         @Override
@@ -254,14 +256,14 @@
         }
 
         private Tally play(StandInBroker broker, Path folder) throws Exception {
-            Way way = new Way(recorded, mutant, 0);
+            Way way = new Way(recorded, mutant, CampaignRelay.host(seed), 0);
             CampaignRelay life = new CampaignRelay(folder, broker.port(), false, ends, way);
             Line line = null;
             boolean draining = false;
             try {
                 for (int i = 0; i < MESSAGES; i++) {
                     if (line == null || line.isOver() || line.dropped) {
-                        line = new Line(life.port());
+                        line = new Line(CampaignRelay.host(seed), life.port());
                         lines.add(line);
                     }
                     send(line, "m" + i, i % 4 == 0 ? "keyed" : "unsafe");
@@ -274,7 +276,7 @@
                             life.kill();
                             kills++;
                             draining = false;
-                            way = new Way(recorded, mutant, life.port());
+                            way = new Way(recorded, mutant, CampaignRelay.host(seed), life.port());
                             life = new CampaignRelay(folder, broker.port(), false, ends, way);
                         }
                         case 2 -> {
@@ -304,7 +306,7 @@
                         life.kill();
                         kills++;
                         draining = false;
-                        way = new Way(recorded, mutant, life.port());
+                        way = new Way(recorded, mutant, CampaignRelay.host(seed), life.port());
                         life = new CampaignRelay(folder, broker.port(), false, ends, way);
                     }
                     if (random.nextInt(3) == 0) {
