Experiments: a build is told from another by all of its classes, not by three of them

Read once more: the name of a run held a digest of Logic, Engine and ModelRun alone, so that a change of State, of a nested class or of what judges would have been taken for runs that are there. All classes of a build count now, in a jar or a folder; ExperimentTest fails without it. Both drivers judge a history in one place.

--- a/src/main/java/pipitstage/lab/Lab.java
+++ b/src/main/java/pipitstage/lab/Lab.java
@@ -19,7 +19,6 @@
 import pipitstage.Logic;
 import pipitstage.config.file.Finding;
 import pipitstage.config.file.TomlFile;
-import pipitstage.engine.Engine;
 import pipitstage.lab.experiment.Capacity;
 import pipitstage.lab.experiment.Order;
 import pipitstage.lab.experiment.Shrink;
@@ -115,8 +114,11 @@
     private static Played play(Scenario scenario, long seed, Function<Scenario.Layout, Iterator<Arrival>> arrivals,
             Program program) {
         ModelRun.Outcome outcome = new ModelRun(scenario, RULES, seed, arrivals, program).run();
-        return new Played(scenario, seed, Service.of(scenario, RULES, outcome.history()),
-                Judge.of(scenario, RULES, outcome.history()), outcome.history(), outcome.events());
+        return judged(scenario, seed, outcome.history(), outcome.events());
+    }
+
+    private static Played judged(Scenario scenario, long seed, History history, long events) {
+        return new Played(scenario, seed, Service.of(scenario, RULES, history), Judge.of(scenario, RULES, history), history, events);
     }
 
     /** A run by whole relays, with how late its messages left and what the relays used. */
@@ -135,8 +137,7 @@
         try (RealRun run = new RealRun(scenario, RULES, seed, folder)) {
             RealRun.Outcome outcome = run.play(replayed == null ? new Arrivals(scenario, layout, seed) : replayed.iterator(),
                     at -> { }, progress);
-            return new Real(new Played(scenario, seed, Service.of(scenario, RULES, outcome.history()), Judge.of(scenario, RULES,
-                    outcome.history()), outcome.history(), 0), outcome);
+            return new Real(judged(scenario, seed, outcome.history(), 0), outcome);
         }
     }
 
@@ -196,13 +197,9 @@
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
             digest.update(ScenarioText.of(side.scenario()).getBytes(StandardCharsets.UTF_8));
+            ModuleOf.digest(ModuleOf.own(), digest);
             if (side.build() != null) {
-                digest.update(ModuleOf.code(side.build()));
-            }
-            for (Class<?> part : List.of(Logic.class, Engine.class, ModelRun.class)) {
-                try (InputStream code = Lab.class.getResourceAsStream("/" + part.getName().replace('.', '/') + ".class")) {
-                    digest.update(code.readAllBytes());
-                }
+                ModuleOf.digest(side.build(), digest);
             }
             return HexFormat.of().formatHex(digest.digest(), 0, FINGERPRINT);
         } catch (NoSuchAlgorithmException e) {
--- a/src/main/java/pipitstage/lab/ModuleOf.java
+++ b/src/main/java/pipitstage/lab/ModuleOf.java
@@ -1,18 +1,24 @@
 package pipitstage.lab;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.lang.reflect.Constructor;
+import java.net.URISyntaxException;
 import java.net.URL;
 import java.net.URLClassLoader;
+import java.nio.file.FileSystem;
+import java.nio.file.FileSystems;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.MessageDigest;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import pipitstage.Logic;
 import pipitstage.Policy;
 
 /** The decision module of another build of this program, to be played beside this one's. */
 final class ModuleOf {
+    private static final String PACKAGE = "pipitstage";
+
     private ModuleOf() { }
 
     /** Finds the module's own classes in the other build first; what it speaks in is this one's. */
@@ -61,11 +67,31 @@
         }
     }
 
-    /** The code of the module, for a digest. */
-    static byte[] code(Path build) throws IOException {
-        try (Loader loader = new Loader(build.toUri().toURL());
-                InputStream in = loader.findResource(Logic.class.getName().replace('.', '/') + ".class").openStream()) {
-            return in.readAllBytes();
+    /** Where this program's own classes are. */
+    static Path own() {
+        try {
+            return Path.of(Logic.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+        } catch (URISyntaxException e) {
+            throw new IllegalStateException("the place of the program's own classes can't be read", e);
+        }
+    }
+
+    /** Takes the code of every class of a build into a digest: whichever of them has changed, it is another program. */
+    static void digest(Path build, MessageDigest digest) throws IOException {
+        if (Files.isDirectory(build)) {
+            digestFolder(build.resolve(PACKAGE), digest);
+        } else {
+            try (FileSystem jar = FileSystems.newFileSystem(build)) {
+                digestFolder(jar.getPath(PACKAGE), digest);
+            }
+        }
+    }
+
+    private static void digestFolder(Path folder, MessageDigest digest) throws IOException {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path code : all.filter(f -> f.toString().endsWith(".class")).sorted().toList()) {
+                digest.update(Files.readAllBytes(code));
+            }
         }
     }
 }
--- a/src/test/java/pipitstage/lab/ExperimentTest.java
+++ b/src/test/java/pipitstage/lab/ExperimentTest.java
@@ -156,8 +156,30 @@
                     new Lab.Side("B", scenario, own)), LongStream.range(0, 7).boxed().toList(), result -> { });
             assertTrue(verdicts.get("B").stream().allMatch(c -> c.verdict().word() == Verdict.Word.NO_DIFFERENCE_SHOWN
                     && c.verdict().effect() == 0), verdicts.toString());
+            // Any class of it that is another makes it another program, also one that the module's main class does not show.
+            Path changed = folder.resolve("build/pipitstage");
+            Files.createDirectories(changed);
+            for (String part : List.of("Logic", "State")) {
+                try (var files = Files.list(own.resolve("pipitstage"))) {
+                    for (Path file : files.filter(f -> f.getFileName().toString().matches(part + "(\\$.*)?\\.class")).toList()) {
+                        Files.copy(file, changed.resolve(file.getFileName()));
+                    }
+                }
+            }
+            assertEquals(1, remade(results, scenario, changed.getParent()));
+            assertEquals(0, remade(results, scenario, changed.getParent()));
+            Files.copy(own.resolve("pipitstage/Fields.class"), changed.resolve("State$Other.class"));
+            assertEquals(1, remade(results, scenario, changed.getParent()));
             assertThrows(IOException.class, () -> Lab.compare(results, "x", List.of(new Lab.Side("A", scenario, folder)),
                     List.of(1L), result -> { }));
         }
     }
+
+    /** How many runs a build's side takes that are not there. */
+    private static int remade(ResultsFolder results, Scenario scenario, Path build) throws IOException {
+        List<ResultsFolder.Result> made = new ArrayList<>();
+        Lab.compare(results, "x", List.of(new Lab.Side("A", scenario, null), new Lab.Side("B", scenario, build)), List.of(0L),
+                made::add);
+        return made.size();
+    }
 }
