One way of writing words in scenario files, one set of quiet hands for modules in tests; dead time gone

ScenarioText.word is used by the page and the relay files, which had it written again; parsing is its twin. QuietActions stands for what two tests wrote alike. The time of a 202 was kept and never read. Behaviour unchanged.

--- a/src/main/java/pipitstage/lab/history/Ask.java
+++ b/src/main/java/pipitstage/lab/history/Ask.java
@@ -32,7 +32,6 @@
     private final List<Posting> postings = new ArrayList<>(2);
     private int tries;
     private long lastTry;
-    private long taken = -1;
     private long end = -1;
     private Told told = Told.NOTHING;
     private long done = -1;
@@ -84,7 +83,6 @@
         tries++;
         lastTry = now;
         told = Told.NOTHING;
-        taken = -1;
         end = -1;
     }
 
@@ -93,9 +91,8 @@
         return tries;
     }
 
-    /** Its client was told that it is taken on, and when. */
-    public void taken(long now) {
-        taken = now;
+    /** Its client was told that it is taken on. */
+    public void taken() {
         told = Told.TAKEN;
     }
 
@@ -110,11 +107,6 @@
         told = Told.CUT;
     }
 
-    /** When its last try was taken on; -1 where it was not. */
-    public long takenAt() {
-        return taken;
-    }
-
     /** When the end of its last try was told; -1 where none was. */
     public long endedAt() {
         return end;
--- a/src/main/java/pipitstage/lab/model/ModelRun.java
+++ b/src/main/java/pipitstage/lab/model/ModelRun.java
@@ -184,7 +184,7 @@
                     @Override
                     public void taken() {
                         clients.remove(number);
-                        ask.taken(time.micros());
+                        ask.taken();
                     }
 
                     @Override
--- a/src/main/java/pipitstage/lab/real/EndpointServer.java
+++ b/src/main/java/pipitstage/lab/real/EndpointServer.java
@@ -43,6 +43,7 @@
 final class EndpointServer {
     private static final JsonFactory JSON = new JsonFactory();
     private static final int LARGEST = 1 << 20;
+    /** A check does not say whose it is. */
     private static final int UNKNOWN = -1;
 
     private final World world;
@@ -91,8 +92,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) throws IOException {
             String path = request.uri();
             if (path.startsWith("/-/")) {
-                int relay = UNKNOWN;
-                answer(ctx, model.meet(relay, world.now()), relay, 0, List.of(), false);
+                answer(ctx, model.meet(UNKNOWN, world.now()), UNKNOWN, 0, List.of(), false);
             } else if (path.equals("/receive")) {
                 call(ctx, List.of(request.headers().get(Headers.CALL_ID, "")), false);
             } else {
--- a/src/main/java/pipitstage/lab/real/Programs.java
+++ b/src/main/java/pipitstage/lab/real/Programs.java
@@ -179,7 +179,7 @@
             int status = response.status().code();
             if (status == ACCEPTED) {
                 unsettled--;
-                answered.taken(world.now());
+                answered.taken();
             } else if (status == REFUSED) {
                 String retry = response.headers().get(HttpHeaderNames.RETRY_AFTER, "0");
                 refused(number, answered, (long) (Double.parseDouble(retry) * 1e6));
--- a/src/main/java/pipitstage/lab/real/RelayFiles.java
+++ b/src/main/java/pipitstage/lab/real/RelayFiles.java
@@ -9,6 +9,7 @@
 import pipitstage.config.file.Units;
 import pipitstage.config.tool.Tool;
 import pipitstage.lab.scenario.Scenario;
+import pipitstage.lab.scenario.ScenarioText;
 
 /** Writes the relay files of a scenario's fleet, by the tool that operators use. */
 final class RelayFiles {
@@ -52,8 +53,7 @@
         double declared = part * Math.min(1, scenario.fleet().messages() * ROOM / held);
         for (Scenario.MessageClass c : scenario.classes()) {
             text.append(String.format(Locale.ROOT, "[[class]]\nname = \"%s\"\nrepeat = \"%s\"\nkey-scope = \"%s\"\nwanted = \"%s\"\n"
-                    + "deadline = \"%s\"\nworth = %s\nlate-worth = %s\npeak-rate = \"%s\"\nbody = \"64B\"\n", c.name(), c.repeat()
-                            .name().toLowerCase(Locale.ROOT).replace('_', '-'), c.keysByBuilding() ? "building" : "all",
+                    + "deadline = \"%s\"\nworth = %s\nlate-worth = %s\npeak-rate = \"%s\"\nbody = \"64B\"\n", c.name(), ScenarioText.word(c.repeat()), c.keysByBuilding() ? "building" : "all",
                     Units.ofSpan(c.wanted()), Units.ofSpan(c.deadline()), c.worth(), c.lateWorth(),
                     Units.ofRate(Math.max(1e-3, c.rate() * declared))));
             if (c.repeat() == Policy.Repeat.BY_KEY) {
--- a/src/main/java/pipitstage/lab/results/RunPage.java
+++ b/src/main/java/pipitstage/lab/results/RunPage.java
@@ -7,6 +7,7 @@
 import pipitstage.lab.history.History;
 import pipitstage.lab.scenario.Faults;
 import pipitstage.lab.scenario.Scenario;
+import pipitstage.lab.scenario.ScenarioText;
 import pipitstage.lab.service.Judge;
 import pipitstage.lab.service.Service;
 
@@ -102,7 +103,7 @@
             double from = x(strike.from() / (double) SECOND);
             double to = x(Math.min(seconds, strike.to() / (double) SECOND));
             line("<rect x=\"%.1f\" y=\"0\" width=\"%.1f\" height=\"%d\" fill=\"#f6d5c8\" fill-opacity=\"0.6\"><title>%s</title></rect>",
-                    from, Math.max(2, to - from), HEIGHT, strike.failure().kind().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+                    from, Math.max(2, to - from), HEIGHT, ScenarioText.word(strike.failure().kind()));
         }
         line("<line x1=\"%d\" y1=\"%d\" x2=\"%d\" y2=\"%d\" stroke=\"#888\"/>", LEFT, HEIGHT, LEFT + WIDTH, HEIGHT);
         for (int part = 0; part <= 2; part++) {
@@ -136,8 +137,7 @@
         if (!faults.strikes().isEmpty()) {
             line("<h2>What went wrong (red above)</h2><table><tr><th>what</th><th>from s</th><th>to s</th></tr>");
             for (Faults.Strike s : faults.strikes()) {
-                line("<tr><td>%s</td><td>%.1f</td><td>%.1f</td></tr>", s.failure().kind().name().toLowerCase(Locale.ROOT)
-                        .replace('_', '-'), s.from() / (double) SECOND, s.to() / (double) SECOND);
+                line("<tr><td>%s</td><td>%.1f</td><td>%.1f</td></tr>", ScenarioText.word(s.failure().kind()), s.from() / (double) SECOND, s.to() / (double) SECOND);
             }
             line("</table>");
         }
--- a/src/main/java/pipitstage/lab/scenario/ScenarioFile.java
+++ b/src/main/java/pipitstage/lab/scenario/ScenarioFile.java
@@ -103,7 +103,7 @@
     }
 
     private Scenario.MessageClass messageClass(Section c, List<Scenario.Group> all) {
-        Policy.Repeat repeat = Policy.Repeat.valueOf(c.text("repeat").toUpperCase(Locale.ROOT).replace('-', '_'));
+        Policy.Repeat repeat = named(Policy.Repeat.class, c.text("repeat"));
         if (c.whole("deadline") <= c.whole("wanted")) {
             findings.add(c.at("deadline").error(Units.ofSpan(c.whole("deadline")) + " is no longer than wanted = "
                     + Units.ofSpan(c.whole("wanted")) + ": a message would be given up before it is late"));
@@ -125,7 +125,7 @@
     }
 
     private Scenario.Failure failure(Section f) {
-        Scenario.Kind kind = Scenario.Kind.valueOf(f.text("kind").toUpperCase(Locale.ROOT).replace('-', '_'));
+        Scenario.Kind kind = named(Scenario.Kind.class, f.text("kind"));
         if (f.has("group") && !groups.contains(f.text("group"))) {
             findings.add(f.at("group").error("there is no group " + f.text("group")));
         }
@@ -150,6 +150,11 @@
                 f.text("group"), f.text("building"), f.number("factor"), f.number("part"));
     }
 
+    /** The value that {@link ScenarioText#word} writes so. */
+    private static <E extends Enum<E>> E named(Class<E> type, String word) {
+        return Enum.valueOf(type, word.toUpperCase(Locale.ROOT).replace('-', '_'));
+    }
+
     private void check(Scenario scenario) {
         if (scenario.groups().isEmpty()) {
             findings.add(top.place().error("a [[group]] of partners is needed"));
--- a/src/main/java/pipitstage/lab/scenario/ScenarioText.java
+++ b/src/main/java/pipitstage/lab/scenario/ScenarioText.java
@@ -107,7 +107,8 @@
         }
     }
 
-    private static String word(Enum<?> word) {
+    /** How a file writes one of a few words. */
+    public static String word(Enum<?> word) {
         return word.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
--- a/src/test/java/pipitstage/FleetReturn.java
+++ b/src/test/java/pipitstage/FleetReturn.java
@@ -171,7 +171,7 @@
         return Result.OK;
     }
 
-    private final class Hands implements Policy.Actions {
+    private final class Hands extends QuietActions {
         private final int relay;
 
         Hands(int relay) {
@@ -216,21 +216,6 @@
 
         @Override
         public void cancel(long id, int attempt) { }
-
-        @Override
-        public void closeIdle(String route) { }
-
-        @Override
-        public void tell(int to, byte[] bytes) { }
-
-        @Override
-        public void subscribe(boolean on) { }
-
-        @Override
-        public void fetchList() { }
-
-        @Override
-        public void log(String text) { }
     }
 
     private Outcome run() {
--- a/src/test/java/pipitstage/RandomEventsTest.java
+++ b/src/test/java/pipitstage/RandomEventsTest.java
@@ -58,7 +58,7 @@
     }
 
     /** The world of one module; it holds each action against the rules. */
-    private static final class Checker implements Policy.Actions {
+    private static final class Checker extends QuietActions {
         final Policy.Settings settings = Relay.settings(8, 60);
         final Policy policy = new Logic(settings);
         final Random random;
@@ -274,20 +274,5 @@
             Result result = RESULTS[random.nextInt(RESULTS.length)];
             events.add(new Policy.ProbeDone(route, result, 0, MS, LimitReport.NONE));
         }
-
-        @Override
-        public void closeIdle(String route) { }
-
-        @Override
-        public void tell(int relay, byte[] bytes) { }
-
-        @Override
-        public void subscribe(boolean on) { }
-
-        @Override
-        public void fetchList() { }
-
-        @Override
-        public void log(String text) { }
     }
 }
