--- a/src/test/java/pipitstage/relay/DeliveryTest.java
+++ b/src/test/java/pipitstage/relay/DeliveryTest.java
@@ -11,10 +11,12 @@
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Order;
 import org.junit.jupiter.api.Test;
 import pipitstage.standin.StubPeer;
 
 /** Calls to hosts: what is sent, what the answers mean, and what must not be sent. */
+@Order(1)
 class DeliveryTest extends RelayTestBase {
     @BeforeEach
     void prepare() throws IOException {
--- a/src/test/java/pipitstage/relay/RememberTest.java
+++ b/src/test/java/pipitstage/relay/RememberTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Order;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -31,6 +32,7 @@
 import pipitstage.standin.StubPeer;
 
 /** Relays that start from what they remember while discovery is down, and meet it again. */
+@Order(1)
 class RememberTest extends RelayFileTestBase {
     private final Map<String, StandInPartner> partners = new HashMap<>();
     private StandInDiscovery discovery;
--- a/src/test/java/pipitstage/relay/UndeliverableTest.java
+++ b/src/test/java/pipitstage/relay/UndeliverableTest.java
@@ -18,6 +18,7 @@
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Order;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pipitstage.admin.AdminClient;
@@ -29,6 +30,7 @@
 import pipitstage.standin.StandInPartner.Mood;
 
 /** What could not be delivered, with the real program, real sockets and a partner that records every posting. */
+@Order(1)
 class UndeliverableTest {
     @TempDir
     Path folder;
