Whole relays: failures that overlap are played once, and a run that breaks off stops sending

Read once more: a relay that was to die while it was away was started twice, on one folder; an endpoint or discovery whose outages overlap was opened twice at one port, which ended the run; the thread that lets messages go went on after a run had broken off. RealRunTest plays overlapping failures of all three kinds now. Who is away is one set, in place of a counter beside it.

--- a/src/main/java/pipitstage/lab/real/EndpointServer.java
+++ b/src/main/java/pipitstage/lab/real/EndpointServer.java
@@ -66,6 +66,9 @@
 
     /** Takes connections, at the same port as ever. */
     ChannelFuture up() {
+        if (listener != null && listener.isOpen()) {
+            return listener.newSucceededFuture();
+        }
         ChannelFuture bound = new ServerBootstrap().group(world.loop()).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
--- a/src/main/java/pipitstage/lab/real/Pace.java
+++ b/src/main/java/pipitstage/lab/real/Pace.java
@@ -37,11 +37,14 @@
 
     @Override
     public void run() {
-        while (arrivals.hasNext() && !Thread.currentThread().isInterrupted()) {
+        while (arrivals.hasNext()) {
             Arrival arrival = arrivals.next();
             beforeEach.accept(arrival.at());
             long due = startNanos + TimeUnit.MICROSECONDS.toNanos(arrival.at());
             for (long left = due - System.nanoTime(); left > 0; left = due - System.nanoTime()) {
+                if (Thread.currentThread().isInterrupted()) {
+                    return;
+                }
                 if (left > SPIN_NANOS) {
                     LockSupport.parkNanos(left - SPIN_NANOS);
                 }
--- a/src/main/java/pipitstage/lab/real/RealRun.java
+++ b/src/main/java/pipitstage/lab/real/RealRun.java
@@ -7,13 +7,15 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import pipitstage.lab.history.Ask;
@@ -69,7 +71,8 @@
     private final List<String> states = new ArrayList<>();
     private final List<ServedRelay> relays = new CopyOnWriteArrayList<>();
     private final List<Path> files = new ArrayList<>();
-    private final AtomicInteger away = new AtomicInteger();
+    /** Relays that are dead, or not yet back. */
+    private final Set<Integer> away = ConcurrentHashMap.newKeySet();
     private final World world;
     private final Programs programs;
     private final NoticesServer notices;
@@ -166,16 +169,21 @@
         long end = scenario.span() + (scenario.clients().repeats() + 1) * (longest + scenario.clients().pause());
         long shown = System.nanoTime();
         // A relay that is to come back may yet owe something, and its absence is recorded only then.
-        while (thread.isAlive() || (away.get() > 0 || !isSettled()) && world.now() < end) {
-            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
-            if (System.nanoTime() >= shown + TimeUnit.SECONDS.toNanos(1)) {
-                shown = System.nanoTime();
-                progress.accept(loop.submit(() -> Snapshot.of(scenario, layout, faults, world.history(), world.now()))
-                        .syncUninterruptibly().getNow());
+        try {
+            while (thread.isAlive() || (!away.isEmpty() || !isSettled()) && world.now() < end) {
+                TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+                if (System.nanoTime() >= shown + TimeUnit.SECONDS.toNanos(1)) {
+                    shown = System.nanoTime();
+                    progress.accept(loop.submit(() -> Snapshot.of(scenario, layout, faults, world.history(), world.now()))
+                            .syncUninterruptibly().getNow());
+                }
+                checkStage();
             }
-            checkStage();
+        } finally {
+            // Guards against messages that go on leaving for a run that has broken off.
+            thread.interrupt();
+            thread.join();
         }
-        thread.join();
         checkStage();
         double cpu = cpuSeconds() - cpuBefore;
         History history = loop.submit(() -> {
@@ -207,16 +215,21 @@
     // ---- what goes wrong
 
     private void schedule() {
+        Set<Long> restarts = new HashSet<>();
         for (Faults.Strike strike : faults.strikes()) {
             if (strike.failure().kind() == Scenario.Kind.DISCOVERY) {
                 at(strike.from(), discovery::stop);
-                at(strike.to(), discovery::restart);
+                if (faults.told(strike.to()) == strike.to() && restarts.add(strike.to())) {
+                    at(strike.to(), discovery::restart);
+                }
             } else if (strike.failure().kind() == Scenario.Kind.DOWN) {
                 for (int e = 0; e < endpoints.size(); e++) {
                     EndpointServer endpoint = endpoints.get(e);
                     if (faults.state(e, strike.from()).meets() == Faults.Meets.DOWN) {
                         at(strike.from(), () -> loop.submit(endpoint::down).sync());
-                        at(strike.to(), () -> loop.submit(endpoint::up).sync().getNow().sync());
+                        if (faults.state(e, strike.to()).meets() != Faults.Meets.DOWN) {
+                            at(strike.to(), () -> loop.submit(endpoint::up).sync().getNow().sync());
+                        }
                     }
                 }
             }
@@ -229,21 +242,27 @@
             });
         }
         for (Faults.Death death : faults.deaths()) {
-            at(death.at(), () -> {
-                away.incrementAndGet();
-                ServedRelay relay = relays.get(death.relay());
-                loop.submit(() -> programs.at(death.relay(), null)).sync();
-                died(relay.cpuSeconds());
-                relay.close();
-            });
-            at(death.back(), () -> {
-                relays.set(death.relay(), start(death.relay()));
-                serves(death.relay());
-                long back = world.now();
-                loop.submit(() -> world.history().away(new History.Away(death.relay(), death.at(), back))).sync();
-                away.decrementAndGet();
-            });
+            at(death.at(), () -> dies(death));
+        }
+    }
+
+    /** One that is away already does not die once more. */
+    private void dies(Faults.Death death) throws IOException, InterruptedException {
+        int number = death.relay();
+        if (!away.add(number)) {
+            return;
         }
+        ServedRelay relay = relays.get(number);
+        loop.submit(() -> programs.at(number, null)).sync();
+        died(relay.cpuSeconds());
+        relay.close();
+        at(death.back(), () -> {
+            relays.set(number, start(number));
+            serves(number);
+            long back = world.now();
+            loop.submit(() -> world.history().away(new History.Away(number, death.at(), back))).sync();
+            away.remove(number);
+        });
     }
 
     private void drains(int endpoint, String state) throws InterruptedException {
--- a/src/main/java/pipitstage/lab/real/StartClock.java
+++ b/src/main/java/pipitstage/lab/real/StartClock.java
@@ -1,9 +1,7 @@
 package pipitstage.lab.real;
 
-import java.util.function.LongSupplier;
-
 /** The time of a run, which begins when all that takes part is ready; it is 0 until then. */
-final class StartClock implements LongSupplier {
+final class StartClock {
     private volatile long startNanos;
     private volatile boolean begun;
 
@@ -13,8 +11,7 @@
     }
 
     /** Microseconds from the beginning. */
-    @Override
-    public long getAsLong() {
+    long micros() {
         return begun ? Math.max(0, (System.nanoTime() - startNanos) / 1_000) : 0;
     }
 }
--- a/src/main/java/pipitstage/lab/real/World.java
+++ b/src/main/java/pipitstage/lab/real/World.java
@@ -41,7 +41,7 @@
 
     /** Microseconds from the beginning of the run. */
     long now() {
-        return clock.getAsLong();
+        return clock.micros();
     }
 
     /** A try of a message goes out under an id. */
--- a/src/test/java/pipitstage/lab/RealRunTest.java
+++ b/src/test/java/pipitstage/lab/RealRunTest.java
@@ -48,6 +48,11 @@
                 group = "elevators"
                 share = 0.4
                 [[failure]]
+                kind = "down"
+                at = "2s"
+                lasts = "1s"
+                group = "elevators"
+                [[failure]]
                 kind = "drain"
                 at = "3s"
                 lasts = "1s"
@@ -68,7 +73,22 @@
     /** A generator that stands still for half a second shows: as lateness, as an invalid run, and in what messages took. */
     @Test
     void stallOfTheGeneratorIsCountedAndNotHidden() throws Exception {
-        Scenario scenario = scenario("");
+        Scenario scenario = scenario("""
+                [[failure]]
+                kind = "relays-die"
+                at = "4s"
+                [[failure]]
+                kind = "relays-die"
+                at = "5s"
+                [[failure]]
+                kind = "discovery"
+                at = "4s"
+                lasts = "1s"
+                [[failure]]
+                kind = "discovery"
+                at = "4500ms"
+                lasts = "500ms"
+                """);
         boolean[] stalled = new boolean[1];
         try (RealRun run = new RealRun(scenario, Scenario.Rules.USUAL, 1, folder)) {
             RealRun.Outcome outcome = run.play(new Arrivals(scenario, scenario.layout(), 1), at -> {
@@ -87,6 +107,7 @@
                     && a.doneAt() - a.at() > 500_000).count();
             assertTrue(hit > 0, "what was due in the stall took so much longer");
             assertEquals(Map.of(), Judge.of(scenario, Scenario.Rules.USUAL, outcome.history()).counts());
+            assertEquals(2, outcome.history().aways().size(), "one that is away does not die once more");
             assertTrue(outcome.history().asks().stream().allMatch(a -> a.told() != Ask.Told.NOTHING));
         }
     }
