A repeat of a keyed message no longer leaves after its key's window while it waits to connect

Ruled out: another zone (same route), a wrong clock over the restart (the times are those of one clock), a second relay (no other log names the id). At fault: Logic.allowed compares the window with the time of the decision, and HostClient.Host.begin wrote whatever had waited for a connection, however long. Change: the module tells with each attempt how long it may wait to leave (Actions.send, leaveWithin: what is left of the key's window), HostClient and the AMQP route end what is later as not sent, which proves that it did not run. Tests: HostClientTest.attemptThatMayNotLeaveAnyMoreEndsAsNotSent, the same in BrokerClientTest, LogicTest.keyedRepeatStaysInItsZoneAndWindow.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -978,12 +978,15 @@
     }
 
     private void send(Request request, Call call) {
+        // Guards against a repeat that waits for a connection until its destination has forgotten the key.
+        Attempt first = request.type.repeat() == Repeat.BY_KEY ? firstThatMayHaveRun(request) : null;
+        long windowLeft = first == null ? 0 : first.call.sentAt + request.type.keyWindow() - now;
         unhold(request);
         request.attempts.add(new Attempt(call));
         request.out++;
         call.pending++;
         call.requests.add(request);
-        actions.send(request.id, call.route.name, timeout(request, call));
+        actions.send(request.id, call.route.name, timeout(request, call), windowLeft);
     }
 
     private long timeout(Request request, Call call) {
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -157,8 +157,13 @@
 
     /** What a module may do; each call takes effect at the time of the round. */
     interface Actions {
-        /** Starts the next attempt of a request; {@code timeout} 0 means until its deadline. */
-        void send(long id, String route, long timeout);
+        /**
+         * Starts the next attempt of a request.
+         *
+         * @param timeout how long its answer is waited for; 0 means until the request's deadline
+         * @param leaveWithin an attempt that has not begun to leave after so long ends as not sent; 0 means no bound
+         */
+        void send(long id, String route, long timeout, long leaveWithin);
 
         /** Stops waiting for an attempt. */
         void cancel(long id, int attempt);
--- a/src/main/java/pipitstage/WireCodec.java
+++ b/src/main/java/pipitstage/WireCodec.java
@@ -208,7 +208,7 @@
     /** Writes actions as the commands of one instance. */
     record Commands(JsonGenerator json) implements Policy.Actions {
         @Override
-        public void send(long id, String route, long timeout) {
+        public void send(long id, String route, long timeout, long leaveWithin) {
             write("place", id, route, timeout / 1e6);
         }
 
--- a/src/main/java/pipitstage/engine/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -334,7 +334,7 @@
     }
 
     @Override
-    public void send(long id, String route, long timeout) {
+    public void send(long id, String route, long timeout, long leaveWithin) {
         Message message = messages.get(id);
         if (message == null || message.end != null) {
             return;
@@ -350,7 +350,8 @@
             return;
         }
         outgoing.computeIfAbsent(route, r -> new ArrayList<>())
-                .add(new Partners.Outgoing(attempt, timeout > 0 ? Math.min(timeout, left) : left));
+                .add(new Partners.Outgoing(attempt, timeout > 0 ? Math.min(timeout, left) : left,
+                        leaveWithin > 0 ? now + leaveWithin : Long.MAX_VALUE));
     }
 
     @Override
--- a/src/main/java/pipitstage/engine/Partners.java
+++ b/src/main/java/pipitstage/engine/Partners.java
@@ -28,8 +28,14 @@
         void probed(String route, Result result, long wait, long elapsed, LimitReport report);
     }
 
-    /** An attempt to send and how many microseconds its answer is waited for. */
-    record Outgoing(Message.Attempt attempt, long timeout) { }
+    /**
+     * An attempt to send.
+     *
+     * @param timeout how many microseconds its answer is waited for
+     * @param latest when its first byte may leave at the latest, on the clock of messages: an attempt that still waits
+     *     for a connection then ends as not sent. {@link Long#MAX_VALUE} where that is no matter
+     */
+    record Outgoing(Message.Attempt attempt, long timeout, long latest) { }
 
     /** Takes in a list of hosts; what drains or is gone is sent nothing new from now on. */
     void list(ListKind kind, List<Target> targets);
--- a/src/main/java/pipitstage/partner/amqp/Route.java
+++ b/src/main/java/pipitstage/partner/amqp/Route.java
@@ -241,6 +241,11 @@
         while (ready && !waiting.isEmpty() && link.isWritable() && confirms.open() < MOST_OPEN) {
             Message.Attempt attempt = waiting.keySet().iterator().next();
             Pending pending = waiting.remove(attempt);
+            // Guards against a repeat that its destination may not know as one any more.
+            if (owner.now() >= pending.outgoing().latest()) {
+                end(attempt, pending, Result.NOT_SENT, 0);
+                continue;
+            }
             out.put(attempt, pending);
             publish(attempt, pending.outgoing());
         }
--- a/src/main/java/pipitstage/partner/http/HostCall.java
+++ b/src/main/java/pipitstage/partner/http/HostCall.java
@@ -78,7 +78,7 @@
     private static final int ITEM_OVERHEAD = 40;
     private static final long LONGEST_WAIT_MS = 3_600_000;
 
-    private record Part(Message.Attempt attempt, long until, Future<?> timeout) { }
+    private record Part(Message.Attempt attempt, long until, long latest, Future<?> timeout) { }
 
     private final Owner owner;
     private final long startedAt;
@@ -116,7 +116,7 @@
         for (Partners.Outgoing o : outgoing) {
             long span = Math.min(o.timeout(), until - startedAt);
             Future<?> timeout = owner.after(span, () -> giveUp(o.attempt(), Result.TIMEOUT));
-            parts.put(o.attempt(), new Part(o.attempt(), startedAt + span, timeout));
+            parts.put(o.attempt(), new Part(o.attempt(), startedAt + span, o.latest(), timeout));
         }
     }
 
@@ -141,6 +141,17 @@
         return startedAt;
     }
 
+    /** Ends, as not sent, attempts that may not begin to leave any more: their destination may have forgotten the key. */
+    void endWhatIsLate(long now) {
+        List.copyOf(parts.values()).stream().filter(part -> now >= part.latest())
+                .forEach(part -> end(part.attempt(), Result.NOT_SENT, false));
+    }
+
+    /** True where nothing waits for this call's answer. */
+    boolean isOver() {
+        return probePath == null ? parts.isEmpty() : ended;
+    }
+
     boolean isSent() {
         return sent;
     }
--- a/src/main/java/pipitstage/partner/http/HostClient.java
+++ b/src/main/java/pipitstage/partner/http/HostClient.java
@@ -198,6 +198,9 @@
             // Guards against a call that was connecting while its destination told this relay to wait.
             if (clock.micros() < wait.until) {
                 call.end(Result.NOT_SENT);
+            }
+            call.endWhatIsLate(clock.micros());
+            if (call.isOver()) {
                 free(connection);
             } else {
                 connection.carry(call);
--- a/src/test/java/pipitstage/FleetReturn.java
+++ b/src/test/java/pipitstage/FleetReturn.java
@@ -179,7 +179,7 @@
         }
 
         @Override
-        public void send(long id, String route, long timeout) {
+        public void send(long id, String route, long timeout, long leaveWithin) {
             int attempt = attempts.get(relay).merge(id, 1, Integer::sum) - 1;
             Result result = meet();
             long took = result == Result.OK ? RESPONSE : REFUSAL;
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -329,6 +329,8 @@
         relay.answer(1, Result.RESET).pass(100 * MS);
         assertEquals(2, relay.sends(1));
         assertEquals(first, relay.sent.get(1).route());
+        assertEquals(0, relay.sent.get(0).leaveWithin(), "the first may leave whenever");
+        assertEquals(relay.sent.get(0).at() + 6 * S, relay.sent.get(1).at() + relay.sent.get(1).leaveWithin());
         relay.pass(7 * S).answer(1, Result.RESET).pass(S);
         assertEquals(2, relay.sends(1));
     }
--- a/src/test/java/pipitstage/RandomEventsTest.java
+++ b/src/test/java/pipitstage/RandomEventsTest.java
@@ -186,7 +186,7 @@
         }
 
         @Override
-        public void send(long id, String route, long timeout) {
+        public void send(long id, String route, long timeout, long leaveWithin) {
             Track track = tracks.get(id);
             Policy.Listed entry = listed.get(route);
             assertFalse(track.ended, "sent after its end");
--- a/src/test/java/pipitstage/Relay.java
+++ b/src/test/java/pipitstage/Relay.java
@@ -18,7 +18,7 @@
     static final long MS = 1_000;
     static final long S = 1_000_000;
 
-    record Sent(long at, long id, int attempt, String route, long timeout) { }
+    record Sent(long at, long id, int attempt, String route, long timeout, long leaveWithin) { }
 
     final List<Sent> sent = new ArrayList<>();
     final List<Sent> unanswered = new ArrayList<>();
@@ -140,8 +140,8 @@
     }
 
     @Override
-    public void send(long id, String route, long timeout) {
-        Sent attempt = new Sent(now, id, attempts.merge(id, 1, Integer::sum) - 1, route, timeout);
+    public void send(long id, String route, long timeout, long leaveWithin) {
+        Sent attempt = new Sent(now, id, attempts.merge(id, 1, Integer::sum) - 1, route, timeout, leaveWithin);
         sent.add(attempt);
         unanswered.add(attempt);
     }
--- a/src/test/java/pipitstage/SimHostTest.java
+++ b/src/test/java/pipitstage/SimHostTest.java
@@ -81,7 +81,7 @@
     void actionsAreWrittenInOrder() throws IOException {
         StringWriter out = new StringWriter();
         new SimHost(settings -> (now, events, actions) -> {
-            actions.send(8, "h", 80_000);
+            actions.send(8, "h", 80_000, 0);
             actions.tell(-1, new byte[] {10});
             actions.fail(8);
         }).run(new StringReader(batch(LAUNCH)), out);
--- a/src/test/java/pipitstage/partner/amqp/BrokerClientTest.java
+++ b/src/test/java/pipitstage/partner/amqp/BrokerClientTest.java
@@ -112,13 +112,26 @@
                 0), Target.address(address))))).sync();
     }
 
+    @Test
+    void attemptThatMayNotLeaveAnyMoreEndsAsNotSent() throws Exception {
+        sendUntil(0, 9 * SECOND, 1, "late");
+        send("next");
+        assertEquals(Result.OK, result("next"));
+        assertEquals(new Ended(Result.NOT_SENT, false, 0), outcome("late"));
+        assertEquals(List.of("next"), broker.postings().stream().map(StandInBroker.Posting::id).toList());
+    }
+
     private void send(long timeout, int body, String... ids) {
+        sendUntil(Long.MAX_VALUE, timeout, body, ids);
+    }
+
+    private void sendUntil(long latest, long timeout, int body, String... ids) {
         loop.execute(() -> {
             for (String id : ids) {
                 long now = Clock.system().micros();
                 Message message = new Message(1, new Message.Content(id, "unsafe", null, "key-" + id, now + 30 * SECOND, 7,
                         new byte[body]));
-                client.send(ROUTE, List.of(new Partners.Outgoing(message.addAttempt(ROUTE, now), timeout)));
+                client.send(ROUTE, List.of(new Partners.Outgoing(message.addAttempt(ROUTE, now), timeout, latest)));
             }
         });
     }
@@ -350,7 +363,7 @@
         Message message = new Message(1, new Message.Content("a", "unsafe", null, null, Clock.system().micros() + 9 * SECOND, 7,
                 new byte[1]));
         Message.Attempt attempt = message.addAttempt(ROUTE, Clock.system().micros());
-        loop.submit(() -> client.send(ROUTE, List.of(new Partners.Outgoing(attempt, 9 * SECOND)))).sync();
+        loop.submit(() -> client.send(ROUTE, List.of(new Partners.Outgoing(attempt, 9 * SECOND, Long.MAX_VALUE)))).sync();
         awaitPosted("a");
         loop.submit(() -> client.cancel(attempt)).sync();
         assertEquals(Result.CANCELLED, result("a"));
--- a/src/test/java/pipitstage/partner/http/HostClientTest.java
+++ b/src/test/java/pipitstage/partner/http/HostClientTest.java
@@ -94,6 +94,17 @@
         assertEquals(40, hosts.get(0).count("POST /receive"));
     }
 
+    /** A repeat that still waits for its connection when its key is forgotten never leaves; the next call takes the connection. */
+    @Test
+    void attemptThatMayNotLeaveAnyMoreEndsAsNotSent() throws Exception {
+        send(1, 2, clock.micros());
+        await("r1", 2);
+        send(1, 1);
+        await("r1", 3);
+        assertEquals(List.of(Policy.Result.NOT_SENT, Policy.Result.NOT_SENT, Policy.Result.OK), ends.get("r1"));
+        assertEquals(1, hosts.get(1).count("POST /receive"));
+    }
+
     private long open(int host) throws Exception {
         // The host's side of a connection that has closed reads its end.
         TimeUnit.MILLISECONDS.sleep(50);
@@ -101,10 +112,14 @@
     }
 
     private void send(int host, int calls) {
+        send(host, calls, Long.MAX_VALUE);
+    }
+
+    private void send(int host, int calls, long latest) {
         loop.submit(() -> client.send("r" + host, IntStream.range(0, calls).mapToObj(i -> {
             Message message = new Message(1_000L * host + i, new Message.Content("m" + host + "-" + i, "unsafe", null, null,
                     clock.micros() + 30 * SECOND, host, new byte[0]));
-            return new Partners.Outgoing(message.addAttempt("r" + host, clock.micros()), 30 * SECOND);
+            return new Partners.Outgoing(message.addAttempt("r" + host, clock.micros()), 30 * SECOND, latest);
         }).toList())).syncUninterruptibly();
     }
 
