A keyed repeat leaves on a new connection only where the handshake's time is left of its window

The protocol: a new connection costs the first request on it time, as a TLS handshake would; a call begins when its last byte has come. At fault: HostClient.Host.begin took a fresh connection for one that carries at once. Test: HostClientTest.attemptThatMustLeaveSoonTakesNoNewConnection.

--- a/src/main/java/pipitstage/engine/Partners.java
+++ b/src/main/java/pipitstage/engine/Partners.java
@@ -32,8 +32,8 @@
      * An attempt to send.
      *
      * @param timeout how many microseconds its answer is waited for
-     * @param latest when its first byte may leave at the latest, on the clock of messages: an attempt that still waits
-     *     for a connection then ends as not sent. {@link Long#MAX_VALUE} where that is no matter
+     * @param latest when a partner may meet it at the latest, on the clock of messages: what can't be there by then, since
+     *     it still waits for a connection or is the first on one, ends as not sent. {@link Long#MAX_VALUE} where that is no matter
      */
     record Outgoing(Message.Attempt attempt, long timeout, long latest) { }
 
--- a/src/main/java/pipitstage/partner/http/HostClient.java
+++ b/src/main/java/pipitstage/partner/http/HostClient.java
@@ -199,7 +199,9 @@
             if (clock.micros() < wait.until) {
                 call.end(Result.NOT_SENT);
             }
-            call.endWhatIsLate(clock.micros());
+            // Guards against a first call that the host meets only once a handshake is over, as with TLS: by the settings
+            // that may take until the time for a connection is up.
+            call.endWhatIsLate(clock.micros() + (connection.isNew() ? connectTimeout : 0));
             if (call.isOver()) {
                 free(connection);
             } else {
@@ -237,6 +239,7 @@
     private final long idleSpan;
     private final int mostConnections;
     private final long listenOn;
+    private final long connectTimeout;
     /** Connections that listen for a late answer, the one that has listened longest first. */
     private final Set<HostConnection> listening = new LinkedHashSet<>();
     private final Map<String, Policy.Kind> kinds = new HashMap<>();
@@ -260,7 +263,7 @@
         mostConnections = options.mostConnections();
         listenOn = options.listenOn();
         settings.kinds().forEach(kind -> kinds.put(kind.name(), kind));
-        long connectTimeout = settings.limits().connectTimeout();
+        connectTimeout = settings.limits().connectTimeout();
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1000));
--- a/src/main/java/pipitstage/partner/http/HostConnection.java
+++ b/src/main/java/pipitstage/partner/http/HostConnection.java
@@ -58,6 +58,7 @@
     private boolean listening;
     private long restedAt;
     private final ConnectionTimer timer;
+    private boolean isNew = true;
 
     HostConnection(Owner owner) {
         this.owner = owner;
@@ -74,10 +75,16 @@
         context = ctx;
     }
 
+    /** True until it has carried a call. */
+    boolean isNew() {
+        return isNew;
+    }
+
     /** Writes a call; only its last byte's leaving decides whether it may have run. */
     void carry(HostCall next) {
         timer.stop();
         call = next;
+        isNew = false;
         reusable = false;
         decoder.await();
         next.begin(this);
--- a/src/test/java/pipitstage/partner/http/HostClientTest.java
+++ b/src/test/java/pipitstage/partner/http/HostClientTest.java
@@ -105,6 +105,20 @@
         assertEquals(1, hosts.get(1).count("POST /receive"));
     }
 
+    /** A repeat leaves on a connection that is in use, and not as the first on a new one: its host may meet it too late. */
+    @Test
+    void attemptThatMustLeaveSoonTakesNoNewConnection() throws Exception {
+        send(1, 1, clock.micros() + 4 * SECOND);
+        await("r1", 1);
+        send(1, 1);
+        await("r1", 2);
+        TimeUnit.MILLISECONDS.sleep(20);
+        send(1, 1, clock.micros() + 4 * SECOND);
+        await("r1", 3);
+        assertEquals(List.of(Policy.Result.NOT_SENT, Policy.Result.OK, Policy.Result.OK), ends.get("r1"));
+        assertEquals(1, hosts.get(1).connections.size());
+    }
+
     private long open(int host) throws Exception {
         // The host's side of a connection that has closed reads its end.
         TimeUnit.MILLISECONDS.sleep(50);
