The notices' connection is kept open, so a moving agent does not make notices late

Relays that had told a notice before were heard within 0.3 s all along. At fault: AgentClient.request connected with the first notice only. For some seconds before the move the old agent takes no new connection and serves those it has; in a fleet of a hundred many a relay's first notice falls there. Change: Notices.start opens the connection with the relay and looks twice a second that it stands; where it can't, the relay compares its file for a new address, as it does for a silent discovery. Tests: AgentTest.noticeIsToldWhileTheAgentTakesNoNewConnections, platformThatCannotBeReachedIsToldOfUntilItCan.

--- a/src/main/java/pipitstage/platform/AgentClient.java
+++ b/src/main/java/pipitstage/platform/AgentClient.java
@@ -38,6 +38,8 @@
     private final Bootstrap bootstrap;
     private InetSocketAddress agent;
     private Channel channel;
+    /** How {@link #channel} came up, or is to. */
+    private ChannelFuture opening;
     private Answer waiting;
     private Future<?> timeout;
 
@@ -72,19 +74,34 @@
                 Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
         request.headers().set(HttpHeaderNames.HOST, agent.getHostString() + ":" + agent.getPort());
         HttpUtil.setContentLength(request, request.content().readableBytes());
-        if (channel != null && channel.isActive()) {
-            channel.writeAndFlush(request);
-            return;
-        }
-        ChannelFuture opening = bootstrap.connect(agent);
-        channel = opening.channel();
-        opening.addListener(connected -> {
+        open();
+        ChannelFuture mine = opening;
+        mine.addListener(connected -> {
             if (connected.isSuccess()) {
-                opening.channel().writeAndFlush(request);
+                mine.channel().writeAndFlush(request);
             } else {
                 request.release();
+            }
+        });
+    }
+
+    /** True while a request would go out without waiting for a connection. */
+    boolean isOpen() {
+        return channel != null && channel.isActive();
+    }
+
+    /** Opens the connection where there is none and none is on its way. */
+    void open() {
+        if (channel != null && (channel.isActive() || !opening.isDone())) {
+            return;
+        }
+        ChannelFuture mine = bootstrap.connect(agent);
+        opening = mine;
+        channel = mine.channel();
+        mine.addListener(connected -> {
+            if (!connected.isSuccess()) {
                 // Guards against a socket that could not even be opened: its failure is told on another thread.
-                loop.execute(() -> lost(opening.channel()));
+                loop.execute(() -> lost(mine.channel()));
             }
         });
     }
--- a/src/main/java/pipitstage/platform/Notices.java
+++ b/src/main/java/pipitstage/platform/Notices.java
@@ -23,21 +23,45 @@
     private static final int MOST_IN_ONE = 100;
     private static final long PATIENCE_MS = 100;
     private static final long PAUSE_MS = 20;
+    private static final long LOOK_MS = 500;
 
     private final EventLoop loop;
     private final AgentClient agent;
     private final Consumer<Message> heard;
+    private final Runnable unreachable;
     private final JsonFactory factory = new JsonFactory();
     private final ArrayDeque<Message> waiting = new ArrayDeque<>();
     private boolean out;
 
-    /** Notices that are told to {@code heard} once the platform has taken them. */
-    public Notices(EventLoop loop, InetSocketAddress address, Consumer<Message> heard) {
+    /**
+     * Notices to a platform.
+     *
+     * @param heard is told of each once the platform has taken it
+     * @param unreachable is run each {@value #LOOK_MS} ms for which there is no connection to the platform
+     */
+    public Notices(EventLoop loop, InetSocketAddress address, Consumer<Message> heard, Runnable unreachable) {
         this.loop = loop;
         this.heard = heard;
+        this.unreachable = unreachable;
         agent = new AgentClient(loop, address);
     }
 
+    /**
+     * Keeps a connection open from now on. Guards against an agent that is about to move: it serves the connections that it
+     * has and takes no new one, and a notice that has to wait for the new address is late.
+     */
+    public void start() {
+        agent.open();
+        loop.schedule(this::keepOpen, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void keepOpen() {
+        if (!agent.isOpen()) {
+            unreachable.run();
+        }
+        start();
+    }
+
     @Override
     public void send(Message message) {
         waiting.add(message);
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -65,7 +65,7 @@
         Timers timers = new LoopTimers(loop);
         Journal journal = new Journal(config.state(), config.diskBytes());
         engine = new Engine(timers, clock, config.settings(), config.period(), journal, Logic::new);
-        notices = config.notices() == null ? null : new Notices(loop, config.notices(), engine::noticeHeard);
+        notices = config.notices() == null ? null : new Notices(loop, config.notices(), engine::noticeHeard, discoveryIsSilent);
         keeping = config.keeping() == null ? null : new Keeping(loop, timers, clock, engine, config);
         long listenOn = config.keeping() == null ? 0 : config.keeping().listenOn();
         Partners partners = new HostClient(loop, clock, config.settings(), new HostClient.Options(config.reports(),
@@ -101,6 +101,9 @@
         try {
             loop.submit(() -> {
                 pulse.start();
+                if (notices != null) {
+                    notices.start();
+                }
                 if (remembering != null) {
                     remembering.start(engine, discovery == null ? () -> { } : discovery::askForAll);
                 } else {
--- a/src/test/java/pipitstage/platform/AgentTest.java
+++ b/src/test/java/pipitstage/platform/AgentTest.java
@@ -9,8 +9,14 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -89,7 +95,7 @@
                     throw new IllegalStateException("broken");
                 }
                 heard.add(message.content().callId());
-            });
+            }, () -> { });
             loop.execute(() -> notices.send(ended(1)));
             await(() -> platform.count("POST") == 1);
             loop.execute(() -> notices.send(ended(2)));
@@ -98,6 +104,43 @@
         }
     }
 
+    /** The agent serves on what it has and takes no new connection, some seconds before the new address is told. */
+    @Test
+    void noticeIsToldWhileTheAgentTakesNoNewConnections() throws Exception {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        listener.setSoTimeout(10_000);
+        List<String> heard = new CopyOnWriteArrayList<>();
+        Notices notices = new Notices(loop, new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort()),
+                message -> heard.add(message.content().callId()), () -> { });
+        loop.execute(notices::start);
+        try (Socket kept = listener.accept()) {
+            listener.close();
+            loop.execute(() -> notices.send(ended(1)));
+            String first = new BufferedReader(new InputStreamReader(kept.getInputStream(), StandardCharsets.US_ASCII)).readLine();
+            assertEquals("POST /status HTTP/1.1", first);
+            kept.getOutputStream().write("HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            await(() -> heard.equals(List.of("m1")));
+        }
+    }
+
+    /** Whoever can look for the platform's new address is told while there is no connection, also where nothing is to be told. */
+    @Test
+    void platformThatCannotBeReachedIsToldOfUntilItCan() throws Exception {
+        int port;
+        try (StubPeer gone = StubPeer.always(StubPeer.status(204))) {
+            port = gone.port();
+        }
+        AtomicInteger told = new AtomicInteger();
+        try (StubPeer next = StubPeer.always(StubPeer.status(204))) {
+            Notices notices = new Notices(loop, new InetSocketAddress("127.0.0.1", port), message -> { }, told::incrementAndGet);
+            loop.execute(notices::start);
+            await(() -> told.get() >= 2);
+            loop.execute(() -> notices.moveTo(at(next)));
+            await(() -> !next.connections.isEmpty());
+            assertEquals(0, next.requests.size());
+        }
+    }
+
     private static Message ended(long number) {
         Message message = new Message(number, new Message.Content("m" + number, "safe", null, null, 0, 7, new byte[0]));
         message.decide(new Message.End(false, 0));
