Paces of a large fleet follow a limit that moves and grow by the room that is left

Ruled out: connections (CONNECT_FAILED 0), circuits of hosts. At fault: Logic.judge kept a pace where the reported limit moved; Logic.grow counted serves, not time; Logic.refused (rare) opened on reports alone, without the span; Logic.part gave each relay the same part, whatever its clients ask.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -28,6 +28,7 @@
     private static final double PACE_CUT = 0.5; // from few senders to a fleet in few refusals
     private static final double SCARCE_LEFT = 0.5; // of a limit: it is being used up faster than it comes back
     private static final double SCARCE_CUT = 0.9; // gentle, as nothing has been refused yet
+    private static final double ROOM_GROWTH = 0.3; // a second, where all of the limit is left
     private static final double LEAST_PACE = 3; // of all relays, where no limit is known
     private static final double FIRST_SENDERS = 12; // a clump of two seconds or so, spread over a fleet
     private static final long GROWTH_SPAN = 5_000_000; // one serve after a long rest proves little
@@ -75,6 +76,8 @@
     private static final long ASK_AGAIN = 3_000_000; // far within the span of the rule
 
     private final Settings settings;
+    /** True in a fleet so large that a relay's own calls tell it little of a destination. */
+    private final boolean many;
     private final SplittableRandom random;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Map<String, Kind> kinds = new HashMap<>();
@@ -99,6 +102,7 @@
     /** A module that starts knowing only its settings. */
     public Logic(Settings settings) {
         this.settings = settings;
+        many = settings.fleetSize() > FIRST_SENDERS;
         random = new SplittableRandom(settings.seed());
         settings.classes().forEach(type -> classes.put(type.name(), type));
         settings.kinds().forEach(kind -> kinds.put(kind.name(), kind));
@@ -369,6 +373,10 @@
         Route route = call.route;
         Group group = route.group;
         if (report.rate() > 0) {
+            // Guards against a limit that is lowered, or comes back, of which a relay of many hears seldom.
+            if (many && group.reportedRate > 0) {
+                group.pace *= report.rate() / group.reportedRate;
+            }
             group.reportedRate = report.rate();
         }
         if (call.test) {
@@ -416,11 +424,15 @@
      * use the limit up too, nobody is served from then on.
      */
     private void grow(Group group, LimitReport report) {
-        if (settings.fleetSize() > FIRST_SENDERS && report.left() < SCARCE_LEFT) {
+        if (many && report.left() < SCARCE_LEFT) {
             if (now - group.cutAt >= CUT_PAUSE) {
                 group.cutAt = now;
                 group.pace = Math.max(part(group), Math.min(group.pace, usual(group.sent)) * SCARCE_CUT);
             }
+        } else if (many && report.left() >= SCARCE_LEFT) {
+            // The report speaks for all relays, and for the whole time since this one was served last.
+            double room = (report.left() - SCARCE_LEFT) / (1 - SCARCE_LEFT);
+            group.pace = Math.max(part(group), group.pace * Math.pow(1 + ROOM_GROWTH * room, (now - group.grownAt) / (double) SECOND));
         } else {
             group.pace *= growth(group.grownAt);
         }
@@ -491,10 +503,9 @@
             group.refusedSince = now;
         }
         // Guards against a shut destination, which refuses like one above its limit but returns cold.
-        boolean rare = report.left() >= SCARCE_LEFT && settings.fleetSize() > FIRST_SENDERS
-                && group.refusals >= failuresToOpen(group);
-        boolean shut = wait > SHUT_WAIT || rare
-                || group.refusals >= FAILURES_TO_OPEN && now - group.refusedSince >= SHUT_SPAN;
+        // A report is some hundred milliseconds old: one that tells of a rest proves nothing of a first refusal.
+        int enough = many && report.left() >= SCARCE_LEFT ? FAILURES_TO_OPEN - 1 : FAILURES_TO_OPEN;
+        boolean shut = wait > SHUT_WAIT || group.refusals >= enough && now - group.refusedSince >= SHUT_SPAN;
         if (shut || group.circuit.state != CircuitState.CLOSED) {
             open(group.circuit, group, false, wait);
         }
@@ -510,9 +521,18 @@
         report(group, Word.REFUSED);
     }
 
-    /** This relay's equal part of what a group takes from all. */
+    /**
+     * This relay's part of what a group takes from all: an equal one, or so much of what its own clients ask as even a cold
+     * destination bears. Guards against relays with several times the mean, which would wait for those that send little.
+     */
     private double part(Group group) {
-        return (limit(group) > 0 ? limit(group) : LEAST_PACE) / settings.fleetSize();
+        double equal = (limit(group) > 0 ? limit(group) : LEAST_PACE) / settings.fleetSize();
+        if (!many || limit(group) == 0) {
+            return equal;
+        }
+        Destination destination = group.routes.get(0).destination;
+        long groups = destination.routes.values().stream().map(route -> route.group).distinct().count();
+        return Math.max(equal, Math.min(1, bearable(now)) * usual(destination.came) / groups);
     }
 
     /**
