A route proves itself by when a call was sent, not by when its answer came

Ruled out: releases after a test (none sent before the falls), refusals (none). At fault: Logic.mute held any answer for a sign of life of all that was out; Logic.close let an answer to any call close a circuit opened by silence, as merely slow, without the release of a cold one. Change: silent is what was sent since the last call that was answered; an answer to a call from before the last failed one closes nothing; one that shows that a route lives on after calls were lost releases it like a cold one. Tests: LogicTest.answersToEarlierCallsDoNotHideASilence, answerToACallFromBeforeTheFailuresProvesNothing, routeThatWasSilentAndLostCallsIsReleasedAsAColdOne (all fail without), answersToAllThatWasMissedShowThatTheRouteWasSlowAlone.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -383,6 +383,10 @@
             route.circuit.testing = false;
             group.circuit.testing = false;
         }
+        if (result == Result.OK || result == Result.ERROR || result == Result.FULL) {
+            route.answeredAt = now;
+            route.provenFrom = Math.max(route.provenFrom, call.sentAt);
+        }
         switch (result) {
             case OK -> served(call, elapsed, report);
             case ERROR, TIMEOUT, CONNECT_FAILED, CANCELLED -> failed(call, 1);
@@ -391,9 +395,6 @@
             case FULL -> refused(call, wait, report);
             case NOT_SENT -> { }
         }
-        if (result == Result.OK || result == Result.ERROR || result == Result.FULL) {
-            route.answeredAt = now;
-        }
         if (result == Result.OK || result == Result.FULL) {
             route.unproven = false;
             route.last = false;
@@ -445,18 +446,24 @@
     }
 
     private void close(Call call, Circuit circuit, Route route) {
-        circuit.run = 0;
+        boolean failed = circuit.run > 0;
         if (circuit.state == CircuitState.CLOSED) {
+            circuit.run = 0;
             return;
         }
+        // Guards against answers from a partner's queue, which tell of the time before it fell silent.
+        if (call.sentAt < circuit.failedFrom) {
+            return;
+        }
+        circuit.run = 0;
         boolean older = call.sentAt < circuit.openedAt;
-        if (older && !circuit.bySilence) {
+        if (older && (!circuit.bySilence || mute(route, 1))) {
             return;
         }
         circuit.state = CircuitState.CLOSED;
         route.errorRate = 0;
         if (circuit == route.group.circuit && !circuit.forCheck) {
-            if (!older) {
+            if (!older || failed) {
                 route.group.releasedAt = now;
                 route.group.nextAt = now + interval(releaseRate(route.group, now));
             }
@@ -470,12 +477,14 @@
         Group group = route.group;
         route.errorRate += WEIGHT * (1 - route.errorRate);
         route.circuit.run += weight;
+        route.circuit.failedFrom = Math.max(route.circuit.failedFrom, weight * call.sentAt);
         boolean bad = route.circuit.run >= failuresToOpen(group) || route.errorRate > UNHEALTHY;
         if (bad || route.circuit.state != CircuitState.CLOSED && call.test) {
             open(route.circuit, group, false, 0);
         }
         if (group.circuit != route.circuit) {
             group.circuit.run += weight;
+            group.circuit.failedFrom = Math.max(group.circuit.failedFrom, weight * call.sentAt);
             boolean noneLeft = group.routes.stream()
                     .noneMatch(r -> r.listed && r.circuit.state == CircuitState.CLOSED);
             if (group.circuit.run >= FAILURES_TO_OPEN || noneLeft) {
@@ -655,11 +664,15 @@
         return call.sentAt + (long) Math.max(OVERDUE_FLOOR, OVERDUE_RATIO * response(call.route));
     }
 
-    /** True where a call has been out for such a part of its span and nothing has answered since. */
+    /** True where a call has been out for such a part of its span, and nothing that was sent since has been answered. */
     private boolean mute(Route route, double part) {
-        Call oldest = route.out.peek();
-        return oldest != null && route.answeredAt <= oldest.sentAt
-                && now - oldest.sentAt >= part * (overdueAt(oldest) - oldest.sentAt);
+        for (Call call : route.out) {
+            // Guards against answers from a queue: what was sent before tells nothing of this call.
+            if (call.sentAt >= route.provenFrom) {
+                return now - call.sentAt >= part * (overdueAt(call) - call.sentAt);
+            }
+        }
+        return false;
     }
 
     /** Guards against silence, which would cost three time-outs before the circuit opens. */
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -25,6 +25,8 @@
         long openedAt;
         long until;
         boolean bySilence;
+        /** When the last call that failed had been sent. */
+        long failedFrom;
         /** Open only until a check has shown that an address of an old list is still the route's. */
         boolean forCheck;
         boolean testing;
@@ -54,6 +56,8 @@
         double placeBonus;
         double errorRate;
         double response;
+        /** When the latest call that was answered had been sent. */
+        long provenFrom;
         long answeredAt;
         final ArrayDeque<Call> out = new ArrayDeque<>();
 
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -277,6 +277,58 @@
         assertEquals(List.of("out: c, silent"), relay.logged);
     }
 
+    /** A partner that falls silent goes on with what it had in its queue: those answers tell of the time before. */
+    @Test
+    void answersToEarlierCallsDoNotHideASilence() {
+        for (int id = 100; id < 120; id++) {
+            relay.accept(id, "safe", 2).pass(50 * MS).answer(id, Result.OK);
+        }
+        for (int id = 0; id < 4; id++) {
+            relay.accept(id, "safe", 2).pass(100 * MS);
+        }
+        relay.pass(S).answer(0, Result.OK).pass(2 * S).accept(9, "safe", 2).pass(500 * MS);
+        assertEquals(List.of("out: c, silent"), relay.logged);
+        assertEquals(0, relay.sends(9));
+    }
+
+    @Test
+    void answerToACallFromBeforeTheFailuresProvesNothing() {
+        Relay wide = silentC();
+        wide.answer(1, Result.TIMEOUT).answer(2, Result.TIMEOUT).answer(3, Result.TIMEOUT).answer(0, Result.OK);
+        assertEquals(List.of("out: c, silent"), wide.logged);
+    }
+
+    @Test
+    void answersToAllThatWasMissedShowThatTheRouteWasSlowAlone() {
+        Relay wide = silentC();
+        wide.answer(0, Result.OK).answer(1, Result.OK).answer(2, Result.OK).answer(3, Result.OK).pass(100 * MS);
+        assertEquals(List.of("out: c, silent", "serves again: c"), wide.logged);
+        assertEquals(11, wide.unanswered.size(), "all that was held");
+    }
+
+    @Test
+    void routeThatWasSilentAndLostCallsIsReleasedAsAColdOne() {
+        Relay wide = silentC();
+        wide.answer(0, Result.TIMEOUT).answer(1, Result.TIMEOUT).answer(2, Result.TIMEOUT);
+        int before = wide.sent.size();
+        wide.answer(3, Result.OK).pass(100 * MS);
+        assertEquals(List.of("out: c, silent", "serves again: c"), wide.logged);
+        assertTrue(wide.sent.size() - before <= 1, "sent at once: " + (wide.sent.size() - before));
+    }
+
+    /** Four calls that are out for so long that their route counts as silent, and eleven messages that wait. */
+    private static Relay silentC() {
+        Relay wide = new Relay(Relay.settings(100, 200)).list(route("c", 2, "apart", "east"));
+        for (int id = 0; id < 4; id++) {
+            wide.accept(id, "once", 2).pass(100 * MS);
+        }
+        wide.pass(3 * S);
+        for (int id = 10; id < 21; id++) {
+            wide.accept(id, "safe", 2);
+        }
+        return wide;
+    }
+
     @Test
     void refusalsWithoutAServeOpenAsShut() {
         relay.accept(1, "safe", 2);
