A young relay's pace: one burst cuts once, then doubles by serves, and rounds carry their share

One elevator traced: cut at 10 ms from no pace to 3 a second, and at 9.19 s, at a pace of 1,004,326 a second by then, still 706 waiting. Ruled out: queues (peak load 0.09 of capacity after the first burst), slots, circuits (none out). At fault: Logic.refused cut the pace again each 500 ms for calls that had been sent before the last cut; Logic.grow let a guess of 3 a second grow by a tenth a second; Logic.call set the next call's time past now, so that a group with any finite pace sent one call a round (200 a second), however quick its pace. Change: a refusal of what was sent before a cut cuts no more; after the first cut, where no limit is known, serves double the pace each 500 ms until a refusal says otherwise; a round of up to 10 ms lets as many go as its time holds. Scenario files: clients.backlog. Tests: LogicTest.refusalsOfOneBurstCutThePaceOnce, paceAfterTheFirstCutDoublesUntilTheNext, quickPaceLetsAsManyGoInARoundAsItsTimeHolds, ExperimentTest.youngRelayWithABacklogFindsItsPace: all fail without. ScenarioFileTest.backlogComesAtOnceAndChangesNothingElse.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -66,6 +66,7 @@
     private static final double KEEPER_CUT = 0.8; // gentle, as a keeper hears the refusals of all
     private static final double MOST_FACTOR = 2; // a rough rate may be this much too low
 
+    private static final long ROUND = 10_000; // rounds are no longer where a relay has time
     private static final long RATE_SPAN = 10_000_000; // a relay may call a destination once in so long
     private static final long LEAST_COUNTED = 2_500_000; // what came in a shorter time is no rate yet
     private static final double LEAST_TO_TELL = 12; // nor are few calls
@@ -434,6 +435,8 @@
             // The report speaks for all relays, and for the whole time since this one was served last.
             double room = (report.left() - SCARCE_LEFT) / (1 - SCARCE_LEFT);
             group.pace = Math.max(part(group), group.pace * Math.pow(1 + ROOM_GROWTH * room, (now - group.grownAt) / (double) SECOND));
+        } else if (group.seeking) {
+            group.pace *= Math.pow(2, Math.min(1, (now - group.grownAt) / (double) CUT_PAUSE));
         } else {
             group.pace *= growth(group.grownAt);
         }
@@ -522,7 +525,8 @@
             // Guards against a route that refuses its test and would be tested again at once.
             open(call.route.circuit, group, false, wait);
         }
-        if (now - group.cutAt >= CUT_PAUSE) {
+        // Guards against one burst that counts again and again: what was sent before a cut tells nothing of the pace since.
+        if (call.sentAt >= group.cutAt && now - group.cutAt >= CUT_PAUSE) {
             cut(group);
         }
         long until = Math.max(now, group.waitUntil);
@@ -556,6 +560,7 @@
         if (limit(group) > 0) {
             clump = Math.max(part(group), Math.min(clump, usual(group.sent) * PACE_CUT));
         }
+        group.seeking = limit(group) == 0 && group.pace == Double.POSITIVE_INFINITY;
         group.pace = group.pace == Double.POSITIVE_INFINITY
                 ? Math.max(clump, rate(group.served) / 2)
                 : Math.max(part(group), group.pace * PACE_CUT);
@@ -1033,7 +1038,8 @@
         route.out.add(call);
         count(route.group.sent);
         route.group.turnUntil = now;
-        route.group.nextAt = Math.max(route.group.nextAt, now) + interval(paceOf(route.group));
+        // Guards against a quick pace of which a round lets one call go, however many its interval holds.
+        route.group.nextAt = Math.max(route.group.nextAt, now - ROUND) + interval(paceOf(route.group));
         send(request, call);
         Kind kind = kinds.get(route.kind);
         int room = test || kind == null ? 0 : kind.batch() - 1;
--- a/src/main/java/pipitstage/State.java
+++ b/src/main/java/pipitstage/State.java
@@ -79,6 +79,8 @@
         final Rate served = new Rate();
         final Rate sent = new Rate();
         double pace = Double.POSITIVE_INFINITY;
+        /** True from the first cut to the next one, where no limit is known: the pace is far below or above what is borne. */
+        boolean seeking;
         long nextAt;
         long waitUntil;
         long cutAt = Long.MIN_VALUE / 2;
--- a/src/main/java/pipitstage/lab/Lab.java
+++ b/src/main/java/pipitstage/lab/Lab.java
@@ -50,7 +50,8 @@
     private static final Scenario.Rules RULES = Scenario.Rules.USUAL;
     /** The scenarios that come with the program. */
     public static final List<String> NAMED = List.of("quiet-day", "harvest-peak", "afternoon-outage", "half-the-fleet-dies",
-            "one-slow-building", "brown-out", "young-outage", "full-core");
+            "one-slow-building", "brown-out", "young-outage", "young-burst",
+            "full-core");
 
     private Lab() { }
 
--- a/src/main/java/pipitstage/lab/scenario/Arrivals.java
+++ b/src/main/java/pipitstage/lab/scenario/Arrivals.java
@@ -17,16 +17,43 @@
 public final class Arrivals implements Iterator<Arrival> {
     private static final double SECOND = 1e6;
 
+    /** Draws of what a message is, and of where it comes in. */
+    private static final class Picks {
+        private final DiscreteSampler types;
+        private final DiscreteSampler tenants;
+        private final DiscreteSampler relays;
+        /** Partners that each class goes to, by weight. */
+        private final List<int[]> reached = new ArrayList<>();
+        private final List<DiscreteSampler> partners = new ArrayList<>();
+
+        Picks(Scenario scenario, Scenario.Layout layout, UniformRandomProvider random) {
+            types = AliasMethodDiscreteSampler.of(random, scenario.classes().stream().mapToDouble(Scenario.MessageClass::rate)
+                    .toArray());
+            tenants = scenario.tenants().isEmpty() ? () -> -1 : AliasMethodDiscreteSampler.of(random, scenario.tenants().stream()
+                    .mapToDouble(Scenario.Tenant::share).toArray());
+            relays = AliasMethodDiscreteSampler.of(random, Scenario.weights(scenario.fleet().relays(), scenario.fleet().skew()));
+            for (Scenario.MessageClass type : scenario.classes()) {
+                List<Scenario.Partner> to = layout.partners().stream().filter(p -> type.goesTo(p.group().kind()) && p.weight() > 0)
+                        .toList();
+                reached.add(to.stream().mapToInt(Scenario.Partner::number).toArray());
+                partners.add(AliasMethodDiscreteSampler.of(random, to.stream().mapToDouble(Scenario.Partner::weight).toArray()));
+            }
+        }
+
+        Arrival draw(long at) {
+            int type = types.sample();
+            return new Arrival(at, type, tenants.sample(), reached.get(type)[partners.get(type).sample()], relays.sample());
+        }
+    }
+
     private final Scenario scenario;
     private final UniformRandomProvider random;
     private final ContinuousSampler gap;
-    private final DiscreteSampler types;
-    private final DiscreteSampler tenants;
-    private final DiscreteSampler relays;
-    /** Partners that each class goes to, by weight. */
-    private final List<int[]> reached = new ArrayList<>();
-    private final List<DiscreteSampler> partners = new ArrayList<>();
+    private final Picks picks;
+    /** Of a stream of its own, so that what comes later does not hang on what waits at the beginning. */
+    private final Picks backlog;
     private final double clumps;
+    private int waiting;
     /** Where it stands on the scale of full rates, and the microsecond that this is. */
     private double full;
     private double at;
@@ -44,17 +71,9 @@
         // A beginning is one message or a clump: the rate of beginnings keeps the rate of messages.
         clumps = together / (alone + together);
         gap = ZigguratSampler.Exponential.of(random, SECOND / (rate * (alone + together)));
-        types = AliasMethodDiscreteSampler.of(random, scenario.classes().stream().mapToDouble(Scenario.MessageClass::rate)
-                .toArray());
-        tenants = scenario.tenants().isEmpty() ? () -> -1 : AliasMethodDiscreteSampler.of(random, scenario.tenants().stream()
-                .mapToDouble(Scenario.Tenant::share).toArray());
-        relays = AliasMethodDiscreteSampler.of(random, Scenario.weights(scenario.fleet().relays(), scenario.fleet().skew()));
-        for (Scenario.MessageClass type : scenario.classes()) {
-            List<Scenario.Partner> to = layout.partners().stream().filter(p -> type.goesTo(p.group().kind()) && p.weight() > 0)
-                    .toList();
-            reached.add(to.stream().mapToInt(Scenario.Partner::number).toArray());
-            partners.add(AliasMethodDiscreteSampler.of(random, to.stream().mapToDouble(Scenario.Partner::weight).toArray()));
-        }
+        picks = new Picks(scenario, layout, random);
+        backlog = new Picks(scenario, layout, Draws.of(seed, "backlog", 0));
+        waiting = clients.backlog();
         begin();
     }
 
@@ -66,25 +85,28 @@
             next = null;
             return;
         }
-        int type = types.sample();
-        next = new Arrival((long) at, type, tenants.sample(), reached.get(type)[partners.get(type).sample()], relays.sample());
+        next = picks.draw((long) at);
         left = random.nextDouble() < clumps ? scenario.clients().clump() - 1 : 0;
     }
 
     @Override
     public boolean hasNext() {
-        return next != null;
+        return waiting > 0 || next != null;
     }
 
     @Override
     public Arrival next() {
+        if (waiting > 0) {
+            waiting--;
+            return backlog.draw(0);
+        }
         if (next == null) {
             throw new NoSuchElementException();
         }
         Arrival arrival = next;
         if (left > 0) {
             left--;
-            next = new Arrival(arrival.at(), arrival.type(), arrival.tenant(), arrival.partner(), relays.sample());
+            next = new Arrival(arrival.at(), arrival.type(), arrival.tenant(), arrival.partner(), picks.relays.sample());
         } else {
             begin();
         }
--- a/src/main/java/pipitstage/lab/scenario/Scenario.java
+++ b/src/main/java/pipitstage/lab/scenario/Scenario.java
@@ -44,8 +44,9 @@
      * @param clumped share of the messages that come in clumps for one partner
      * @param clump messages in a clump
      * @param ramp rates rise evenly from nothing to the full in so long; 0 where they are full at once
+     * @param backlog messages that are handed in at once when the run begins
      */
-    public record Clients(int repeats, long pause, double clumped, int clump, long ramp) { }
+    public record Clients(int repeats, long pause, double clumped, int clump, long ramp, int backlog) { }
 
     /** One way between a relay and an endpoint, in the same building or across. */
     public record Network(long inside, long across) { }
--- a/src/main/java/pipitstage/lab/scenario/ScenarioFile.java
+++ b/src/main/java/pipitstage/lab/scenario/ScenarioFile.java
@@ -66,7 +66,7 @@
                 new Scenario.Fleet((int) fleet.whole("relays"), fleet.number("skew"), (int) fleet.whole("slots"),
                         (int) fleet.whole("messages"), fleet.whole("round"), fleet.whole("restart")),
                 new Scenario.Clients((int) clients.whole("repeats"), clients.whole("pause"), clients.number("clumped"),
-                        (int) clients.whole("clump"), clients.whole("ramp")),
+                        (int) clients.whole("clump"), clients.whole("ramp"), (int) clients.whole("backlog")),
                 new Scenario.Network(network.whole("inside"), network.whole("across")), classes, tenants, all,
                 top.tables("failure").stream().map(this::failure).toList());
         check(scenario);
@@ -166,7 +166,7 @@
         if (asked <= 0 && !scenario.classes().isEmpty()) {
             findings.add(top.place().error("the classes' rates are all 0: nothing would happen"));
         }
-        double messages = asked * scenario.span() / MICROS;
+        double messages = asked * scenario.span() / MICROS + scenario.clients().backlog();
         if (messages > MOST_MESSAGES) {
             findings.add(top.at("span").error(Math.round(messages / MICROS) + " million messages in all: no run of more than "
                     + Math.round(MOST_MESSAGES / MICROS) + " million is played"));
--- a/src/main/java/pipitstage/lab/scenario/ScenarioForm.java
+++ b/src/main/java/pipitstage/lab/scenario/ScenarioForm.java
@@ -39,6 +39,7 @@
         may("clients.clumped", NUMBER, "0", 0, 1, "Share of the messages that come in clumps for one partner.");
         may("clients.clump", WHOLE, "10", 1, 100_000, "Messages in a clump.");
         may("clients.ramp", SPAN, "0s", 0, DAY, "Rates rise evenly from nothing to the full in so long.");
+        may("clients.backlog", WHOLE, "0", 0, 1_000_000, "Messages that wait when the run begins, all handed in at once.");
 
         table("network", "One way between a relay and an endpoint.");
         may("network.inside", SPAN, "500us", 0, SECOND, "Within a building.");
--- a/src/main/java/pipitstage/lab/scenario/ScenarioText.java
+++ b/src/main/java/pipitstage/lab/scenario/ScenarioText.java
@@ -32,6 +32,7 @@
         t.number("clumped", s.clients().clumped());
         t.plain("clump", "" + s.clients().clump());
         t.span("ramp", s.clients().ramp());
+        t.plain("backlog", "" + s.clients().backlog());
         t.table("[network]");
         t.span("inside", s.network().inside());
         t.span("across", s.network().across());
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -348,6 +348,80 @@
         assertTrue(relay.logged.isEmpty());
     }
 
+    /** What was sent at once is refused at once, or one by one over a second: either way it tells of one pace. */
+    @Test
+    void refusalsOfOneBurstCutThePaceOnce() {
+        Relay wide = new Relay(Relay.settings(100, 2_000)).list(route("c", 2, "apart", "east"));
+        for (int id = 1_000; id < 1_400; id++) {
+            wide.accept(id, "safe", 2).pass(10 * MS).answer(id, Result.OK);
+        }
+        for (int id = 100; id < 130; id++) {
+            wide.accept(id, "safe", 2);
+        }
+        assertEquals(30, wide.unanswered.size(), "all at once");
+        for (int id = 200; id < 230; id++) {
+            wide.accept(id, "once", 2);
+        }
+        wide.pass(100 * MS).answer(100, Result.FULL);
+        for (int id = 102; id < 130; id++) {
+            wide.answer(id, Result.NOT_SENT);
+        }
+        wide.pass(550 * MS).answer(101, Result.FULL);
+        int before = wide.sent.size();
+        for (int i = 0; i < 40; i++) {
+            wide.pass(100 * MS);
+            // Neither a serve nor a refusal: the pace stays as it is.
+            List.copyOf(wide.unanswered).forEach(s -> wide.answer(s.id(), Result.NOT_SENT));
+        }
+        assertEquals(64, wide.sent.size() - before, 10, "four seconds at half of 33 a second");
+    }
+
+    /** Without a limit to go by the first cut is a guess: what is served then soon shows better. */
+    @Test
+    void paceAfterTheFirstCutDoublesUntilTheNext() {
+        Relay wide = new Relay(Relay.settings(100, 2_000)).list(route("c", 2, "apart", "east"));
+        wide.accept(0, "safe", 2).pass(10 * MS).answer(0, Result.FULL);
+        for (int id = 1; id < 1_000; id++) {
+            wide.accept(id, "safe", 2);
+        }
+        serveFor(wide, 5 * S);
+        assertTrue(wide.sent.size() > 300, "sent in five seconds: " + wide.sent.size());
+        wide.pass(20 * MS).answer(wide.unanswered.get(0).id(), Result.FULL).pass(S);
+        int before = wide.sent.size();
+        serveFor(wide, S);
+        int cut = wide.sent.size() - before;
+        before = wide.sent.size();
+        serveFor(wide, S);
+        assertTrue(wide.sent.size() - before < 1.3 * cut, "a second refusal tells where the bound is: " + cut + ", then "
+                + (wide.sent.size() - before));
+    }
+
+    @Test
+    void quickPaceLetsAsManyGoInARoundAsItsTimeHolds() {
+        Relay wide = new Relay(Relay.settings(100, 2_000)).list(route("c", 2, "apart", "east"));
+        wide.accept(0, "safe", 2).pass(10 * MS).answer(0, Result.FULL);
+        for (int id = 1; id < 1_000; id++) {
+            wide.accept(id, "safe", 2);
+        }
+        serveFor(wide, 5 * S);
+        long most = 0;
+        for (int i = 0; i < 100; i++) {
+            int before = wide.sent.size();
+            wide.now += 10 * MS;
+            wide.round(new Policy.TimerFired(0));
+            most = Math.max(most, wide.sent.size() - before);
+        }
+        assertTrue(most > 1, "in a round: " + most);
+    }
+
+    /** Lets time pass, and serves what was sent ten milliseconds later. */
+    private static void serveFor(Relay relay, long span) {
+        for (long end = relay.now + span; relay.now < end;) {
+            relay.pass(10 * MS);
+            List.copyOf(relay.unanswered).forEach(s -> relay.answer(s.id(), Result.OK));
+        }
+    }
+
     @Test
     void toldWaitHoldsTheWholeSharedGroup() {
         relay.accept(1, "safe", 1).pass(MS).answer(1, Result.FULL, 2 * S).accept(2, "safe", 1).pass(1999 * MS);
--- a/src/test/java/pipitstage/lab/ExperimentTest.java
+++ b/src/test/java/pipitstage/lab/ExperimentTest.java
@@ -186,4 +186,14 @@
                 Lab.emulator(), made::add);
         return made.size();
     }
+
+    /** Its first burst is refused: 0.64 of its worth was delivered when each refusal of it cut the pace again. */
+    @Test
+    void youngRelayWithABacklogFindsItsPace() throws IOException {
+        Scenario scenario = Lab.read("young-burst", Lab.named("young-burst")).scenario();
+        Lab.Played played = Lab.play(scenario, 1);
+        assertTrue(played.service().whole() > 0.8, "service " + played.service().whole());
+        assertTrue(played.rules().isClean());
+        assertTrue(played.service().peakLoad() < 1, "load " + played.service().peakLoad());
+    }
 }
--- a/src/test/java/pipitstage/lab/ScenarioFileTest.java
+++ b/src/test/java/pipitstage/lab/ScenarioFileTest.java
@@ -1,6 +1,7 @@
 package pipitstage.lab;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -132,7 +133,7 @@
     void arrivalsKeepTheirRates(double clumped, int clump) throws IOException {
         Scenario quiet = Lab.read("s", Lab.named("quiet-day")).scenario();
         Scenario scenario = new Scenario("s", "", 2_000 * SECOND, 1, quiet.fleet(), new Scenario.Clients(2, SECOND, clumped,
-                clump, 0), quiet.network(), quiet.classes(), quiet.tenants(), quiet.groups(), List.of());
+                clump, 0, 0), quiet.network(), quiet.classes(), quiet.tenants(), quiet.groups(), List.of());
         Arrivals arrivals = new Arrivals(scenario, scenario.layout(), 1);
         long count = 0;
         long orders = 0;
@@ -148,4 +149,21 @@
         assertEquals(44, count / 2_000.0, clump == 50 ? 4 : 1);
         assertEquals(0.32, (double) orders / count, clump == 50 ? 0.05 : 0.02);
     }
+
+    /** What waits at the beginning comes first, and leaves what comes later as it is. */
+    @Test
+    void backlogComesAtOnceAndChangesNothingElse() throws IOException {
+        String text = Lab.named("quiet-day");
+        Scenario quiet = Lab.read("s", text).scenario();
+        Scenario young = Lab.read("s", text.replace("[clients]\n", "[clients]\nbacklog = 40\n")).scenario();
+        Arrivals usual = new Arrivals(quiet, quiet.layout(), 1);
+        Arrivals arrivals = new Arrivals(young, young.layout(), 1);
+        for (int i = 0; i < 40; i++) {
+            assertEquals(0, arrivals.next().at());
+        }
+        while (usual.hasNext()) {
+            assertEquals(usual.next(), arrivals.next());
+        }
+        assertFalse(arrivals.hasNext());
+    }
 }
