A relay that starts acts on its file's list only once discovery had time to tell

What the agent has counts as told (PROTOCOL), though the process was down when it came. Ruled out: a watch that missed the change (running relays heard it by 12.3), calls that waited for a connection, the reload (these had begun with the new address). Change: Engine.awaitList: what comes in is gathered and nothing acted on until the list is told, or 0.4 s are over (what an answer that is there may take), so that a start while discovery is down costs no more. Test: RestartTest.hostThatWasDrainedWhileTheRelayWasDownGetsNothingMore, fails without (the drained host gets a second call).

--- a/src/main/java/pipitstage/engine/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -57,6 +57,7 @@
     private boolean frozen;
     private boolean ready;
     private boolean listTold;
+    private boolean awaitingList;
 
     /**
      * An engine round a decision module.
@@ -113,6 +114,25 @@
         return policy.standings(clock.micros());
     }
 
+    /**
+     * Lets the module act on nothing until discovery tells its list, or so many microseconds are over; once, before
+     * {@link #start}. Guards against a host that was told to be draining while this relay was down: by the list of the start
+     * it would still get calls.
+     */
+    public void awaitList(long micros) {
+        awaitingList = true;
+        timers.after(micros, this::goOn);
+    }
+
+    private void goOn() {
+        if (awaitingList) {
+            awaitingList = false;
+            if (!events.isEmpty()) {
+                armRound();
+            }
+        }
+    }
+
     /** Takes in the list that is known at the start, empty where there is none, and what the journal holds. */
     public void start(Policy.ListKind kind, long knownVersion, List<Target> known) {
         start(kind, knownVersion, known, List.of());
@@ -121,7 +141,7 @@
     /** As above, with what is remembered of the list's routes: the module learns it before anything goes to them. */
     public void start(Policy.ListKind kind, long knownVersion, List<Target> known, List<Policy.Remembered> routes) {
         if (!known.isEmpty()) {
-            list(kind, knownVersion, known);
+            takeList(kind, knownVersion, known);
             remembered(routes);
         }
         for (Message message : journal.open()) {
@@ -295,6 +315,12 @@
     private void add(Event event) {
         events.add(event);
         observer.accept(event);
+        if (!awaitingList) {
+            armRound();
+        }
+    }
+
+    private void armRound() {
         if (!roundDue) {
             roundDue = true;
             // Guards, by a whole period, against answering a client whose leaving has come but is not read yet.
@@ -500,6 +526,11 @@
 
     @Override
     public void list(Policy.ListKind kind, long version, List<Target> targets) {
+        takeList(kind, version, targets);
+        goOn();
+    }
+
+    private void takeList(Policy.ListKind kind, long version, List<Target> targets) {
         targets.forEach(target -> destinations.add(target.listed().destination()));
         partners.list(kind, targets);
         keeper.list(kind, version, targets);
--- a/src/main/java/pipitstage/platform/Discovery.java
+++ b/src/main/java/pipitstage/platform/Discovery.java
@@ -22,7 +22,8 @@
      * of what was told meanwhile. Every answer is followed by the next call within a moment.
      */
     private static final long WAIT_MS = 1000;
-    private static final long PATIENCE_MS = 400;
+    /** So long an answer may take that is there already. */
+    public static final long PATIENCE_MS = 400;
     /** Guards against an agent that answers at once again and again; far below what ends a watch. */
     private static final long BREATH_MS = 10;
     /** So long without an answer that can be read is silence; far above what a watch waits for. */
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -104,6 +104,9 @@
                 if (notices != null) {
                     notices.start();
                 }
+                if (discovery != null) {
+                    engine.awaitList(TimeUnit.MILLISECONDS.toMicros(Discovery.PATIENCE_MS));
+                }
                 if (remembering != null) {
                     remembering.start(engine, discovery == null ? () -> { } : discovery::askForAll);
                 } else {
--- a/src/test/java/pipitstage/relay/RestartTest.java
+++ b/src/test/java/pipitstage/relay/RestartTest.java
@@ -8,6 +8,8 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import pipitstage.Policy;
@@ -36,6 +38,33 @@
         assertEquals("hello", host.requests.get(1).body());
     }
 
+    /** Its agent has been told meanwhile, which counts as told to the relay; the list that it starts with says otherwise. */
+    @Test
+    void hostThatWasDrainedWhileTheRelayWasDownGetsNothingMore() throws IOException {
+        assertEquals(202, relay.start().handIn("s1", "safe", 7));
+        await(() -> host.requests.size() == 1);
+        relay.kill();
+        try (StubPeer other = StubPeer.always(status(200))) {
+            discovery.answer(request -> {
+                if (request.line().startsWith("POST /status")) {
+                    return status(204);
+                }
+                if (request.line().contains("after=")) {
+                    return StubPeer.SILENCE;
+                }
+                // A relay that goes by its list alone has sent long before this answer.
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+                return StubPeer.answer(200, RelayProcess.list(2, true,
+                        RelayProcess.target("h1", 7, "one", "terminating", host.address()),
+                        RelayProcess.target("h2", 7, "one", "in_service", other.address())));
+            });
+            relay.start();
+            await(() -> other.requests.size() == 1);
+            assertEquals("s1", other.requests.get(0).id());
+            assertEquals(1, host.requests.size());
+        }
+    }
+
     @Test
     void keyedMessageIsSentAgainWithinItsWindow() throws IOException {
         killWith("k1", "keyed");
