The wait for discovery's list at a start is the module's, so that ends don't wait with it

Engine gives the event alone. Tests: LogicTest.nothingGoesByTheListOfARestartUntilNewsComeOrTheirTimeIsOver (a message due at 0.1 s is refused then), RestartTest.hostThatWasDrainedWhileTheRelayWasDownGetsNothingMore as before.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -99,6 +99,7 @@
     private int held;
     private long wakeAt = Long.MAX_VALUE;
     private boolean asked;
+    private long awaitUntil;
 
     /** A module that starts knowing only its settings. */
     public Logic(Settings settings) {
@@ -144,6 +145,8 @@
             list(e);
         } else if (event instanceof Remembered e) {
             Optional.ofNullable(routes.get(e.standing().route())).ifPresent(r -> remember(r, e));
+        } else if (event instanceof AwaitList e) {
+            awaitUntil = now + e.span();
         } else if (event instanceof ProbeDone e) {
             probed(e);
         } else if (event instanceof PeerNote e && e.bytes().length == Integer.BYTES + 1) {
@@ -790,6 +793,10 @@
     private record Candidate(Request request, Route route, double loss) { }
 
     private void dispatch() {
+        // Guards against a host that was told to be draining while this relay was down.
+        if (now < awaitUntil) {
+            return;
+        }
         var candidates = new PriorityQueue<>(
                 Comparator.comparingDouble(Candidate::loss).reversed().thenComparingLong(c -> c.request.id));
         kept.forEach(this::giveTurns);
@@ -1083,6 +1090,7 @@
             actions.remind(ASK, spread(ASK_AGAIN));
             return;
         }
+        awaitUntil = now;
         if (e.kind() != ListKind.CHANGES) {
             routes.values().forEach(route -> route.listed = false);
         }
@@ -1207,6 +1215,7 @@
 
     private void arm() {
         long wake = ends.isEmpty() ? Long.MAX_VALUE : ends.first().deadline;
+        wake = awaitUntil > now ? Math.min(wake, awaitUntil) : wake;
         wake = Math.min(wake, kept.stream().mapToLong(group -> group.keeper.nextAt).min().orElse(wake));
         for (Destination destination : busy) {
             for (Route route : destination.routes.values()) {
--- a/src/main/java/pipitstage/Policy.java
+++ b/src/main/java/pipitstage/Policy.java
@@ -145,6 +145,12 @@
     /** A timer set by {@link Actions#remind} fell due. */
     record TimerFired(long name) implements Event { }
 
+    /**
+     * The list that is known is from before a restart, and who knows better has been asked: until news of the list come, or a
+     * span is over, nothing is to go by it.
+     */
+    record AwaitList(long span) implements Event { }
+
     /** News of the route list. */
     record RouteList(ListKind kind, long version, List<Listed> entries) implements Event { }
 
--- a/src/main/java/pipitstage/engine/Engine.java
+++ b/src/main/java/pipitstage/engine/Engine.java
@@ -57,7 +57,6 @@
     private boolean frozen;
     private boolean ready;
     private boolean listTold;
-    private boolean awaitingList;
 
     /**
      * An engine round a decision module.
@@ -114,25 +113,6 @@
         return policy.standings(clock.micros());
     }
 
-    /**
-     * Lets the module act on nothing until discovery tells its list, or so many microseconds are over; once, before
-     * {@link #start}. Guards against a host that was told to be draining while this relay was down: by the list of the start
-     * it would still get calls.
-     */
-    public void awaitList(long micros) {
-        awaitingList = true;
-        timers.after(micros, this::goOn);
-    }
-
-    private void goOn() {
-        if (awaitingList) {
-            awaitingList = false;
-            if (!events.isEmpty()) {
-                armRound();
-            }
-        }
-    }
-
     /** Takes in the list that is known at the start, empty where there is none, and what the journal holds. */
     public void start(Policy.ListKind kind, long knownVersion, List<Target> known) {
         start(kind, knownVersion, known, List.of());
@@ -141,7 +121,7 @@
     /** As above, with what is remembered of the list's routes: the module learns it before anything goes to them. */
     public void start(Policy.ListKind kind, long knownVersion, List<Target> known, List<Policy.Remembered> routes) {
         if (!known.isEmpty()) {
-            takeList(kind, knownVersion, known);
+            list(kind, knownVersion, known);
             remembered(routes);
         }
         for (Message message : journal.open()) {
@@ -160,6 +140,11 @@
         }
     }
 
+    /** Lets nothing go by the list of the start until discovery tells its own, for so many microseconds; after the start. */
+    public void awaitList(long micros) {
+        add(new Policy.AwaitList(micros));
+    }
+
     @Override
     public boolean isReady() {
         return ready;
@@ -315,12 +300,6 @@
     private void add(Event event) {
         events.add(event);
         observer.accept(event);
-        if (!awaitingList) {
-            armRound();
-        }
-    }
-
-    private void armRound() {
         if (!roundDue) {
             roundDue = true;
             // Guards, by a whole period, against answering a client whose leaving has come but is not read yet.
@@ -526,11 +505,6 @@
 
     @Override
     public void list(Policy.ListKind kind, long version, List<Target> targets) {
-        takeList(kind, version, targets);
-        goOn();
-    }
-
-    private void takeList(Policy.ListKind kind, long version, List<Target> targets) {
         targets.forEach(target -> destinations.add(target.listed().destination()));
         partners.list(kind, targets);
         keeper.list(kind, version, targets);
--- a/src/main/java/pipitstage/relay/Relay.java
+++ b/src/main/java/pipitstage/relay/Relay.java
@@ -104,14 +104,14 @@
                 if (notices != null) {
                     notices.start();
                 }
-                if (discovery != null) {
-                    engine.awaitList(TimeUnit.MILLISECONDS.toMicros(Discovery.PATIENCE_MS));
-                }
                 if (remembering != null) {
                     remembering.start(engine, discovery == null ? () -> { } : discovery::askForAll);
                 } else {
                     engine.start(config.knownKind(), config.knownVersion(), config.known());
                 }
+                if (discovery != null) {
+                    engine.awaitList(TimeUnit.MILLISECONDS.toMicros(Discovery.PATIENCE_MS));
+                }
                 if (keeping != null) {
                     keeping.start();
                 }
--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -422,6 +422,26 @@
         }
     }
 
+    @Test
+    void nothingGoesByTheListOfARestartUntilNewsComeOrTheirTimeIsOver() {
+        Relay young = new Relay(Relay.settings());
+        young.round(new Policy.RouteList(Policy.ListKind.CACHED, 0, List.of(route("c", 2, "apart", "east"))),
+                new Policy.Resumed(new Policy.Accepted(1, "safe", null, null, 20 * S, 2), List.of()),
+                new Policy.Resumed(new Policy.Accepted(2, "safe", null, null, 100 * MS, 2), List.of()),
+                new Policy.AwaitList(400 * MS));
+        young.pass(399 * MS);
+        assertEquals(0, young.sent.size());
+        assertEquals(List.of(2L), young.refused, "ends don't wait");
+        young.pass(MS);
+        assertEquals(1, young.sends(1));
+        Relay told = new Relay(Relay.settings());
+        told.round(new Policy.RouteList(Policy.ListKind.CACHED, 0, List.of(route("c", 2, "apart", "east"))),
+                new Policy.Resumed(new Policy.Accepted(1, "safe", null, null, 20 * S, 2), List.of()),
+                new Policy.AwaitList(400 * MS));
+        told.changes(new Listed("c", 2, "apart", "east", Availability.DRAINING, 0), route("e", 2, "apart", "east"));
+        assertEquals("e", told.sent.get(0).route());
+    }
+
     @Test
     void toldWaitHoldsTheWholeSharedGroup() {
         relay.accept(1, "safe", 1).pass(MS).answer(1, Result.FULL, 2 * S).accept(2, "safe", 1).pass(1999 * MS);
