--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -26,7 +26,7 @@
     // Pace.
     private static final double PACE_GROWTH = 0.1; // the source's
     private static final double PACE_CUT = 0.5; // from few senders to a fleet in few refusals
-    private static final double SCARCE_LEFT = 0.5; // of a limit: it is being used up faster than it comes back
+    private static final double SCARCE_LEFT = 0.5; // of a limit: it is used up faster than it comes back
     private static final double SCARCE_CUT = 0.9; // gentle, as nothing has been refused yet
     private static final double ROOM_GROWTH = 0.3; // a second, where all of the limit is left
     private static final double LEAST_PACE = 3; // of all relays, where no limit is known
@@ -425,8 +425,8 @@
     }
 
     /**
-     * Guards, where a report tells what is left of the limit, against growth until all are refused: where refused calls
-     * use the limit up too, nobody is served from then on.
+     * Guards, where a report tells what is left of the limit, against growth until all are refused: where
+     * refused calls use the limit up too, nobody is served from then on.
      */
     private void grow(Group group, LimitReport report) {
         if (many && report.left() < SCARCE_LEFT) {
@@ -437,7 +437,8 @@
         } else if (many && report.left() >= SCARCE_LEFT) {
             // The report speaks for all relays, and for the whole time since this one was served last.
             double room = (report.left() - SCARCE_LEFT) / (1 - SCARCE_LEFT);
-            group.pace = Math.max(part(group), group.pace * Math.pow(1 + ROOM_GROWTH * room, (now - group.grownAt) / (double) SECOND));
+            double grown = Math.pow(1 + ROOM_GROWTH * room, (now - group.grownAt) / (double) SECOND);
+            group.pace = Math.max(part(group), group.pace * grown);
         } else if (group.seeking) {
             group.pace *= Math.pow(2, Math.min(1, (now - group.grownAt) / (double) CUT_PAUSE));
         } else {
@@ -508,8 +509,8 @@
 
     private void refused(Call call, long wait, LimitReport report) {
         Group group = call.route.group;
-        // Guards against taking a limit that a whole fleet has overrun for a destination that has shut: each relay sees
-        // refusals alone then. Where its limit is not used up, or all keep to their parts, they speak of the destination.
+        // Guards against taking a limit that a whole fleet has overrun for a destination that shut: each
+        // relay sees refusals alone then. Where it is not used up, or all keep to their parts, it has shut.
         boolean usedUp = limit(group) > 0 && report.left() < SCARCE_LEFT;
         if (usedUp && group.pace > part(group)) {
             group.refusals = 0;
@@ -518,7 +519,7 @@
             group.refusedSince = now;
         }
         // Guards against a shut destination, which refuses like one above its limit but returns cold.
-        // A report is some hundred milliseconds old: one that tells of a rest proves nothing of a first refusal.
+        // A report is some hundred milliseconds old: a rest that it tells proves nothing of a first refusal.
         int enough = many && report.left() >= SCARCE_LEFT ? FAILURES_TO_OPEN - 1 : FAILURES_TO_OPEN;
         boolean shut = wait > SHUT_WAIT || group.refusals >= enough && now - group.refusedSince >= SHUT_SPAN;
         if (shut || group.circuit.state != CircuitState.CLOSED) {
@@ -528,7 +529,7 @@
             // Guards against a route that refuses its test and would be tested again at once.
             open(call.route.circuit, group, false, wait);
         }
-        // Guards against one burst that counts again and again: what was sent before a cut tells nothing of the pace since.
+        // Guards against one burst that counts again and again: what was sent before a cut proves nothing.
         if (call.sentAt >= group.cutAt && now - group.cutAt >= CUT_PAUSE) {
             cut(group);
         }
@@ -538,8 +539,8 @@
     }
 
     /**
-     * This relay's part of what a group takes from all: an equal one, or so much of what its own clients ask as even a cold
-     * destination bears. Guards against relays with several times the mean, which would wait for those that send little.
+     * This relay's part of what a group takes from all: an equal one, or what its own clients ask as far as
+     * even a cold destination bears. Guards against relays with several times the mean, which would wait.
      */
     private double part(Group group) {
         double equal = (limit(group) > 0 ? limit(group) : LEAST_PACE) / settings.fleetSize();
@@ -552,8 +553,8 @@
     }
 
     /**
-     * The limit over sender count, which refusals teach: an equal part is too little for who has a clump. Guards too
-     * against a pace that is none, since this relay sends less: a hundred such cuts leave the fleet where it was.
+     * The limit over sender count, which refusals teach: an equal part is too little for who has a clump.
+     * Guards too against a pace that is none, since this relay sends less: many such cuts change nothing.
      */
     private void cut(Group group) {
         group.cutAt = now;
@@ -672,7 +673,7 @@
         return call.sentAt + (long) Math.max(OVERDUE_FLOOR, OVERDUE_RATIO * response(call.route));
     }
 
-    /** True where a call has been out for such a part of its span, and nothing that was sent since has been answered. */
+    /** True where a call has been out for such a part of its span, and nothing sent since was answered. */
     private boolean mute(Route route, double part) {
         for (Call call : route.out) {
             // Guards against answers from a queue: what was sent before tells nothing of this call.
--- a/src/main/java/pipitstage/cli/LabCommand.java
+++ b/src/main/java/pipitstage/cli/LabCommand.java
@@ -25,6 +25,9 @@
 import pipitstage.lab.Lab;
 import pipitstage.lab.experiment.Capacity;
 import pipitstage.lab.experiment.Verdict;
+import pipitstage.lab.history.Ask;
+import pipitstage.lab.history.Costs;
+import pipitstage.lab.history.History;
 import pipitstage.lab.real.RealRun;
 import pipitstage.lab.results.ResultsFolder;
 import pipitstage.lab.results.RunPage;
@@ -32,6 +35,7 @@
 import pipitstage.lab.scenario.Scenario;
 import pipitstage.lab.scenario.ScenarioFile;
 import pipitstage.lab.scenario.ScenarioForm;
+import pipitstage.lab.service.FleetCosts;
 import pipitstage.lab.service.Judge;
 import pipitstage.lab.service.Service;
 import pipitstage.lab.service.Snapshot;
@@ -98,6 +102,7 @@
                     c.delivered(), c.refused(), c.failed(), c.service(), c.p50(), c.p99(), c.attempts()));
         }
         out.println(String.format(Locale.ROOT, "  highest load of an endpoint in a second: %.2f times what it could do", s.peakLoad()));
+        print(out, played.costs(), played.history());
         if (played.rules().isClean()) {
             out.println("  no rule was broken");
         } else {
@@ -107,6 +112,25 @@
         }
     }
 
+    private static void print(PrintWriter out, FleetCosts costs, History history) {
+        out.println("  all relays together, and for a thousand messages:");
+        for (Costs.Of what : Costs.Of.values()) {
+            long total = costs.counts().total(what);
+            if (total > 0) {
+                Costs.Most relay = costs.counts().mostOfRelays(what);
+                Costs.Most endpoint = costs.counts().mostOfEndpoints(what);
+                out.println(String.format(Locale.ROOT, "    %-12s %9d %9.1f%s%s", what.name().toLowerCase(Locale.ROOT), total,
+                        costs.perThousand(total), relay.count() == 0 ? "" : "  most by relay " + relay.who() + ": " + relay.count(),
+                        endpoint.count() == 0 ? "" : "  most at e" + endpoint.who() + ": " + endpoint.count()));
+            }
+        }
+        out.println(String.format(Locale.ROOT, "    refused without an attempt %d, cut off without an answer %d", costs.untried(), costs.cut()));
+        out.println(String.format(Locale.ROOT, "    ends told in time %d, up to 100 ms late %d, up to 300 ms %d, later %d%s", costs.inTime(),
+                costs.within100(), costs.within300(), costs.later(), costs.latest() == 0 ? "" : String.format(Locale.ROOT,
+                        "; the latest %.0f ms: message %d of relay %d", costs.latest() / 1_000.0, costs.latestAsk(),
+                        history.asks().get(costs.latestAsk()).relay())));
+    }
+
     @Command(name = "scenarios", mixinStandardHelpOptions = true, description = "Lists the scenarios that come with the program.")
     static final class Scenarios implements Callable<Integer> {
         @Spec
@@ -161,6 +185,10 @@
                 + " and logs go there.")
         private Path real;
 
+        @Option(names = "--follow", paramLabel = "MESSAGE", description = "All that became of one message, by the number that a broken"
+                + " rule or a late end names it by.")
+        private Integer follow;
+
         @Override
         public Integer call() throws IOException, SourceFile.UnreadableException {
             Scenario scenario = scenario();
@@ -173,6 +201,9 @@
                 Lab.Played played = real == null ? Lab.play(scenario, seed + i) : real(out(), scenario, seed + i, null,
                         real.resolve("seed" + (seed + i)));
                 print(out(), played);
+                if (follow != null) {
+                    follow(played, follow);
+                }
                 clean &= played.rules().isClean();
                 if (i == seeds - 1) {
                     writePage(page, played);
@@ -187,6 +218,21 @@
             }
             return clean ? CLEAN : FOUND;
         }
+
+        private void follow(Lab.Played played, int number) {
+            List<Ask> asks = played.history().asks();
+            if (number < 0 || number >= asks.size()) {
+                throw wrong("--follow takes a message from 0 to " + (asks.size() - 1) + " of seed " + played.seed());
+            }
+            Ask ask = asks.get(number);
+            out().println(String.format(Locale.ROOT, "  message %d, %s for partner %d: handed in at %d us to relay %d, %d times, due at %d us",
+                    number, played.scenario().classes().get(ask.type()).name(), ask.partner(), ask.at(), ask.relay(), ask.tries(),
+                    ask.due()));
+            ask.postings().forEach(p -> out().println(String.format(Locale.ROOT, "    %d us: relay %d sends it to e%d, there at %d us,"
+                    + " %s, %s", p.sent(), p.relay(), p.endpoint(), p.came(), p.ran() ? "it runs" : "it does not run", p.answer())));
+            out().println("    " + (ask.endedAt() < 0 ? "no end was told" : "an end was told at " + ask.endedAt() + " us") + "; last told "
+                    + ask.told() + (ask.doneAt() < 0 ? "" : "; done at " + ask.doneAt() + " us"));
+        }
     }
 
     /** Writes a run's page where one is wanted. */
--- a/src/main/java/pipitstage/lab/Lab.java
+++ b/src/main/java/pipitstage/lab/Lab.java
@@ -25,6 +25,7 @@
 import pipitstage.lab.experiment.Order;
 import pipitstage.lab.experiment.Shrink;
 import pipitstage.lab.experiment.Verdict;
+import pipitstage.lab.history.Costs;
 import pipitstage.lab.history.History;
 import pipitstage.lab.model.ModelRun;
 import pipitstage.lab.model.Program;
@@ -36,6 +37,7 @@
 import pipitstage.lab.scenario.Scenario;
 import pipitstage.lab.scenario.ScenarioFile;
 import pipitstage.lab.scenario.ScenarioText;
+import pipitstage.lab.service.FleetCosts;
 import pipitstage.lab.service.Judge;
 import pipitstage.lab.service.Service;
 import pipitstage.lab.service.Snapshot;
@@ -56,7 +58,7 @@
     private Lab() { }
 
     /** What came of one run; {@code events} is how much happened in the emulator. */
-    public record Played(Scenario scenario, long seed, Service.Report service, Judge.Found rules, History history,
+    public record Played(Scenario scenario, long seed, Service.Report service, FleetCosts costs, Judge.Found rules, History history,
             long events) {
         /** The figures that are kept and compared. */
         public Map<String, Double> figures() {
@@ -72,6 +74,11 @@
             figures.put("failed", (double) service.failed());
             figures.put("attempts", service.attempts());
             figures.put("peak-load", service.peakLoad());
+            figures.put("checks", (double) costs.counts().total(Costs.Of.CHECKS));
+            figures.put("calls-refused", (double) costs.counts().total(Costs.Of.REFUSED));
+            figures.put("calls-lost", (double) costs.counts().total(Costs.Of.UNREACHED) + costs.counts().total(Costs.Of.UNANSWERED));
+            figures.put("untried", (double) costs.untried());
+            figures.put("latest-end-ms", costs.latest() / 1_000.0);
             figures.put("breaches", (double) rules.counts().values().stream().mapToInt(i -> i).sum());
             return figures;
         }
@@ -123,7 +130,7 @@
     }
 
     private static Played judged(Scenario scenario, long seed, History history, long events) {
-        return new Played(scenario, seed, Service.of(scenario, RULES, history), Judge.of(scenario, RULES, history), history, events);
+        return new Played(scenario, seed, Service.of(scenario, RULES, history), FleetCosts.of(history), Judge.of(scenario, RULES, history), history, events);
     }
 
     /** A run by whole relays, with how late its messages left and what the relays used. */
--- a/src/main/java/pipitstage/lab/history/History.java
+++ b/src/main/java/pipitstage/lab/history/History.java
@@ -26,6 +26,7 @@
     private final List<Fall> falls = new ArrayList<>();
     private final List<Away> aways = new ArrayList<>();
     private final List<Load> loads = new ArrayList<>();
+    private final Costs costs = new Costs();
 
     public void asked(Ask ask) {
         asks.add(ask);
@@ -51,6 +52,11 @@
         loads.add(load);
     }
 
+    /** What the run cost, to be counted on. */
+    public Costs costs() {
+        return costs;
+    }
+
     public List<Ask> asks() {
         return asks;
     }
--- a/src/main/java/pipitstage/lab/model/EndpointModel.java
+++ b/src/main/java/pipitstage/lab/model/EndpointModel.java
@@ -11,6 +11,7 @@
 import org.apache.commons.rng.sampling.distribution.LogNormalSampler;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import pipitstage.lab.history.Ask;
+import pipitstage.lab.history.Costs;
 import pipitstage.lab.history.History;
 import pipitstage.lab.scenario.Draws;
 import pipitstage.lab.scenario.Faults;
@@ -142,12 +143,31 @@
 
     /** A call of a relay has come; times may not go back. */
     public Met meet(int relay, long now) {
+        return meet(relay, now, Costs.Of.CALLS);
+    }
+
+    /** A check has come, of a relay or of {@link Costs#NONE}. */
+    public Met check(int relay, long now) {
+        return meet(relay, now, Costs.Of.CHECKS);
+    }
+
+    private Met meet(int relay, long now, Costs.Of what) {
         Faults.State state = faults.state(endpoint.number(), now);
         count(now, state);
         if (state.meets() == Faults.Meets.CALLS && state.able() < 1) {
             watchFall(relay, now, state.able());
         }
         Met met = met(now, state);
+        history.costs().count(what, relay, endpoint.number());
+        Costs.Of wrong = switch (met.answer()) {
+            case FULL -> Costs.Of.REFUSED;
+            case UNREACHED -> Costs.Of.UNREACHED;
+            case NONE -> Costs.Of.UNANSWERED;
+            case DONE, FAULT -> null;
+        };
+        if (wrong != null) {
+            history.costs().count(wrong, relay, endpoint.number());
+        }
         boolean outage = fallen || state.meets() != Faults.Meets.CALLS || state.failing() > MOST;
         if (outage && !out) {
             knowing.clear();
--- a/src/main/java/pipitstage/lab/model/ModelRun.java
+++ b/src/main/java/pipitstage/lab/model/ModelRun.java
@@ -14,6 +14,7 @@
 import pipitstage.engine.Message;
 import pipitstage.engine.Target;
 import pipitstage.lab.history.Ask;
+import pipitstage.lab.history.Costs;
 import pipitstage.lab.history.History;
 import pipitstage.lab.scenario.Arrival;
 import pipitstage.lab.scenario.Draws;
@@ -134,6 +135,7 @@
         for (RelayModel relay : relays) {
             time.at(faults.told(time.micros() + random.nextLong(NEWS)), () -> {
                 if (relay.isUp()) {
+                    history.costs().count(Costs.Of.LISTS, relay.number(), Costs.NONE);
                     history.drained(new History.DrainTold(relay.number(), e.number(), time.micros()));
                     relay.hears(List.of(target(e, availability)), now);
                 }
@@ -205,7 +207,8 @@
 
     private final class Hands implements RelayModel.World {
         @Override
-        public List<Target> list() {
+        public List<Target> list(int relay) {
+            history.costs().count(Costs.Of.LISTS, relay, Costs.NONE);
             return List.copyOf(list);
         }
 
@@ -283,7 +286,7 @@
             long way = way(from, endpoint);
             long sent = time.micros();
             time.after(way, () -> {
-                EndpointModel.Met met = endpoint.meet(from.relay(), time.micros());
+                EndpointModel.Met met = endpoint.check(from.relay(), time.micros());
                 long back = met.answerAt() < 0 ? sent + SECOND : met.answerAt() + way;
                 Result result = met.answerAt() < 0 ? Result.TIMEOUT : result(met.answer());
                 time.at(back, () -> {
--- a/src/main/java/pipitstage/lab/model/RelayModel.java
+++ b/src/main/java/pipitstage/lab/model/RelayModel.java
@@ -30,8 +30,8 @@
         /** An end is told. */
         void told(Message message);
 
-        /** What discovery says now. */
-        List<Target> list();
+        /** What discovery tells a relay that starts. */
+        List<Target> list(int relay);
     }
 
     private final int number;
@@ -65,7 +65,7 @@
     /** Starts with what was recorded. */
     void start() {
         life = new Life();
-        life.engine.start(ListKind.FULL, 1, world.list());
+        life.engine.start(ListKind.FULL, 1, world.list(number));
     }
 
     /** Ends at once. What is on the wire goes on. */
--- a/src/main/java/pipitstage/lab/real/EndpointServer.java
+++ b/src/main/java/pipitstage/lab/real/EndpointServer.java
@@ -28,6 +28,7 @@
 import java.util.stream.Collectors;
 import pipitstage.http.Headers;
 import pipitstage.lab.history.Ask;
+import pipitstage.lab.history.Costs;
 import pipitstage.lab.model.EndpointModel;
 import pipitstage.lab.scenario.Scenario;
 
@@ -39,8 +40,6 @@
     private static final JsonFactory JSON = new JsonFactory();
     /** Whose call on a connection has no answer to come. */
     private static final AttributeKey<Integer> SILENT_FOR = AttributeKey.valueOf("lab.silent-for");
-    /** A check does not say whose it is. */
-    private static final int UNKNOWN = -1;
 
     private final World world;
     private final EndpointModel model;
@@ -81,6 +80,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             open.add(ctx.channel());
+            world.history().costs().count(Costs.Of.CONNECTIONS, Costs.NONE, model.endpoint().number());
         }
 
         @Override
@@ -96,7 +96,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) throws IOException {
             String path = request.uri();
             if (path.startsWith("/-/")) {
-                answer(ctx, model.meet(UNKNOWN, world.now()), UNKNOWN, 0, List.of(), false);
+                answer(ctx, model.check(Costs.NONE, world.now()), Costs.NONE, 0, List.of(), false);
             } else if (path.equals("/receive")) {
                 call(ctx, List.of(request.headers().get(Headers.CALL_ID, "")), false);
             } else {
--- a/src/test/java/pipitstage/cli/CommandsTest.java
+++ b/src/test/java/pipitstage/cli/CommandsTest.java
@@ -76,6 +76,12 @@
         assertTrue(out.toString().contains("no rule was broken"), out.toString());
         assertEquals(2, Files.readAllLines(folder.resolve("r.json")).size());
         assertEquals(3, Files.readAllLines(folder.resolve("r.csv")).size());
+        assertEquals(0, run("lab", "run", "half-the-fleet-dies", "--follow", 3));
+        assertTrue(out.toString().contains("most by relay 0") && out.toString().contains("refused without an attempt"), out.toString());
+        assertTrue(out.toString().contains("message 3, status-update for partner"), out.toString());
+        assertTrue(out.toString().contains("relay 3 sends it to e"), out.toString());
+        assertEquals(2, run("lab", "run", "one-slow-building", "--follow", 1_000_000));
+        assertTrue(err.toString().contains("--follow takes a message from 0 to "), err.toString());
         String page = Files.readString(folder.resolve("r.html"));
         assertTrue(page.contains("<svg") && page.endsWith("</html>\n") && !page.contains("http"), "a page by itself");
         Path small = Files.writeString(folder.resolve("small.toml"), Lab.named("quiet-day").replace("slots = 24",
