--- a/src/test/java/pipitstage/lab/RealRunTest.java
+++ b/src/test/java/pipitstage/lab/RealRunTest.java
@@ -80,6 +80,7 @@
         Scenario scenario = Lab.read("real", Lab.named("quiet-day").replace("span = \"60s\"", "span = \"5s\"\nload = 0.2").replace("relays = 3",
                 "relays = 1").replace("deadline = \"28s\"", "deadline = \"4s\"").replace("deadline = \"20s\"", "deadline = \"4s\"")
                 .replaceAll("(?m)^weight = 3", "weight = 100").replaceAll("(?m)^partners = 5", "partners = 1")
+                .replaceAll("endpoints = 2\nbuildings = .*", "endpoints = 2\nbuildings = [\"main\", \"annex\"]")
                 + "[[failure]]\nkind = \"silent\"\nat = \"2s\"\nlasts = \"2s\"\ngroup = \"elevators\"\n").scenario();
         Lab.Real real = Lab.real(scenario, 1, null, RealRun.Fleet.OWN, folder, s -> { });
         assertEquals(Map.of(), real.played().rules().counts(), real.played().rules().first().toString());
