--- a/src/test/java/pipitstage/LogicTest.java
+++ b/src/test/java/pipitstage/LogicTest.java
@@ -379,12 +379,7 @@
     /** Without a limit to go by the first cut is a guess: what is served then soon shows better. */
     @Test
     void paceAfterTheFirstCutDoublesUntilTheNext() {
-        Relay wide = new Relay(Relay.settings(100, 2_000)).list(route("c", 2, "apart", "east"));
-        wide.accept(0, "safe", 2).pass(10 * MS).answer(0, Result.FULL);
-        for (int id = 1; id < 1_000; id++) {
-            wide.accept(id, "safe", 2);
-        }
-        serveFor(wide, 5 * S);
+        Relay wide = fiveSecondsAfterTheFirstCut();
         assertTrue(wide.sent.size() > 300, "sent in five seconds: " + wide.sent.size());
         wide.pass(20 * MS).answer(wide.unanswered.get(0).id(), Result.FULL).pass(S);
         int before = wide.sent.size();
@@ -398,12 +393,7 @@
 
     @Test
     void quickPaceLetsAsManyGoInARoundAsItsTimeHolds() {
-        Relay wide = new Relay(Relay.settings(100, 2_000)).list(route("c", 2, "apart", "east"));
-        wide.accept(0, "safe", 2).pass(10 * MS).answer(0, Result.FULL);
-        for (int id = 1; id < 1_000; id++) {
-            wide.accept(id, "safe", 2);
-        }
-        serveFor(wide, 5 * S);
+        Relay wide = fiveSecondsAfterTheFirstCut();
         long most = 0;
         for (int i = 0; i < 100; i++) {
             int before = wide.sent.size();
@@ -414,6 +404,17 @@
         assertTrue(most > 1, "in a round: " + most);
     }
 
+    /** Refused once with no limit known, then served for five seconds while a thousand messages wait. */
+    private static Relay fiveSecondsAfterTheFirstCut() {
+        Relay wide = new Relay(Relay.settings(100, 2_000)).list(route("c", 2, "apart", "east"));
+        wide.accept(0, "safe", 2).pass(10 * MS).answer(0, Result.FULL);
+        for (int id = 1; id < 1_000; id++) {
+            wide.accept(id, "safe", 2);
+        }
+        serveFor(wide, 5 * S);
+        return wide;
+    }
+
     /** Lets time pass, and serves what was sent ten milliseconds later. */
     private static void serveFor(Relay relay, long span) {
         for (long end = relay.now + span; relay.now < end;) {
