Parts of a limit of calls go by what a relay's full calls need, not equally

Each holds the equal part, 2.7 calls a second; a relay that is asked 4 messages a second spends them on calls of one or two, one that is asked 20 gets 14 through.

At fault: Logic.part(), whose equal part is the floor of every pace. Where a call carries several messages and this relay's demand tells (12 messages, 2.5 s), its part is the calls it needs when they are full; before that the equal one.

--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -549,9 +549,14 @@
         }
         Destination destination = group.routes.get(0).destination;
         long groups = destination.routes.values().stream().map(route -> route.group).distinct().count();
+        double asked = usual(destination.came) / groups;
+        int batch = batch(group.routes.get(0));
+        if (batch > 1 && tells(destination.came)) {
+            // Guards against calls of one message by who is asked for little: others' full calls wait for them.
+            return Math.max(equal, asked) / batch;
+        }
         // Guards against a limit of calls that a whole fleet overruns for good by counting messages.
-        double asked = usual(destination.came) / groups / batch(group.routes.get(0));
-        return Math.max(equal, Math.min(1, bearable(now)) * asked);
+        return Math.max(equal, Math.min(1, bearable(now)) * asked / batch);
     }
 
     /**
@@ -634,9 +639,11 @@
 
     /** As above; a count that began less than the span ago is no smaller for that, if it tells. */
     private double usual(Rate rate) {
-        long counted = now - rate.since;
-        boolean tells = rate.count >= LEAST_TO_TELL && counted >= LEAST_COUNTED;
-        return rate(rate) / (tells ? 1 - Math.exp(-counted / (double) RATE_SPAN) : 1);
+        return rate(rate) / (tells(rate) ? 1 - Math.exp((rate.since - now) / (double) RATE_SPAN) : 1);
+    }
+
+    private boolean tells(Rate rate) {
+        return rate.count >= LEAST_TO_TELL && now - rate.since >= LEAST_COUNTED;
     }
 
     private void count(Rate rate) {
