--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -552,7 +552,7 @@
         double asked = usual(destination.came) / groups;
         int batch = batch(group.routes.get(0));
         if (batch > 1 && tells(destination.came)) {
-            // Guards against calls of one message by who is asked for little: others' full calls wait for them.
+            // Guards against calls of one message, by who is asked for little, that full calls wait for.
             return Math.max(equal, asked) / batch;
         }
         // Guards against a limit of calls that a whole fleet overruns for good by counting messages.
