--- a/src/main/java/pipitstage/Logic.java
+++ b/src/main/java/pipitstage/Logic.java
@@ -541,6 +541,7 @@
     /**
      * This relay's part of what a group takes from all: an equal one, or what its own clients ask as far as
      * even a cold destination bears. Guards against relays with several times the mean, which would wait.
+     * Where a call carries several messages, a part is calls: what this relay needs when they are full.
      */
     private double part(Group group) {
         double equal = (limit(group) > 0 ? limit(group) : LEAST_PACE) / settings.fleetSize();
