A drain closes connections with their next answer, not under their clients' requests

Cause: HttpListener.drain read all idle connections in one pass, admitting and recording what it found, and closed all of them in a second one; and it closed connections that their clients use every few milliseconds. The timeouts of idle connections closed without a last read.

Why it works: an answer that announces the close can't be crossed by a request of the same client.

--- a/src/main/java/loftflow/listener/Listener.java
+++ b/src/main/java/loftflow/listener/Listener.java
@@ -5,6 +5,9 @@
     /** Starts a graceful shutdown: new work goes to other relays where clients can, begun requests are answered. */
     void drain();
 
+    /** Closes connections on which clients have no request; during a drain, where their protocol has no other way. */
+    default void closeIdle() {}
+
     /** Reads pending bytes from sockets, and accepts pending connections. */
     default void readPending() {}
 
--- a/src/main/java/loftflow/listener/http/HttpClientConnection.java
+++ b/src/main/java/loftflow/listener/http/HttpClientConnection.java
@@ -107,6 +107,14 @@
         }
     }
 
+    /** Reads pending bytes, and closes the connection unless they begin a request or a response is still unsent. */
+    void closeIfIdle() {
+        readPending();
+        if (isIdle && !isClosing && isFlushed()) {
+            close();
+        }
+    }
+
     /** Returns true where the kernel has taken every response. */
     boolean isFlushed() {
         ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
@@ -160,15 +168,31 @@
         timer.start(MessageRequest.READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, this::onReadTimeout);
     }
 
-    /** Closes the connection of a client that sends nothing, and rejects a request that does not end. */
+    /**
+     * Closes the connection of a client that sends nothing, and rejects a request that does not end. Bytes that have
+     * arrived since the event loop last read the socket count as received in time.
+     */
     private void onReadTimeout() {
+        readPending();
+        boolean hasProgressed = timer.isRunning() || isAwaitingResponse || isClosing;
+        if (hasProgressed) {
+            return;
+        }
         if (isIdle) {
             close();
-        } else if (!isAwaitingResponse) {
+        } else {
             reject(ClientResponse.REQUEST_TIMEOUT);
         }
     }
 
+    /** Closes the connection of a client that has sent nothing since its last response. */
+    private void onIdleTimeout() {
+        readPending();
+        if (isIdle && !timer.isRunning()) {
+            close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         timer.end();
@@ -313,7 +337,7 @@
             onResponded();
         } else if (!isFlushed()) {
             // The client may never read its last response.
-            startIdleTimeout();
+            timer.start(IDLE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, this::close);
         }
     }
 
@@ -338,7 +362,7 @@
     }
 
     private void startIdleTimeout() {
-        timer.start(IDLE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, this::close);
+        timer.start(IDLE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, this::onIdleTimeout);
     }
 
     /**
--- a/src/main/java/loftflow/listener/http/HttpListener.java
+++ b/src/main/java/loftflow/listener/http/HttpListener.java
@@ -43,14 +43,21 @@
         return bufferPool;
     }
 
-    /** Closes connections as they become idle; requests that were begun are answered and responses flushed first. */
+    /**
+     * Closes each connection with its next response, which says so. One that is closed from here while its client uses
+     * it may cut off a request that has just been written.
+     */
     @Override
     public void drain() {
         isDraining = true;
         readPending();
-        connections.inactive().stream()
-                .filter(connection -> connection.isFlushed() && !connection.isClosing())
-                .forEach(HttpClientConnection::close);
+    }
+
+    /** Each connection is closed right after its pending bytes were read: no other work lies between. */
+    @Override
+    public void closeIdle() {
+        acceptor.acceptPending();
+        connections.inactive().forEach(HttpClientConnection::closeIfIdle);
     }
 
     /** Also reads from inactive connections: one that closes with a pending request would leave it unanswered. */
--- a/src/test/java/loftflow/listener/FakeMessageAcceptor.java
+++ b/src/test/java/loftflow/listener/FakeMessageAcceptor.java
@@ -24,6 +24,8 @@
 
     public volatile double utilization;
     public volatile boolean acceptsAll = true;
+    /** Runs while a message is being accepted. */
+    public volatile Runnable onAccept = () -> {};
 
     @Override
     public boolean isReady() {
@@ -42,6 +44,7 @@
 
     @Override
     public Message accept(Message.Content content, long unreadSinceMicros, Message.ClientReply client) {
+        onAccept.run();
         Message message = new Message(nextNumber.incrementAndGet(), content);
         submissions.add(new Submission(message, client));
         if (acceptsAll) {
--- a/src/test/java/loftflow/server/ShutdownTest.java
+++ b/src/test/java/loftflow/server/ShutdownTest.java
@@ -240,6 +240,23 @@
         client[0].close();
     }
 
+    /**
+     * Guards against a drain that closes connections which their clients use: a request that is written right behind it
+     * is answered, and the answer announces the close.
+     */
+    @Test
+    void requestRightAfterTheDrainIsAnswered() throws Exception {
+        try (Socket used = connectAndUse();
+                Socket unused = connect()) {
+            loop.submit(server::drain).sync();
+            for (Socket client : List.of(used, unused)) {
+                RelayProcess.Answer answer = RelayProcess.exchange(client, message(client == used ? "m1" : "m2"));
+                assertEquals(202, answer.status());
+                assertTrue(answer.head().toLowerCase().contains("connection: close"), answer.head());
+            }
+        }
+    }
+
     /**
      * At the connection limit the relay closes the connection that has been idle longest, unless a request is unread on
      * it when the new connection is accepted: then it closes the next one.
