ConnectionTimerTest: time and loop of the test, in place of a loop that must be punctual

Callers saw nothing: the timer is right, its test was not. It ran on a real event loop and demanded two wake-ups. A loop that gets no CPU for 60 ms runs the first wake-up when the last task is due already; then one is enough, and the timer schedules no other.

The old test gave only lower bounds of time. A constructor of the package takes the clock.

--- a/src/main/java/loftflow/http/ConnectionTimer.java
+++ b/src/main/java/loftflow/http/ConnectionTimer.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * The one timer of a connection. It is started and stopped several times for each message and hardly ever fires, so
@@ -16,9 +17,11 @@
     }
 
     private final Scheduler scheduler;
+    /** The clock of {@link #dueAtNanos}, in nanoseconds. */
+    private final LongSupplier nanoClock;
     /** Null while the timer is stopped. */
     private Runnable task;
-    /** When the task is due, on {@link System#nanoTime}. */
+    /** When the task is due. */
     private long dueAtNanos;
     /** Null where no wake-up is scheduled. */
     private Future<?> wakeUp;
@@ -27,14 +30,20 @@
 
     /** A timer that is stopped. */
     public ConnectionTimer(Scheduler scheduler) {
+        this(scheduler, System::nanoTime);
+    }
+
+    /** A timer that is stopped, on a given clock. */
+    ConnectionTimer(Scheduler scheduler, LongSupplier nanoClock) {
         this.scheduler = scheduler;
+        this.nanoClock = nanoClock;
     }
 
     /** Runs a task once after a delay; replaces the task of an earlier start. */
     public void start(long delay, TimeUnit unit, Runnable dueTask) {
         long delayNanos = unit.toNanos(delay);
         task = dueTask;
-        dueAtNanos = System.nanoTime() + delayNanos;
+        dueAtNanos = nanoClock.getAsLong() + delayNanos;
         if (wakeUp == null || wakeUpAtNanos - dueAtNanos > 0) {
             scheduleWakeUp(delayNanos);
         }
@@ -44,7 +53,7 @@
         if (wakeUp != null) {
             wakeUp.cancel(false);
         }
-        wakeUpAtNanos = System.nanoTime() + delayNanos;
+        wakeUpAtNanos = nanoClock.getAsLong() + delayNanos;
         wakeUp = scheduler.after(delayNanos, this::onWakeUp);
     }
 
@@ -54,7 +63,7 @@
         if (dueTask == null) {
             return;
         }
-        long remainingNanos = dueAtNanos - System.nanoTime();
+        long remainingNanos = dueAtNanos - nanoClock.getAsLong();
         if (remainingNanos > 0) {
             scheduleWakeUp(remainingNanos);
         } else {
