RestartTest: the key's window outlasts a restart on a busy machine, and its end is tested

Callers saw nothing: the relay keeps the rule, its test did not allow for it. The destination of the test forgets a key after 5 s.

In its place the window is as long as the message's time, with the same assertions, and keyedMessageIsNotSentAgainAfterItsWindow demands the other half of the rule, which no test of whole processes did: one call, and the end is reported.

--- a/src/test/java/loftflow/server/RestartTest.java
+++ b/src/test/java/loftflow/server/RestartTest.java
@@ -73,13 +73,30 @@
         }
     }
 
+    /** The window is as long as the message's time, since a restart takes seconds on a busy machine. */
     @Test
     void keyedMessageIsSentAgainWithinItsWindow() throws IOException {
+        relay.withKeyWindow("20");
         killDuringAttempt("k1", "keyed");
         await(() -> host.requests.size() == 2);
         assertEquals("key-k1", host.requests.get(1).headers().get("idempotency-key"));
     }
 
+    /** Guards against a repeat whose key its destination has forgotten, as where a restart outlasts the window. */
+    @Test
+    void keyedMessageIsNotSentAgainAfterItsWindow() throws IOException {
+        relay.withKeyWindow("1").start();
+        assertEquals(202, relay.submit("k1", "keyed", 7, 6_000, "hello"));
+        await(() -> host.requests.size() == 1);
+        relay.kill();
+        host.answer(request -> status(200));
+        long windowEnd = host.requests.get(0).at() + TimeUnit.SECONDS.toNanos(1);
+        await(() -> System.nanoTime() > windowEnd);
+        relay.start();
+        await(() -> relay.hasNotified("k1", "dead"));
+        assertEquals(1, host.count("POST /receive"));
+    }
+
     /**
      * An ordered class, whose clients name the ordering key in the path. One message of a key is sent at a time, also
      * after a restart; other keys are not delayed.
