Log: the addresses a relay serves on are written whatever else a second holds

What callers saw: nothing on the wire; a script that waits for "serving on" waited in vain after a restart with many messages to resume.

Cause: 20 lines a second, and the lines of resumed messages that end at once come first.

The line has no bound now: listeners alone write it, a few times a start, and no peer can cause it. LogTest fails without it, as the method is new.

--- a/src/main/java/loftflow/log/Log.java
+++ b/src/main/java/loftflow/log/Log.java
@@ -22,11 +22,20 @@
      */
     public static void line(String text) {
         if (isAllowed(System.nanoTime() / NANOS_PER_SECOND)) {
-            String truncated = text.length() > MAX_LINE_LENGTH ? text.substring(0, MAX_LINE_LENGTH) : text;
-            System.err.println(PROGRAM_PREFIX + truncated.replaceAll("\\p{Cntrl}", "?"));
+            write(text);
         }
     }
 
+    /** Writes a line however many this second has: for the few that operators wait for, and that no peer can cause. */
+    public static void essentialLine(String text) {
+        write(text);
+    }
+
+    private static void write(String text) {
+        String truncated = text.length() > MAX_LINE_LENGTH ? text.substring(0, MAX_LINE_LENGTH) : text;
+        System.err.println(PROGRAM_PREFIX + truncated.replaceAll("\\p{Cntrl}", "?"));
+    }
+
     private static synchronized boolean isAllowed(long second) {
         if (second != currentSecond) {
             if (linesInCurrentSecond > MAX_LINES_PER_SECOND) {
--- a/src/main/java/loftflow/server/ListenerAddress.java
+++ b/src/main/java/loftflow/server/ListenerAddress.java
@@ -14,6 +14,6 @@
      * @throws InterruptedException where the thread is interrupted; a failure to bind is thrown as it is
      */
     static void awaitAndLog(ChannelFuture binding, String event) throws InterruptedException {
-        Log.line("server: " + event + " " + binding.sync().channel().localAddress());
+        Log.essentialLine("server: " + event + " " + binding.sync().channel().localAddress());
     }
 }
--- a/src/test/java/loftflow/log/LogTest.java
+++ b/src/test/java/loftflow/log/LogTest.java
@@ -16,9 +16,11 @@
             for (int i = 0; i < 10_000; i++) {
                 Log.line("line " + i);
             }
+            Log.essentialLine("serving");
         } finally {
             System.setErr(before);
         }
         assertTrue(bytes.toString().lines().count() < 1_000, bytes.toString());
+        assertTrue(bytes.toString().contains("serving"), "an essential line is never dropped");
     }
 }
