Log: an overdue message says how late its deadline, its timer and the loop were

The line that names such a message can't tell a loop that had no CPU from a policy that left the message open: it now has pastDeadlineMillis, timerLateMillis and attempts.

--- a/src/main/java/loftflow/engine/MessageLifecycle.java
+++ b/src/main/java/loftflow/engine/MessageLifecycle.java
@@ -33,13 +33,18 @@
 
     /** Fails a message after its deadline should the policy leave it open, as it may after an error in a round. */
     void startOverdueTimer(Message message) {
-        long delayMicros = message.content().deadlineMicros() + OVERDUE_GRACE_MICROS - context.nowMicros();
+        long nowMicros = context.nowMicros();
+        long dueMicros = Math.max(nowMicros, message.content().deadlineMicros()) + OVERDUE_GRACE_MICROS;
         message.startOverdueTimer(
-                context.timers().schedule(Math.max(OVERDUE_GRACE_MICROS, delayMicros), () -> failOverdue(message)));
+                context.timers().schedule(dueMicros - nowMicros, () -> failOverdue(message, dueMicros)));
     }
 
-    private void failOverdue(Message message) {
-        context.log("engine: message overdue message=" + message.content().messageId());
+    /** The log line tells a loop that was late from a policy that left the message open. */
+    private void failOverdue(Message message, long dueMicros) {
+        long nowMicros = context.nowMicros();
+        context.log("engine: message overdue message=" + message.content().messageId() + " pastDeadlineMillis="
+                + (nowMicros - message.content().deadlineMicros()) / 1000 + " timerLateMillis="
+                + (nowMicros - dueMicros) / 1000 + " attempts=" + message.attemptCount());
         end(message.number(), FAILED);
     }
 
