Soak: one relay process restarted over and over, seeded, checked by the protocol's rules

One seed is one run: settings, traffic, faults and signals follow from it. Clients use their HTTP/1.1, HTTP/2 and AMQP connections until the process ends; signals come in series; crowds of idle, half-sent and unread connections; upstreams reject, tell waits, reset, fall silent, answer late or for a part of a batch; discovery is slow or down; an endpoint is removed and its address used by another service.

Soak is the command for many seeds.

--- a/src/main/java/loftflow/server/RelayServer.java
+++ b/src/main/java/loftflow/server/RelayServer.java
@@ -73,7 +73,7 @@
         UpstreamClient httpUpstreams = createHttpUpstreamClient();
         CompletionNotifier notifier = httpCompletionNotifier != null ? httpCompletionNotifier : createCompletionLog();
         endpointWatcher = config.discoveryAddress() == null ? null : createEndpointWatcher();
-        eventLoopLag = new EventLoopLag(timers, clock);
+        eventLoopLag = new EventLoopLag(timers, clock, RelayServer::logStall);
         amqp = config.amqp() == null
                 ? null
                 : new AmqpModule(eventLoop, clock, eventLoopLag, engine, config, journal, notifier);
@@ -90,6 +90,10 @@
         collectListeners();
     }
 
+    private static void logStall(long stalledMicros) {
+        Log.line("server: event loop stalled millis=" + TimeUnit.MICROSECONDS.toMillis(stalledMicros));
+    }
+
     private HttpCompletionNotifier createHttpCompletionNotifier() {
         return new HttpCompletionNotifier(
                 eventLoop, config.completionAddress(), engine::onCompletionAcknowledged, onDiscoveryUnresponsive);
--- /dev/null
+++ b/src/test/java/loftflow/soak/Soak.java
@@ -0,0 +1,62 @@
+package loftflow.soak;
+
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import loftflow.fake.ServedRelay;
+import loftflow.fake.TemporaryFolder;
+
+/** Plays many seeds, as a command: {@code Soak SEEDS FIRST RESTARTS SIDE_BY_SIDE}. Prints a line for each finding. */
+public final class Soak {
+    private static final int ARGUMENTS = 4;
+
+    private Soak() {}
+
+    public static void main(String[] args) throws Exception {
+        if (args.length != ARGUMENTS) {
+            throw new IllegalArgumentException("Soak SEEDS FIRST RESTARTS SIDE_BY_SIDE");
+        }
+        int seeds = Integer.parseInt(args[0]);
+        long first = Long.parseLong(args[1]);
+        int restarts = Integer.parseInt(args[2]);
+        AtomicInteger messages = new AtomicInteger();
+        AtomicInteger accepted = new AtomicInteger();
+        AtomicInteger unanswered = new AtomicInteger();
+        AtomicInteger receipts = new AtomicInteger();
+        AtomicInteger failedSeeds = new AtomicInteger();
+        ExecutorService pool = Executors.newFixedThreadPool(Integer.parseInt(args[3]));
+        long start = System.nanoTime();
+        for (long seed = first; seed < first + seeds; seed++) {
+            SoakPlan plan = SoakPlan.of(seed, restarts);
+            pool.execute(() -> {
+                try (TemporaryFolder scratch = TemporaryFolder.named("soak")) {
+                    SoakHistory history = SoakRun.play(plan, scratch.folder(), ServedRelay.Program.OWN);
+                    List<String> findings = SoakChecks.check(history);
+                    findings.forEach(finding -> System.out.println("seed " + plan.seed() + ": " + finding));
+                    messages.addAndGet(history.submissions.size());
+                    accepted.addAndGet((int) history.submissions.stream()
+                            .filter(s -> s.answer() == SoakHistory.Answer.ACCEPTED)
+                            .count());
+                    unanswered.addAndGet((int) history.submissions.stream()
+                            .filter(s -> s.answer() == SoakHistory.Answer.CUT_OFF)
+                            .count());
+                    receipts.addAndGet(history.receipts.size());
+                    failedSeeds.addAndGet(findings.isEmpty() ? 0 : 1);
+                } catch (Exception | AssertionError e) {
+                    failedSeeds.incrementAndGet();
+                    System.out.println("seed " + plan.seed() + " was not played to its end: " + e);
+                }
+            });
+        }
+        pool.shutdown();
+        if (!pool.awaitTermination(2, TimeUnit.HOURS)) {
+            throw new IllegalStateException("it takes more than two hours");
+        }
+        System.out.println(seeds + " seeds from " + first + ", " + seeds * restarts + " restarts, " + messages
+                + " messages, " + accepted + " accepted, " + unanswered + " unanswered, " + receipts
+                + " receipts, seeds with findings "
+                + failedSeeds + ", " + TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - start) + " s");
+    }
+}
--- /dev/null
+++ b/src/test/java/loftflow/soak/SoakChecksTest.java
@@ -0,0 +1,112 @@
+package loftflow.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Each check finds its fault in a history, and nothing in a sound one. */
+class SoakChecksTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private record Fault(String rule, Consumer<SoakHistory> set) {
+        @Override
+        public String toString() {
+            return rule;
+        }
+    }
+
+    private static SoakHistory.Submission submission(String id, MessageClass type, SoakHistory.Answer answer) {
+        long sequence = Long.parseLong(id.substring(1));
+        long sentAt = sequence * SECOND;
+        return new SoakHistory.Submission(
+                id,
+                type,
+                "http",
+                type == MessageClass.ORDERED ? "key" : null,
+                sequence,
+                sentAt,
+                sentAt + TimeUnit.MILLISECONDS.toNanos(type.deadlineMillis()),
+                sentAt + 1,
+                answer);
+    }
+
+    private static SoakHistory.Receipt receipt(String id, String endpoint, double atSeconds, boolean delivered) {
+        long at = (long) (atSeconds * SECOND);
+        return new SoakHistory.Receipt(id, endpoint, at, true, delivered ? at + 1 : SoakHistory.NEVER);
+    }
+
+    /** Messages of each class, delivered, refused and failed, with a restart that held an end up. */
+    private static SoakHistory soundHistory() {
+        SoakHistory history = new SoakHistory();
+        history.submissions.add(submission("m1", MessageClass.IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
+        history.receipts.add(receipt("m1", "a", 1.1, false));
+        history.receipts.add(receipt("m1", "a", 1.2, true));
+        history.submissions.add(submission("m2", MessageClass.NON_IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
+        history.ends.add(new SoakHistory.End("m2", "dead", 9 * SECOND));
+        history.restarts.add(new SoakHistory.Restart(5 * SECOND, 6 * SECOND, 8 * SECOND, 143, false));
+        history.submissions.add(submission("m3", MessageClass.NON_IDEMPOTENT, SoakHistory.Answer.REFUSED));
+        for (int i = 20; i < 22; i++) {
+            history.submissions.add(submission("m" + i, MessageClass.ORDERED, SoakHistory.Answer.ACCEPTED));
+            history.receipts.add(receipt("m" + i, "a", i + 0.1, true));
+        }
+        history.withdrawals.add(new SoakHistory.Withdrawal("b", 40 * SECOND));
+        history.receipts.add(receipt("other", "b", 40.4, true));
+        history.waits.add(new SoakHistory.ToldWait("a", 50 * SECOND, 51 * SECOND));
+        history.receipts.add(receipt("other", "a", 51.1, true));
+        return history;
+    }
+
+    @Test
+    void soundHistoryHasNoFindings() {
+        assertEquals(List.of(), SoakChecks.check(soundHistory()));
+    }
+
+    private static Stream<Fault> faults() {
+        return Stream.of(
+                new Fault(
+                        "unanswered",
+                        history -> history.submissions.add(
+                                submission("m30", MessageClass.IDEMPOTENT, SoakHistory.Answer.CUT_OFF))),
+                new Fault(
+                        "lost",
+                        history -> history.submissions.add(
+                                submission("m30", MessageClass.NON_IDEMPOTENT, SoakHistory.Answer.ACCEPTED))),
+                new Fault("late", history -> {
+                    history.submissions.add(
+                            submission("m30", MessageClass.NON_IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
+                    history.ends.add(new SoakHistory.End("m30", "dead", (long) (34.4 * SECOND)));
+                }),
+                new Fault("two ends", history -> history.ends.add(new SoakHistory.End("m2", "bounced", 9 * SECOND))),
+                new Fault("ran though rejected", history -> history.receipts.add(receipt("m3", "a", 3.1, false))),
+                new Fault("ran twice", history -> history.receipts.add(receipt("m20", "a", 20.2, false))),
+                new Fault("ran twice", history -> {
+                    history.submissions.add(submission("m30", MessageClass.KEYED, SoakHistory.Answer.ACCEPTED));
+                    history.receipts.add(receipt("m30", "a", 30.1, false));
+                    history.receipts.add(receipt("m30", "a", 35.2, true));
+                }),
+                new Fault("out of order", history -> history.receipts.add(receipt("m20", "a", 22.5, false))),
+                new Fault(
+                        "sent to a withdrawn endpoint",
+                        history -> history.receipts.add(receipt("other", "b", 40.6, true))),
+                new Fault("wait broken", history -> history.receipts.add(receipt("other", "a", 50.5, true))),
+                new Fault("process", history -> history.incidents.add("exit code 1")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("faults")
+    void faultIsFound(Fault fault) {
+        SoakHistory history = soundHistory();
+        fault.set().accept(history);
+        List<String> findings = SoakChecks.check(history);
+        assertTrue(
+                findings.stream().anyMatch(finding -> finding.startsWith(fault.rule() + ":")),
+                fault.rule() + " in " + findings);
+    }
+}
--- /dev/null
+++ b/src/test/java/loftflow/soak/SoakPlan.java
@@ -0,0 +1,100 @@
+package loftflow.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * What one run plays; it follows from the seed alone.
+ *
+ * @param isDiscoveryUsed whether an agent lists the endpoints, in place of the relay's file, which lists a broker too
+ * @param crowd what connections beside the clients' do; {@link Crowd#NONE} for none
+ * @param restarts in order
+ */
+record SoakPlan(long seed, boolean isDiscoveryUsed, Crowd crowd, List<RestartPlan> restarts) {
+    /** Connections that are opened before and during a drain, beside those of clients. */
+    enum Crowd {
+        NONE,
+        /** Idle ones that fill the descriptors. */
+        IDLE,
+        /** Ones with a part of a request. */
+        PARTIAL,
+        /** Ones that send requests and read no answer. */
+        UNREAD
+    }
+
+    /** The signals of a restart. */
+    enum Signals {
+        /** SIGKILL alone. */
+        KILL,
+        TERM,
+        /** Two SIGTERM within a millisecond. */
+        TERM_TWICE_AT_ONCE,
+        /** A second SIGTERM within 50 ms. */
+        TERM_TWICE_SOON,
+        /** A second SIGTERM within a second. */
+        TERM_TWICE_LATE,
+        /** SIGHUP before, between and after two SIGTERM. */
+        HANG_UP_AROUND_TERM,
+        /** SIGHUP with a file that is half written, then with the whole one, then SIGTERM. */
+        BAD_FILE_THEN_TERM,
+        /** SIGTERM, then SIGTERM to the next process during its start, before it serves. */
+        TERM_DURING_NEXT_START
+    }
+
+    /** What discovery does over a restart. */
+    enum Discovery {
+        UP,
+        /** Refuses connections from before the signal until the next process has started. */
+        DOWN,
+        /** Answers late. */
+        SLOW
+    }
+
+    /**
+     * A restart.
+     *
+     * @param serveMillis how long the relay serves before
+     * @param secondSignalMillis between the signals of a series, and from the start to a signal during it
+     * @param newConnectionsMillis how long clients open new connections after the signal
+     */
+    record RestartPlan(
+            Signals signals,
+            long serveMillis,
+            long secondSignalMillis,
+            long newConnectionsMillis,
+            Discovery discovery,
+            boolean withdrawsEndpoint) {}
+
+    private static final int KILL_EVERY = 4;
+    private static final int MILLIS_PER_SECOND = 1_000;
+
+    static SoakPlan of(long seed, int restartCount) {
+        Random random = new Random(seed * 0x9E3779B97F4A7C15L);
+        boolean isDiscoveryUsed = seed % 2 == 0;
+        Crowd crowd = Crowd.values()[(int) (seed / 2 % Crowd.values().length)];
+        Signals[] planned = Signals.values();
+        List<RestartPlan> restarts = new ArrayList<>();
+        for (int i = 0; i < restartCount; i++) {
+            boolean isKill = (seed * restartCount + i) % KILL_EVERY == KILL_EVERY - 1;
+            Signals signals = isKill ? Signals.KILL : planned[1 + random.nextInt(planned.length - 1)];
+            restarts.add(new RestartPlan(
+                    signals,
+                    1_500 + random.nextInt(1_500),
+                    secondSignalMillis(signals, random),
+                    200 + random.nextInt(200),
+                    Discovery.values()[random.nextInt(Discovery.values().length)],
+                    random.nextBoolean()));
+        }
+        return new SoakPlan(seed, isDiscoveryUsed, crowd, restarts);
+    }
+
+    private static long secondSignalMillis(Signals signals, Random random) {
+        return switch (signals) {
+            case TERM_TWICE_SOON -> 1 + random.nextInt(50);
+            case TERM_TWICE_LATE, HANG_UP_AROUND_TERM -> random.nextInt(MILLIS_PER_SECOND);
+            case TERM_DURING_NEXT_START -> random.nextInt(MILLIS_PER_SECOND / 2);
+            default -> 0;
+        };
+    }
+}
--- /dev/null
+++ b/src/test/java/loftflow/soak/SoakUpstream.java
@@ -0,0 +1,287 @@
+package loftflow.soak;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import loftflow.protocol.HostProtocol;
+
+/** An endpoint that speaks the protocol of hosts and fails: how it meets a call follows from the seed, message and try. */
+final class SoakUpstream implements AutoCloseable {
+    /** How a call is met. */
+    private enum Fate {
+        DELIVER,
+        DELIVER_LATE,
+        REJECT,
+        TELL_WAIT,
+        FAIL,
+        /** The connection ends when only the head was read; nothing runs. */
+        RESET_EARLY,
+        /** The call runs, and the connection ends. */
+        RESET_LATE,
+        /** The call runs, and nothing is answered. */
+        SILENCE
+    }
+
+    /** A call as it was read. */
+    private record Call(String line, Map<String, String> headers, String body, long firstByteNanos) {
+        boolean isBatch() {
+            return line.contains(HostProtocol.BATCH_PATH + " ");
+        }
+    }
+
+    private static final Pattern BATCH_ID = Pattern.compile("\"" + HostProtocol.MESSAGE_ID_FIELD + "\":\"([^\"]*)\"");
+    private static final int PERCENT = 100;
+    private static final int BACKLOG = 256;
+    private static final int MAX_BIND_ATTEMPTS = 500;
+    private static final long BIND_PAUSE_MILLIS = 20;
+    /** The fates of each hundred calls, in the order of {@link Fate}. */
+    private static final int[] SHARES = {90, 2, 1, 1, 2, 1, 2, 1};
+
+    private final String name;
+    private final long seed;
+    private final SoakHistory history;
+    private final ServerSocket listener;
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final Map<String, AtomicInteger> tries = new ConcurrentHashMap<>();
+    private volatile boolean isShut;
+
+    /** An endpoint on a port of the loopback address; 0 for a free one. */
+    SoakUpstream(String name, long seed, int port, SoakHistory history) throws IOException {
+        this.name = name;
+        this.seed = seed;
+        this.history = history;
+        listener = listen(port);
+        daemon(this::accept);
+    }
+
+    /** Listens; a given port may be in use for a moment, by a connection that takes it as its own. */
+    private static ServerSocket listen(int port) throws IOException {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                return new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"));
+            } catch (BindException e) {
+                if (attempt == MAX_BIND_ATTEMPTS) {
+                    throw e;
+                }
+                pause(BIND_PAUSE_MILLIS);
+            }
+        }
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    int port() {
+        return listener.getLocalPort();
+    }
+
+    /** Rejects every call, or no longer does. */
+    void shut(boolean shut) {
+        isShut = shut;
+    }
+
+    private static void daemon(Runnable work) {
+        Thread thread = new Thread(work, "soak-upstream");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                connections.add(socket);
+                daemon(() -> serve(socket));
+            }
+        } catch (IOException closed) {
+            // This endpoint has been closed.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            while (meetNext(socket, in)) {
+                // The connection goes on.
+            }
+        } catch (IOException e) {
+            // Either side has ended the connection.
+        } finally {
+            connections.remove(socket);
+        }
+    }
+
+    /** Reads a call and meets it; returns false where the connection is to end. */
+    private boolean meetNext(Socket socket, InputStream in) throws IOException {
+        int first = in.read();
+        if (first < 0) {
+            return false;
+        }
+        long firstByteNanos = System.nanoTime();
+        String line = (char) first + line(in);
+        Map<String, String> headers = new TreeMap<>();
+        for (String header = line(in); !header.isEmpty(); header = line(in)) {
+            String[] parts = header.split(": ?", 2);
+            headers.put(parts[0].toLowerCase(Locale.ROOT), parts[1]);
+        }
+        if (line.startsWith("GET ")) {
+            respond(socket, isShut ? "503 Unavailable" : "200 OK", "", "");
+            return true;
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        Fate fate = fateOf(headers.getOrDefault("x-call-id", "batch"));
+        if (fate == Fate.RESET_EARLY && length > 0) {
+            return false;
+        }
+        String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+        if (body.length() < length) {
+            return false;
+        }
+        return meet(socket, new Call(line, headers, body, firstByteNanos), fate);
+    }
+
+    private Fate fateOf(String id) {
+        if (isShut) {
+            return Fate.REJECT;
+        }
+        int attempt = tries.computeIfAbsent(id, absent -> new AtomicInteger()).getAndIncrement();
+        int drawn = new Random(seed * 31 + id.hashCode() * 1_000_003L + attempt * 7_919L).nextInt(PERCENT);
+        for (int i = 0; i < SHARES.length; i++) {
+            drawn -= SHARES[i];
+            if (drawn < 0) {
+                return Fate.values()[i];
+            }
+        }
+        return Fate.DELIVER;
+    }
+
+    private boolean meet(Socket socket, Call call, Fate fate) throws IOException {
+        List<String> ids = idsOf(call);
+        switch (fate) {
+            case REJECT -> {
+                record(ids, call, false, SoakHistory.NEVER);
+                respond(socket, "503 Unavailable", "", "");
+            }
+            case TELL_WAIT -> {
+                record(ids, call, false, SoakHistory.NEVER);
+                tellWait(socket);
+            }
+            case FAIL -> {
+                record(ids, call, true, SoakHistory.NEVER);
+                respond(socket, "500 Error", "", "");
+            }
+            case RESET_LATE -> {
+                record(ids, call, true, SoakHistory.NEVER);
+                return false;
+            }
+            case SILENCE -> record(ids, call, true, SoakHistory.NEVER);
+            case DELIVER, DELIVER_LATE, RESET_EARLY -> deliver(socket, call, ids, fate == Fate.DELIVER_LATE);
+        }
+        return true;
+    }
+
+    private static List<String> idsOf(Call call) {
+        if (!call.isBatch()) {
+            return List.of(call.headers().getOrDefault("x-call-id", ""));
+        }
+        List<String> ids = new ArrayList<>();
+        Matcher id = BATCH_ID.matcher(call.body());
+        while (id.find()) {
+            ids.add(id.group(1));
+        }
+        return ids;
+    }
+
+    private void tellWait(Socket socket) throws IOException {
+        long waitMillis = 200 + Math.floorMod(System.nanoTime(), 400);
+        long now = System.nanoTime();
+        history.waits.add(new SoakHistory.ToldWait(name, now, now + TimeUnit.MILLISECONDS.toNanos(waitMillis)));
+        respond(socket, "429 Too Many", HostProtocol.RETRY_AFTER_MILLIS_HEADER + ": " + waitMillis + "\r\n", "");
+    }
+
+    private void deliver(Socket socket, Call call, List<String> ids, boolean isLate) throws IOException {
+        Random random = new Random(seed + ids.hashCode());
+        pause(isLate ? 500 + random.nextInt(2_000) : 2 + random.nextInt(15));
+        List<String> delivered = new ArrayList<>();
+        StringBuilder states = new StringBuilder();
+        for (String id : ids) {
+            boolean isRejected = call.isBatch() && random.nextInt(PERCENT) < 10;
+            String state = isRejected ? HostProtocol.STATE_REJECTED : HostProtocol.STATE_DELIVERED;
+            states.append(states.length() == 0 ? "" : ",")
+                    .append("{\"" + HostProtocol.MESSAGE_ID_FIELD + "\":\"" + id + "\",\"" + HostProtocol.STATE_FIELD
+                            + "\":\"" + state + "\"}");
+            if (!isRejected) {
+                delivered.add(id);
+            }
+        }
+        List<String> rejected = new ArrayList<>(ids);
+        rejected.removeAll(delivered);
+        record(rejected, call, false, SoakHistory.NEVER);
+        try {
+            respond(socket, "200 OK", "", call.isBatch() ? "[" + states + "]" : "");
+            record(delivered, call, true, System.nanoTime());
+        } catch (IOException e) {
+            record(delivered, call, true, SoakHistory.NEVER);
+            throw e;
+        }
+    }
+
+    private void record(List<String> ids, Call call, boolean ran, long deliveredAtNanos) {
+        ids.forEach(id ->
+                history.receipts.add(new SoakHistory.Receipt(id, name, call.firstByteNanos(), ran, deliveredAtNanos)));
+    }
+
+    private static void respond(Socket socket, String status, String headers, String body) throws IOException {
+        socket.getOutputStream()
+                .write(("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
+                                + body)
+                        .getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new IOException("the connection ended within a head");
+            }
+            bytes.write(next);
+        }
+        return bytes.toString(StandardCharsets.ISO_8859_1).strip();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+}
