--- a/src/test/java/loftflow/soak/AmqpSoakClient.java
+++ b/src/test/java/loftflow/soak/AmqpSoakClient.java
@@ -150,18 +150,7 @@
     }
 
     private void record(Unconfirmed message, SoakHistory.Answer answer) {
-        context.history()
-                .submissions
-                .add(new SoakHistory.Submission(
-                        message.id(),
-                        message.type(),
-                        "amqp",
-                        null,
-                        message.sequence(),
-                        message.sentAtNanos(),
-                        message.sentAtNanos() + message.type().deadlineMillis() * 1_000_000,
-                        System.nanoTime(),
-                        answer));
+        context.record(message.id(), message.type(), "amqp", null, message.sequence(), message.sentAtNanos(), answer);
     }
 
     /** Closes the connection; to be called when completions are no longer awaited. */
--- a/src/test/java/loftflow/soak/ClientContext.java
+++ b/src/test/java/loftflow/soak/ClientContext.java
@@ -29,6 +29,20 @@
         return sequence.incrementAndGet();
     }
 
+    /** Records a message that a client has handed in, with what it learned just now. */
+    void record(
+            String id,
+            MessageClass type,
+            String front,
+            String orderingKey,
+            long sequence,
+            long sentAtNanos,
+            SoakHistory.Answer answer) {
+        long deadlineNanos = sentAtNanos + TimeUnit.MILLISECONDS.toNanos(type.deadlineMillis());
+        history.submissions.add(new SoakHistory.Submission(
+                id, type, front, orderingKey, sequence, sentAtNanos, deadlineNanos, System.nanoTime(), answer));
+    }
+
     /** New connections go there from now on; null for none. */
     void allowConnections(RelayUnderTest.Ports newPorts) {
         isProcessEnding &= newPorts == null;
--- a/src/test/java/loftflow/soak/Http2SoakClient.java
+++ b/src/test/java/loftflow/soak/Http2SoakClient.java
@@ -62,18 +62,7 @@
                     : context.answerAtEndOfConnection(sentAt);
             close();
         }
-        context.history()
-                .submissions
-                .add(new SoakHistory.Submission(
-                        id,
-                        type,
-                        "http2",
-                        null,
-                        sequence,
-                        sentAt,
-                        sentAt + type.deadlineMillis() * 1_000_000,
-                        System.nanoTime(),
-                        answer));
+        context.record(id, type, "http2", null, sequence, sentAt, answer);
     }
 
     private SoakHistory.Answer answerOf(int stream, int status, long sentAt) {
--- a/src/test/java/loftflow/soak/HttpSoakClient.java
+++ b/src/test/java/loftflow/soak/HttpSoakClient.java
@@ -77,18 +77,7 @@
             connection.write(bytes);
         }
         SoakHistory.Answer answer = readAnswer(sentAt);
-        context.history()
-                .submissions
-                .add(new SoakHistory.Submission(
-                        id,
-                        type,
-                        "http",
-                        orderingKey,
-                        sequence,
-                        sentAt,
-                        sentAt + type.deadlineMillis() * 1_000_000,
-                        System.nanoTime(),
-                        answer));
+        context.record(id, type, "http", orderingKey, sequence, sentAt, answer);
     }
 
     /** The first destination accepts batches, to which ordered messages do not go. */
