--- a/src/test/java/loftflow/soak/SoakMutantTest.java
+++ b/src/test/java/loftflow/soak/SoakMutantTest.java
@@ -23,7 +23,8 @@
 @Timeout(300)
 class SoakMutantTest {
     private static final int SIDE_BY_SIDE = 3;
-    private static final long SEED = 2;
+    /** A fault that a seed's traffic does not meet has to be found by the next one. */
+    private static final long[] SEEDS = {2, 4, 6};
 
     /**
      * A fault.
@@ -70,9 +71,9 @@
     @TempDir
     Path folder;
 
-    private static SoakPlan plan() {
+    private static SoakPlan plan(long seed) {
         return new SoakPlan(
-                SEED,
+                seed,
                 true,
                 SoakPlan.Crowd.NONE,
                 List.of(new SoakPlan.RestartPlan(SoakPlan.Signals.TERM, 4_000, 0, 300, SoakPlan.Discovery.UP, true)));
@@ -104,7 +105,15 @@
 
     private static List<String> play(Mutant mutant, Path folder) throws Exception {
         ServedRelay.Program program = new ServedRelay.Program(compile(mutant, folder), -1);
-        return SoakChecks.check(SoakRun.play(plan(), folder, program));
+        List<String> findings = new ArrayList<>();
+        for (long seed : SEEDS) {
+            Path seedFolder = Files.createDirectory(folder.resolve("seed" + seed));
+            findings.addAll(SoakChecks.check(SoakRun.play(plan(seed), seedFolder, program)));
+            if (findings.stream().anyMatch(finding -> finding.startsWith(mutant.rule() + ":"))) {
+                break;
+            }
+        }
+        return findings;
     }
 
     @Test
