--- a/src/main/java/loftflow/discovery/EndpointWatcher.java
+++ b/src/main/java/loftflow/discovery/EndpointWatcher.java
@@ -26,8 +26,8 @@
     /** The timeout of an answer that discovery has at once. */
     public static final long RESPONSE_TIMEOUT_MILLIS = 400;
     /**
-     * The longest pause before a request to discovery that has not answered, where a whole fleet may share the agent. Two
-     * requests fit into the 6 s after which a change must be known, so that one lost answer is not too much.
+     * The longest pause before a request to discovery that has not answered, where a whole fleet may share the agent.
+     * Two requests fit into the 6 s after which a change must be known, so that one lost answer is not too much.
      */
     public static final long MAX_RETRY_DELAY_MILLIS = 2000;
     /** The delay between an answer and the next request; far below the 200 ms after which a watch ends. */
--- a/src/main/java/loftflow/server/GracefulShutdown.java
+++ b/src/main/java/loftflow/server/GracefulShutdown.java
@@ -10,7 +10,8 @@
 /**
  * What happens on SIGTERM. For a moment the relay serves as usual; then its listeners drain, and close connections that
  * stay idle; then the policy starts no attempt any more; the process ends once nothing is in flight, or from a deadline
- * on as soon as no client waits for an answer. Messages that are open at the end are in the journal, and the next process resumes them.
+ * on as soon as no client waits for an answer. Messages that are open at the end are in the journal, and the next
+ * process resumes them.
  *
  * <p>All times count from the signal. The process is killed 3.7 s after it at the earliest.
  */
