Upstream: an answer whose head the decoder forgives delivers no batch

Cause: Netty's response decoder accepts field lines without a colon or with white space in or behind the name, folded lines, transfer codings other than chunked and odd status lines. Such an answer to a batch counted as whole, and its messages were closed as delivered, with no notice.

Evidence: a lost message's trace ends with a batch answered 200, "done", and closed 11.6 s before its deadline.

The rest of the relay already knows what it owes to such an attempt. A line in the log names the route.

--- /dev/null
+++ b/src/main/java/loftflow/upstream/http/ResponseHeadScanner.java
@@ -0,0 +1,124 @@
+package loftflow.upstream.http;
+
+import io.netty.buffer.ByteBuf;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Scans the raw bytes of a response's head. It reads the status as soon as the status line has been received, and finds
+ * the lines that Netty's decoder accepts although they do not follow the grammar of HTTP/1.1 (RFC 9112): other status
+ * lines, and field lines that are folded.
+ */
+final class ResponseHeadScanner {
+    /** The {@link #status} before the status line has been received. */
+    static final int STATUS_UNKNOWN = 0;
+    /** The {@link #status} where the status line is malformed. */
+    static final int STATUS_MALFORMED = -1;
+
+    private static final int MAX_STATUS_LINE_CHARS = 1024;
+    private static final String STATUS_LINE_PREFIX = "HTTP/1.";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: .*)?", Pattern.DOTALL);
+
+    /** The part of the head that the next byte belongs to. */
+    private enum Part {
+        STATUS_LINE,
+        INFORMATIONAL_FIELDS,
+        FIELDS,
+        /** The head is complete, or nothing in it can be told any more. */
+        END
+    }
+
+    private Part part = Part.STATUS_LINE;
+    private final StringBuilder statusLine = new StringBuilder();
+    private int fieldLineBytes;
+    private int status;
+    private boolean isFolded;
+
+    /** Starts over with the next response on the connection. */
+    void reset() {
+        part = Part.STATUS_LINE;
+        statusLine.setLength(0);
+        fieldLineBytes = 0;
+        status = STATUS_UNKNOWN;
+        isFolded = false;
+    }
+
+    /** The status in the first line of the response; 1xx responses ahead of it are skipped. */
+    int status() {
+        return status;
+    }
+
+    /** Returns true where bytes of the response, or of a 1xx response ahead of it, have been received. */
+    boolean hasBegun() {
+        return part != Part.STATUS_LINE || !statusLine.isEmpty();
+    }
+
+    /** Returns true where a line of the head, or of a 1xx response's head ahead of it, is malformed. */
+    boolean isMalformed() {
+        return isFolded || status == STATUS_MALFORMED;
+    }
+
+    /** Scans the readable bytes up to the end of the head; they stay readable. */
+    void scan(ByteBuf bytes) {
+        for (int index = bytes.readerIndex(); index < bytes.writerIndex() && part != Part.END; index++) {
+            scan((char) (bytes.getByte(index) & 0xff));
+        }
+    }
+
+    private void scan(char next) {
+        if (part == Part.STATUS_LINE) {
+            scanStatusLine(next);
+        } else {
+            scanFieldLine(next);
+        }
+    }
+
+    private void scanStatusLine(char next) {
+        if (next == '\n') {
+            parseStatusLine(statusLine.toString().strip());
+            statusLine.setLength(0);
+            return;
+        }
+        statusLine.append(next);
+        // A line longer than the prefix was compared with it when it was as long.
+        boolean isPlausible = statusLine.length() > STATUS_LINE_PREFIX.length()
+                || STATUS_LINE_PREFIX.startsWith(statusLine.toString().strip());
+        if (!isPlausible || statusLine.length() > MAX_STATUS_LINE_CHARS) {
+            end(STATUS_MALFORMED);
+        }
+    }
+
+    private void parseStatusLine(String line) {
+        // Empty lines ahead of a status line are ignored.
+        if (line.isEmpty()) {
+            return;
+        }
+        Matcher matcher = STATUS_LINE.matcher(line);
+        if (!matcher.matches()) {
+            end(STATUS_MALFORMED);
+            return;
+        }
+        int code = Integer.parseInt(matcher.group(1));
+        boolean isInformational = code / 100 == 1;
+        part = isInformational ? Part.INFORMATIONAL_FIELDS : Part.FIELDS;
+        status = isInformational ? STATUS_UNKNOWN : code;
+    }
+
+    private void end(int finalStatus) {
+        status = finalStatus;
+        part = Part.END;
+    }
+
+    private void scanFieldLine(char next) {
+        if (next == '\n') {
+            boolean isHeadComplete = fieldLineBytes == 0;
+            fieldLineBytes = 0;
+            if (isHeadComplete) {
+                part = part == Part.FIELDS ? Part.END : Part.STATUS_LINE;
+            }
+        } else if (next != '\r') {
+            isFolded |= fieldLineBytes == 0 && (next == ' ' || next == '\t');
+            fieldLineBytes++;
+        }
+    }
+}
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -265,6 +265,8 @@
 
     /** Ends a call whose response is malformed or does not end: the host may have run it. */
     void onMalformedResponse(int code) {
+        Log.line("upstream: malformed response route=" + owner.route() + " status=" + code + " attempts="
+                + pendingAttempts.size());
         report = LimitReport.NONE;
         onStatusLine(code);
         end(AttemptOutcome.ERROR);
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import loftflow.http.ConnectionTimer;
@@ -178,7 +180,7 @@
             fail(UpstreamCall::onConnectionLost);
             return;
         }
-        if (message.decoderResult().isFailure()) {
+        if (message.decoderResult().isFailure() || decoder.isMalformed()) {
             fail(this::endAsMalformed);
             return;
         }
@@ -215,11 +217,13 @@
         }
     }
 
-    /** Returns false for a response whose end is ambiguous, and for one that leaves HTTP. */
+    /** Returns false for a response whose end or coding is ambiguous, and for one that leaves HTTP. */
     private static boolean isWellFramed(HttpResponse response) {
-        return !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
-                && !(response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-                        && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH));
+        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean isCodingKnown = codings.isEmpty()
+                || codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+        boolean hasTwoLengths = !codings.isEmpty() && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        return isCodingKnown && !hasTwoLengths && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
     }
 
     private void endAsMalformed(UpstreamCall malformed) {
@@ -241,7 +245,7 @@
         if (isResponseComplete) {
             isResponseComplete = false;
             reuseOrClose(ctx);
-        } else if (call != null && decoder.status() == ResponseDecoder.STATUS_MALFORMED) {
+        } else if (call != null && decoder.isMalformed()) {
             fail(this::endAsMalformed);
         } else if (call != null && decoder.hasBegun()) {
             if (!timer.isRunning()) {
--- a/src/test/java/loftflow/server/MalformedResponseTest.java
+++ b/src/test/java/loftflow/server/MalformedResponseTest.java
@@ -83,6 +83,20 @@
         assertEquals(2, host.requests.size());
     }
 
+    /** The messages of a batch were lost: no delivery that the host had answered in full, and no completion either. */
+    @Test
+    void batchResponseWithAMalformedHeadCountsForNone() throws IOException {
+        String body = "[{\"id\":\"b1\",\"state\":\"done\"},{\"id\":\"b2\",\"state\":\"done\"}]";
+        host.answer(request -> request.line().contains("many")
+                ? answer(200, body, "no colon here")
+                : host.requests.size() == 1 ? status(503, "X-Come-Back-Ms: 500") : ScriptedPeer.SILENCE);
+        relay.start().submit("b1", "unsafe", 8);
+        await(() -> host.requests.size() == 1);
+        relay.submit("b2", "unsafe", 8);
+        await(() -> relay.hasNotified("b1", "dead") && relay.hasNotified("b2", "dead"));
+        assertEquals(2, host.requests.size());
+    }
+
     @Test
     void informationalResponsesBeforeTheFinalOneAreSkipped() throws IOException {
         host.answer(request -> "HTTP/1.1 102 X\r\n\r\nHTTP/1.1 103 X\r\nLink: a\r\n\r\n"
--- /dev/null
+++ b/src/test/java/loftflow/upstream/http/BatchCallTestBase.java
@@ -0,0 +1,194 @@
+package loftflow.upstream.http;
+
+import static loftflow.server.RelayProcess.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import loftflow.engine.Clock;
+import loftflow.engine.Endpoint;
+import loftflow.engine.Message;
+import loftflow.engine.UpstreamClient;
+import loftflow.fake.ScriptedPeer;
+import loftflow.policy.api.AttemptOutcome;
+import loftflow.policy.api.Availability;
+import loftflow.policy.api.EndpointEntry;
+import loftflow.policy.api.EndpointListKind;
+import loftflow.policy.api.LimitReport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/** An upstream client on an event loop of its own, and one host that takes batches of up to four messages. */
+abstract class BatchCallTestBase implements UpstreamClient.ResultListener {
+    static final long MILLI_MICROS = 1_000;
+    static final long SECOND_MICROS = 1_000_000;
+
+    private static final int MAX_BATCH_SIZE = 4;
+    /** The outcomes of an attempt that may have run and is not known to be delivered. */
+    private static final Set<AttemptOutcome> MAY_HAVE_RUN = EnumSet.of(AttemptOutcome.ERROR, AttemptOutcome.RESET);
+
+    /** What the client reported for an attempt, and whether it said that nothing more is owed for the message. */
+    record Result(AttemptOutcome outcome, boolean isMessageCompleted) {}
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final EventLoop loop = (EventLoop) group.next();
+    final Clock clock = Clock.system();
+    final Map<String, Result> results = new ConcurrentHashMap<>();
+    HttpUpstreamClient client;
+    ScriptedPeer host;
+    private int sent;
+
+    @BeforeEach
+    void start() throws IOException {
+        host = ScriptedPeer.always(ScriptedPeer.SILENCE);
+        client = new HttpUpstreamClient(
+                loop,
+                clock,
+                UpstreamSettings.withMaxBatchSize(MAX_BATCH_SIZE),
+                new HttpUpstreamClient.Options(false, 2 * SECOND_MICROS, MAX_BATCH_SIZE, 0),
+                this);
+        Endpoint endpoint = new Endpoint(
+                new EndpointEntry("r", 1, "k", "b0", Availability.LISTED, 0), Endpoint.address(host.address()));
+        onLoop(() -> client.onEndpointList(EndpointListKind.FULL, List.of(endpoint)));
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        host.close();
+    }
+
+    void onLoop(Runnable task) {
+        loop.submit(task).syncUninterruptibly();
+    }
+
+    /** Sends messages with the next ids, such as {@code m0} and {@code m1}, in one call; returns the ids. */
+    List<String> send(int count, long timeoutMicros, long deadlineMicros) {
+        List<UpstreamClient.OutboundAttempt> attempts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Message.Content content =
+                    new Message.Content("m" + sent, "unsafe", null, null, deadlineMicros, 1, new byte[5]);
+            Message message = new Message(sent, content);
+            attempts.add(new UpstreamClient.OutboundAttempt(
+                    message.addAttempt("r", clock.micros()), timeoutMicros, Long.MAX_VALUE));
+            sent++;
+        }
+        onLoop(() -> client.send("r", attempts));
+        return attempts.stream()
+                .map(outbound -> outbound.attempt().message().content().messageId())
+                .toList();
+    }
+
+    /** Sends messages that have plenty of time, and waits for the result of each. */
+    List<String> sendAndAwait(int count) {
+        List<String> ids = send(count, 30 * SECOND_MICROS, clock.micros() + 30 * SECOND_MICROS);
+        await(() -> results.keySet().containsAll(ids));
+        return ids;
+    }
+
+    /** The body of a batch response that reports messages {@code m<first>} and up as delivered. */
+    static String delivered(int first, int count) {
+        return IntStream.range(first, first + count)
+                .mapToObj(i -> "{\"id\":\"m" + i + "\",\"state\":\"done\"}")
+                .collect(Collectors.joining(",", "[", "]"));
+    }
+
+    /** A response that can be read to its end and reports every message of a request as delivered. */
+    static String deliverAll(ScriptedPeer.Request request) {
+        return request.line().contains("many")
+                ? ScriptedPeer.answer(200, delivered(2, 2))
+                : ScriptedPeer.answer(200, "");
+    }
+
+    /** The connection that the host accepted last. */
+    Socket latestConnection() {
+        return host.connections.get(host.connections.size() - 1);
+    }
+
+    /** Writes bytes to the connection that the host accepted last. */
+    void write(String bytes) {
+        try {
+            latestConnection().getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Sends m0 and m1 in one call that is responded to as given. */
+    void batchOfTwo(Function<ScriptedPeer.Request, String> response) {
+        host.answer(response);
+        sendAndAwait(2);
+        assertEquals(1, host.requests.size(), "one call");
+        assertTrue(host.requests.get(0).line().contains("many"));
+    }
+
+    /** Asserts that m0 and m1 may have run and are still owed, and that their connection carries no other call. */
+    void assertNotDelivered() {
+        for (String id : List.of("m0", "m1")) {
+            Result result = results.get(id);
+            assertFalse(result.isMessageCompleted(), id + " is not delivered, yet ended as " + result);
+            assertTrue(MAY_HAVE_RUN.contains(result.outcome()), id + " may have run, yet ended as " + result);
+        }
+        assertConnectionIsNotReused();
+    }
+
+    void assertDelivered() {
+        for (String id : List.of("m0", "m1")) {
+            assertEquals(new Result(AttemptOutcome.OK, true), results.get(id), id);
+        }
+    }
+
+    /** Asserts that the client closes the first connection, and sends the next call on another. */
+    void assertConnectionIsNotReused() {
+        host.answer(BatchCallTestBase::deliverAll);
+        sendAndAwait(2);
+        assertEquals(2, host.connections.size(), "connections");
+        await(() -> host.connections.get(0).isClosed());
+        assertEquals(new Result(AttemptOutcome.OK, true), results.get("m2"));
+        assertEquals(new Result(AttemptOutcome.OK, true), results.get("m3"));
+    }
+
+    @Override
+    public void onAttemptCompleted(
+            Message.Attempt attempt,
+            AttemptOutcome outcome,
+            boolean isMessageCompleted,
+            long retryAfterMicros,
+            LimitReport report) {
+        Result earlier = results.put(attempt.message().content().messageId(), new Result(outcome, isMessageCompleted));
+        assertEquals(null, earlier, "one result for each attempt");
+    }
+
+    @Override
+    public void onRetryAfter(String route, long retryAfterMicros) {
+        throw new AssertionError("no back-off is requested");
+    }
+
+    @Override
+    public void onLateDelivery(Message.Attempt attempt) {
+        throw new AssertionError("no late responses are expected");
+    }
+
+    @Override
+    public void onProbeCompleted(
+            String route, AttemptOutcome outcome, long retryAfterMicros, long elapsedMicros, LimitReport report) {
+        throw new AssertionError("no probes are sent");
+    }
+}
