Upstream: status 410 for a whole batch ends none of its messages

Callers would see the messages of a batch closed with no notice where a host answers the call itself with 410. The protocol tells the end of each message of a batch by its state, and has no such status for the call. Found by the tests that trace the lost messages; not seen from a host.

Change: OutcomeTable.ofBatchStatus; such a batch may have run.

--- a/src/main/java/loftflow/upstream/http/OutcomeTable.java
+++ b/src/main/java/loftflow/upstream/http/OutcomeTable.java
@@ -51,6 +51,15 @@
         };
     }
 
+    /**
+     * The outcome of every attempt of a batch whose response is complete and tells no states. The end of a message is
+     * told by its state alone, so a status that ends one proves nothing for a batch.
+     */
+    static Outcome ofBatchStatus(int status, boolean isConcurrencyLimited) {
+        Outcome outcome = ofStatus(status, isConcurrencyLimited);
+        return outcome.isMessageCompleted() ? ERROR : outcome;
+    }
+
     /** The outcome of one message of a batch, by the state that the response reports for it. */
     static Outcome ofMessageState(String state) {
         return switch (state) {
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -166,6 +166,11 @@
         }
     }
 
+    /** Returns true for a call with several messages, whose ends its response tells one by one. */
+    boolean isBatch() {
+        return isBatch;
+    }
+
     private boolean isProbe() {
         return probePath != null;
     }
@@ -294,7 +299,9 @@
             // A message that the response leaves out may have run.
             end(AttemptOutcome.ERROR);
         } else {
-            OutcomeTable.Outcome outcome = OutcomeTable.ofStatus(status, isConcurrencyLimited);
+            OutcomeTable.Outcome outcome = isBatch
+                    ? OutcomeTable.ofBatchStatus(status, isConcurrencyLimited)
+                    : OutcomeTable.ofStatus(status, isConcurrencyLimited);
             endAll(outcome.attempt(), outcome.isMessageCompleted());
         }
     }
