Upstream: a connection that is reset does not end an answer

Callers would see a batch closed as delivered, or a message tried again as one that never ran, where a host's answer has no length and its connection is reset: Netty's decoder takes any end of the connection for the end of such a body, and the relay closed the channel without ending the call first.

Not seen from a host.

--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -283,8 +283,9 @@
         fail(UpstreamCall::onConnectionLost);
     }
 
+    /** A connection that is reset has not ended a response, as one that is closed may do. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        ctx.close();
+        fail(UpstreamCall::onConnectionLost);
     }
 }
