Upstream: odd status lines, 1xx heads and bodies without a length deliver no batch

- A status line that the scanner calls malformed (two spaces, a tab, HTTP/2.0, a leading space, control characters) counted where it came in one read with the rest of its answer, as the check ran behind the read.
The heads' statuses are compared now; so a head that began before the call was written is no answer to it either.
- 101 ahead of 200 is the final answer.
- A batch answer that only the end of its connection delimits: the protocol calls that end a reset.
- lost a Retry-After whose malformed head came in two reads: the call failed before the head was complete.

A folded trailer stays accepted: it says nothing about where the body ends.

--- a/src/main/java/loftflow/upstream/http/ResponseHeadScanner.java
+++ b/src/main/java/loftflow/upstream/http/ResponseHeadScanner.java
@@ -1,6 +1,7 @@
 package loftflow.upstream.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -17,7 +18,9 @@
 
     private static final int MAX_STATUS_LINE_CHARS = 1024;
     private static final String STATUS_LINE_PREFIX = "HTTP/1.";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: .*)?", Pattern.DOTALL);
+    /** The reason phrase holds no control characters but tabs. */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: [\t\\x20-\\x7e\\x80-\\xff]*)?");
 
     /** The part of the head that the next byte belongs to. */
     private enum Part {
@@ -32,7 +35,7 @@
     private final StringBuilder statusLine = new StringBuilder();
     private int fieldLineBytes;
     private int status;
-    private boolean isFolded;
+    private boolean hasFoldedLine;
 
     /** Starts over with the next response on the connection. */
     void reset() {
@@ -40,7 +43,7 @@
         statusLine.setLength(0);
         fieldLineBytes = 0;
         status = STATUS_UNKNOWN;
-        isFolded = false;
+        hasFoldedLine = false;
     }
 
     /** The status in the first line of the response; 1xx responses ahead of it are skipped. */
@@ -55,7 +58,7 @@
 
     /** Returns true where a line of the head, or of a 1xx response's head ahead of it, is malformed. */
     boolean isMalformed() {
-        return isFolded || status == STATUS_MALFORMED;
+        return hasFoldedLine || status == STATUS_MALFORMED;
     }
 
     /** Scans the readable bytes up to the end of the head; they stay readable. */
@@ -75,19 +78,23 @@
 
     private void scanStatusLine(char next) {
         if (next == '\n') {
-            parseStatusLine(statusLine.toString().strip());
+            parseStatusLine(withoutCarriageReturn(statusLine.toString()));
             statusLine.setLength(0);
             return;
         }
         statusLine.append(next);
         // A line longer than the prefix was compared with it when it was as long.
         boolean isPlausible = statusLine.length() > STATUS_LINE_PREFIX.length()
-                || STATUS_LINE_PREFIX.startsWith(statusLine.toString().strip());
+                || STATUS_LINE_PREFIX.startsWith(withoutCarriageReturn(statusLine.toString()));
         if (!isPlausible || statusLine.length() > MAX_STATUS_LINE_CHARS) {
             end(STATUS_MALFORMED);
         }
     }
 
+    private static String withoutCarriageReturn(String line) {
+        return line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
+    }
+
     private void parseStatusLine(String line) {
         // Empty lines ahead of a status line are ignored.
         if (line.isEmpty()) {
@@ -99,7 +106,8 @@
             return;
         }
         int code = Integer.parseInt(matcher.group(1));
-        boolean isInformational = code / 100 == 1;
+        // Behind 101 (Switching Protocols) there is no further response.
+        boolean isInformational = code / 100 == 1 && code != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
         part = isInformational ? Part.INFORMATIONAL_FIELDS : Part.FIELDS;
         status = isInformational ? STATUS_UNKNOWN : code;
     }
@@ -117,7 +125,7 @@
                 part = part == Part.FIELDS ? Part.END : Part.STATUS_LINE;
             }
         } else if (next != '\r') {
-            isFolded |= fieldLineBytes == 0 && (next == ' ' || next == '\t');
+            hasFoldedLine |= fieldLineBytes == 0 && (next == ' ' || next == '\t');
             fieldLineBytes++;
         }
     }
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import loftflow.http.ConnectionTimer;
@@ -195,7 +194,9 @@
     /** Reads the head of a response; returns false where the call has failed by it. */
     private boolean readHead(HttpResponse response) {
         isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (!isWellFramed(response)) {
+        // A head that began before the call was written is no response to it.
+        boolean isAwaited = isInformational || response.status().code() == decoder.status();
+        if (!isAwaited || !isReadable(response)) {
             fail(this::endAsMalformed);
             return false;
         }
@@ -217,13 +218,16 @@
         }
     }
 
-    /** Returns false for a response whose end or coding is ambiguous, and for one that leaves HTTP. */
-    private static boolean isWellFramed(HttpResponse response) {
-        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean isCodingKnown = codings.isEmpty()
-                || codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
-        boolean hasTwoLengths = !codings.isEmpty() && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        return isCodingKnown && !hasTwoLengths && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+    /**
+     * Returns false for a response whose transfer coding is not known, for one that leaves HTTP, and for one that tells
+     * the end of each message by a body that only the end of the connection delimits: that end counts as a reset.
+     */
+    private boolean isReadable(HttpResponse response) {
+        String coding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean isCodingKnown = coding == null || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding);
+        boolean isDelimited = coding != null || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        boolean isWhole = isDelimited || !call.isBatch() || !response.status().equals(HttpResponseStatus.OK);
+        return isCodingKnown && isWhole && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
     }
 
     private void endAsMalformed(UpstreamCall malformed) {
@@ -245,7 +249,7 @@
         if (isResponseComplete) {
             isResponseComplete = false;
             reuseOrClose(ctx);
-        } else if (call != null && decoder.isMalformed()) {
+        } else if (call != null && decoder.status() == ResponseHeadScanner.STATUS_MALFORMED) {
             fail(this::endAsMalformed);
         } else if (call != null && decoder.hasBegun()) {
             if (!timer.isRunning()) {
--- a/src/test/java/loftflow/upstream/http/BatchCallTestBase.java
+++ b/src/test/java/loftflow/upstream/http/BatchCallTestBase.java
@@ -5,14 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +24,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import loftflow.engine.Clock;
 import loftflow.engine.Endpoint;
 import loftflow.engine.Message;
@@ -32,6 +35,7 @@
 import loftflow.policy.api.EndpointEntry;
 import loftflow.policy.api.EndpointListKind;
 import loftflow.policy.api.LimitReport;
+import loftflow.server.RelayProcess;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
@@ -40,9 +44,12 @@
     static final long MILLI_MICROS = 1_000;
     static final long SECOND_MICROS = 1_000_000;
 
+    /** More than the settle time of a connection. */
+    private static final long SETTLE_MILLIS = 5;
+
     private static final int MAX_BATCH_SIZE = 4;
     /** The outcomes of an attempt that may have run and is not known to be delivered. */
-    private static final Set<AttemptOutcome> MAY_HAVE_RUN = EnumSet.of(AttemptOutcome.ERROR, AttemptOutcome.RESET);
+    static final Set<AttemptOutcome> MAY_HAVE_RUN = EnumSet.of(AttemptOutcome.ERROR, AttemptOutcome.RESET);
 
     /** What the client reported for an attempt, and whether it said that nothing more is owed for the message. */
     record Result(AttemptOutcome outcome, boolean isMessageCompleted) {}
@@ -53,6 +60,9 @@
     final Map<String, Result> results = new ConcurrentHashMap<>();
     HttpUpstreamClient client;
     ScriptedPeer host;
+    /** Whether connections read one byte at a time, as if each came in a segment of its own. */
+    volatile boolean readsSingleBytes;
+
     private int sent;
 
     @BeforeEach
@@ -63,12 +73,22 @@
                 clock,
                 UpstreamSettings.withMaxBatchSize(MAX_BATCH_SIZE),
                 new HttpUpstreamClient.Options(false, 2 * SECOND_MICROS, MAX_BATCH_SIZE, 0),
-                this);
+                this,
+                this::socket);
         Endpoint endpoint = new Endpoint(
                 new EndpointEntry("r", 1, "k", "b0", Availability.LISTED, 0), Endpoint.address(host.address()));
         onLoop(() -> client.onEndpointList(EndpointListKind.FULL, List.of(endpoint)));
     }
 
+    /** A socket that gives the decoder one byte with each read, where the test asks for it. */
+    private Channel socket() {
+        NioSocketChannel channel = new NioSocketChannel();
+        if (readsSingleBytes) {
+            channel.config().setRecvByteBufAllocator(new FixedRecvByteBufAllocator(1).maxMessagesPerRead(1));
+        }
+        return channel;
+    }
+
     @AfterEach
     void end() throws IOException {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
@@ -76,20 +96,27 @@
     }
 
     void onLoop(Runnable task) {
-        loop.submit(task).syncUninterruptibly();
+        if (loop.inEventLoop()) {
+            task.run();
+        } else {
+            loop.submit(task).syncUninterruptibly();
+        }
+    }
+
+    /** An attempt for a message with the next id, such as {@code m0}. */
+    UpstreamClient.OutboundAttempt attempt(long timeoutMicros, long deadlineMicros) {
+        Message.Content content = new Message.Content("m" + sent, "unsafe", null, null, deadlineMicros, 1, new byte[5]);
+        Message message = new Message(sent, content);
+        sent++;
+        return new UpstreamClient.OutboundAttempt(
+                message.addAttempt("r", clock.micros()), timeoutMicros, Long.MAX_VALUE);
     }
 
-    /** Sends messages with the next ids, such as {@code m0} and {@code m1}, in one call; returns the ids. */
+    /** Sends messages with the next ids in one call; returns the ids. */
     List<String> send(int count, long timeoutMicros, long deadlineMicros) {
-        List<UpstreamClient.OutboundAttempt> attempts = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            Message.Content content =
-                    new Message.Content("m" + sent, "unsafe", null, null, deadlineMicros, 1, new byte[5]);
-            Message message = new Message(sent, content);
-            attempts.add(new UpstreamClient.OutboundAttempt(
-                    message.addAttempt("r", clock.micros()), timeoutMicros, Long.MAX_VALUE));
-            sent++;
-        }
+        List<UpstreamClient.OutboundAttempt> attempts = Stream.generate(() -> attempt(timeoutMicros, deadlineMicros))
+                .limit(count)
+                .toList();
         onLoop(() -> client.send("r", attempts));
         return attempts.stream()
                 .map(outbound -> outbound.attempt().message().content().messageId())
@@ -131,6 +158,15 @@
         }
     }
 
+    /** Makes the connection that the host accepted last end by a reset. */
+    void resetAtClose() {
+        try {
+            latestConnection().setSoLinger(true, 0);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Sends m0 and m1 in one call that is responded to as given. */
     void batchOfTwo(Function<ScriptedPeer.Request, String> response) {
         host.answer(response);
@@ -155,8 +191,14 @@
         }
     }
 
+    /** Waits until the settle time after a response is over, before which no connection carries the next call. */
+    static void awaitSettled() {
+        RelayProcess.blockThread(SETTLE_MILLIS);
+    }
+
     /** Asserts that the client closes the first connection, and sends the next call on another. */
     void assertConnectionIsNotReused() {
+        awaitSettled();
         host.answer(BatchCallTestBase::deliverAll);
         sendAndAwait(2);
         assertEquals(2, host.connections.size(), "connections");
--- a/src/test/java/loftflow/upstream/http/RaceConditionsTest.java
+++ b/src/test/java/loftflow/upstream/http/RaceConditionsTest.java
@@ -211,6 +211,25 @@
         assertEquals(1, host.requests.size());
     }
 
+    /** The malformed line is read before the head is complete. */
+    @Test
+    void retryAfterInAMalformedHeadThatArrivesInPartsApplies() {
+        host.answer(request -> {
+            try {
+                Socket socket = host.connections.get(0);
+                socket.getOutputStream()
+                        .write("HTTP/1.1 429 X\r\nX-Come-Back-Ms: 60000\r\nno colon here\r\n".getBytes());
+                KernelSocketState relay = KernelSocketState.ofPeer(socket);
+                await(() -> !relay.hasUnread());
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+            return "Content-Length: 0\r\n\r\n";
+        });
+        sendAndAwait("m0", AttemptOutcome.ERROR);
+        assertEquals(List.of(60 * SECOND_MICROS), retryAfters);
+    }
+
     @Test
     void retryAfterOfATruncatedResponseApplies() {
         host.answer(request -> {
