Agent connection: an answer that can't be read counts as none, 1xx are skipped

Callers would lose a completion: a lone notice was dropped for good on a 400 whose head was cut or malformed, and acknowledged by a 204 that can't be read. Not seen from the platform's agent.

Cause: AgentConnection never asked for the decoder's result; the aggregator passes a failed head on with its status. What Netty forgives counted too.

A malformed response closes the connection and counts as none; the callers repeat their request.

--- a/src/main/java/loftflow/discovery/AgentConnection.java
+++ b/src/main/java/loftflow/discovery/AgentConnection.java
@@ -13,16 +13,20 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import loftflow.http.StrictResponseDecoder;
 import loftflow.http.UnreadBytes;
 
 /**
@@ -71,11 +75,13 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
+                        StrictResponseDecoder decoder = new StrictResponseDecoder();
                         ch.pipeline()
                                 .addLast(
-                                        new HttpClientCodec(),
+                                        new HttpRequestEncoder(),
+                                        decoder,
                                         new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                                        new ResponseReader());
+                                        new ResponseReader(decoder));
                     }
                 });
     }
@@ -195,11 +201,23 @@
     }
 
     private final class ResponseReader extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final StrictResponseDecoder decoder;
+
+        ResponseReader(StrictResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (ctx.channel() != channel) {
+            if (ctx.channel() != channel || isInterim(response)) {
+                return;
+            }
+            if (isMalformed(response)) {
+                close();
+                finish(NO_RESPONSE, "");
                 return;
             }
+            decoder.awaitResponse();
             // Behind a response that no request caused, responses can't be attributed to requests any more.
             if (pending == null || !HttpUtil.isKeepAlive(response)) {
                 ctx.close();
@@ -208,6 +226,23 @@
             finish(response.status().code(), response.content().toString(StandardCharsets.UTF_8));
         }
 
+        /** Returns true for a 1xx response, which the final one follows. */
+        private static boolean isInterim(FullHttpResponse response) {
+            return response.decoderResult().isSuccess()
+                    && response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                    && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+        }
+
+        /** Returns true for a response that proves nothing: what the agent has read or sent is not known. */
+        private boolean isMalformed(FullHttpResponse response) {
+            String coding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
+            boolean isCodingKnown = coding == null || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding);
+            return !isCodingKnown
+                    || response.decoderResult().isFailure()
+                    || decoder.isMalformed()
+                    || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             onClosed(ctx.channel());
