Soak: upstreams give malformed answers; a message they lose is found

A single message is delivered by its first line with 200, a batch by a whole sound answer alone. A receipt names the answer, and Soak prints each kind with its losses. A mutant that takes malformed answers for deliveries has to be found as "lost".

--- a/src/test/java/loftflow/soak/Soak.java
+++ b/src/test/java/loftflow/soak/Soak.java
@@ -21,10 +21,7 @@
         int seeds = Integer.parseInt(args[0]);
         long first = Long.parseLong(args[1]);
         int restarts = Integer.parseInt(args[2]);
-        AtomicInteger messages = new AtomicInteger();
-        AtomicInteger accepted = new AtomicInteger();
-        AtomicInteger unanswered = new AtomicInteger();
-        AtomicInteger receipts = new AtomicInteger();
+        SoakTotals totals = new SoakTotals();
         AtomicInteger failedSeeds = new AtomicInteger();
         ExecutorService pool = Executors.newFixedThreadPool(Integer.parseInt(args[3]));
         long start = System.nanoTime();
@@ -35,14 +32,7 @@
                     SoakHistory history = SoakRun.play(plan, scratch.folder(), ServedRelay.Program.OWN);
                     List<String> findings = SoakChecks.check(history);
                     findings.forEach(finding -> System.out.println("seed " + plan.seed() + ": " + finding));
-                    messages.addAndGet(history.submissions.size());
-                    accepted.addAndGet((int) history.submissions.stream()
-                            .filter(s -> s.answer() == SoakHistory.Answer.ACCEPTED)
-                            .count());
-                    unanswered.addAndGet((int) history.submissions.stream()
-                            .filter(s -> s.answer() == SoakHistory.Answer.CUT_OFF)
-                            .count());
-                    receipts.addAndGet(history.receipts.size());
+                    totals.add(history);
                     failedSeeds.addAndGet(findings.isEmpty() ? 0 : 1);
                 } catch (Exception | AssertionError e) {
                     failedSeeds.incrementAndGet();
@@ -54,9 +44,9 @@
         if (!pool.awaitTermination(2, TimeUnit.HOURS)) {
             throw new IllegalStateException("it takes more than two hours");
         }
-        System.out.println(seeds + " seeds from " + first + ", " + seeds * restarts + " restarts, " + messages
-                + " messages, " + accepted + " accepted, " + unanswered + " unanswered, " + receipts
-                + " receipts, seeds with findings "
-                + failedSeeds + ", " + TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - start) + " s");
+        System.out.println(seeds + " seeds from " + first + ", " + seeds * restarts + " restarts, " + totals
+                + ", seeds with findings " + failedSeeds + ", "
+                + TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - start) + " s");
+        totals.malformedResponses().forEach(System.out::println);
     }
 }
--- a/src/test/java/loftflow/soak/SoakChecks.java
+++ b/src/test/java/loftflow/soak/SoakChecks.java
@@ -26,7 +26,7 @@
     private final Map<String, List<SoakHistory.Receipt>> receiptsById;
     private final Map<String, List<SoakHistory.End>> endsById;
 
-    private SoakChecks(SoakHistory history) {
+    SoakChecks(SoakHistory history) {
         this.history = history;
         receiptsById = history.receipts.stream().collect(Collectors.groupingBy(SoakHistory.Receipt::id));
         endsById = history.ends.stream().collect(Collectors.groupingBy(SoakHistory.End::id));
@@ -49,7 +49,7 @@
         findings.add(rule + ": " + detail);
     }
 
-    private List<SoakHistory.Receipt> receiptsOf(String id) {
+    List<SoakHistory.Receipt> receiptsOf(String id) {
         return receiptsById.getOrDefault(id, List.of());
     }
 
@@ -96,23 +96,52 @@
     }
 
     private void checkEndInTime(SoakHistory.Submission submission) {
-        long endedAt = Math.min(
-                receiptsOf(submission.id()).stream()
-                        .mapToLong(SoakHistory.Receipt::deliveredAtNanos)
-                        .min()
-                        .orElse(SoakHistory.NEVER),
-                endsOf(submission.id()).stream()
-                        .mapToLong(SoakHistory.End::atNanos)
-                        .min()
-                        .orElse(SoakHistory.NEVER));
+        long endedAt = Math.min(deliveredAtNanos(submission), reportedAtNanos(submission));
         long dueAt = afterRestarts(submission.deadlineNanos() + COMPLETION_GRACE_NANOS);
-        if (endedAt == SoakHistory.NEVER) {
+        if (isLost(submission)) {
             find("lost", submission + " " + receiptsOf(submission.id()));
         } else if (endedAt > dueAt + history.stalls.waitedNanos(submission.deadlineNanos(), endedAt)) {
             find("late", submission.id() + " by " + TimeUnit.NANOSECONDS.toMillis(endedAt - dueAt) + " ms");
         }
     }
 
+    private long deliveredAtNanos(SoakHistory.Submission submission) {
+        return receiptsOf(submission.id()).stream()
+                .mapToLong(SoakHistory.Receipt::deliveredAtNanos)
+                .min()
+                .orElse(SoakHistory.NEVER);
+    }
+
+    private long reportedAtNanos(SoakHistory.Submission submission) {
+        return endsOf(submission.id()).stream()
+                .mapToLong(SoakHistory.End::atNanos)
+                .min()
+                .orElse(SoakHistory.NEVER);
+    }
+
+    /** Returns true where a message was accepted and has neither been delivered nor ended by a completion. */
+    boolean isLost(SoakHistory.Submission submission) {
+        return submission.answer() == SoakHistory.Answer.ACCEPTED
+                && deliveredAtNanos(submission) == SoakHistory.NEVER
+                && reportedAtNanos(submission) == SoakHistory.NEVER;
+    }
+
+    /**
+     * Returns true where the client got no answer in its time though no restart was under way. The message is the
+     * client's own then: by the protocol nothing is owed for it, and nothing that is sent for it counts.
+     */
+    boolean isUnheardInService(SoakHistory.Submission submission) {
+        return submission.answer() == SoakHistory.Answer.NONE
+                && history.restarts.stream()
+                        .noneMatch(restart -> submission.answeredAtNanos() >= restart.signalNanos()
+                                && submission.sentAtNanos() <= restart.readyNanos());
+    }
+
+    /** Returns true where a message has been delivered and no completion was reported for it. */
+    boolean isDeliveredSilently(SoakHistory.Submission submission) {
+        return deliveredAtNanos(submission) != SoakHistory.NEVER && reportedAtNanos(submission) == SoakHistory.NEVER;
+    }
+
     /** When a completion is due that is due at a time, if the relay is restarted then. */
     private long afterRestarts(long dueNanos) {
         long due = dueNanos;
--- a/src/test/java/loftflow/soak/SoakChecksTest.java
+++ b/src/test/java/loftflow/soak/SoakChecksTest.java
@@ -1,6 +1,7 @@
 package loftflow.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -39,7 +40,7 @@
 
     private static SoakHistory.Receipt receipt(String id, String endpoint, double atSeconds, boolean delivered) {
         long at = (long) (atSeconds * SECOND);
-        return new SoakHistory.Receipt(id, endpoint, at, true, delivered ? at + 1 : SoakHistory.NEVER);
+        return new SoakHistory.Receipt(id, endpoint, at, true, delivered ? at + 1 : SoakHistory.NEVER, "DELIVER");
     }
 
     /** Messages of each class, delivered, refused and failed, with a restart that held an end up. */
@@ -78,6 +79,11 @@
                         "lost",
                         history -> history.submissions.add(
                                 submission("m30", MessageClass.NON_IDEMPOTENT, SoakHistory.Answer.ACCEPTED))),
+                new Fault("lost", history -> {
+                    history.submissions.add(
+                            submission("m30", MessageClass.NON_IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
+                    history.receipts.add(receipt("m30", "a", 30.1, false));
+                }),
                 new Fault("late", history -> {
                     history.submissions.add(
                             submission("m30", MessageClass.NON_IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
@@ -109,4 +115,41 @@
                 findings.stream().anyMatch(finding -> finding.startsWith(fault.rule() + ":")),
                 fault.rule() + " in " + findings);
     }
+
+    @Test
+    void messageWithoutAnswerIsUnheardUnlessARestartIsUnderWay() {
+        SoakHistory history = soundHistory();
+        SoakHistory.Submission inService = submission("m30", MessageClass.IDEMPOTENT, SoakHistory.Answer.NONE);
+        SoakHistory.Submission duringRestart = submission("m7", MessageClass.IDEMPOTENT, SoakHistory.Answer.NONE);
+        SoakHistory.Submission accepted = submission("m31", MessageClass.IDEMPOTENT, SoakHistory.Answer.ACCEPTED);
+        SoakChecks checks = new SoakChecks(history);
+        assertTrue(checks.isUnheardInService(inService));
+        assertFalse(checks.isUnheardInService(duringRestart));
+        assertFalse(checks.isUnheardInService(accepted));
+    }
+
+    @Test
+    void deliveryIsSilentWithoutACompletion() {
+        SoakHistory history = soundHistory();
+        SoakHistory.Submission submission = submission("m30", MessageClass.IDEMPOTENT, SoakHistory.Answer.NONE);
+        assertFalse(new SoakChecks(history).isDeliveredSilently(submission));
+        history.receipts.add(receipt("m30", "a", 30.1, false));
+        assertFalse(new SoakChecks(history).isDeliveredSilently(submission));
+        history.receipts.add(receipt("m30", "a", 30.2, true));
+        assertTrue(new SoakChecks(history).isDeliveredSilently(submission));
+        history.ends.add(new SoakHistory.End("m30", "dead", 31 * SECOND));
+        assertFalse(new SoakChecks(history).isDeliveredSilently(submission));
+    }
+
+    @Test
+    void messageIsLostWhereItWasAcceptedAndHasNoEnd() {
+        SoakHistory history = soundHistory();
+        SoakHistory.Submission submission = submission("m30", MessageClass.IDEMPOTENT, SoakHistory.Answer.ACCEPTED);
+        history.receipts.add(receipt("m30", "a", 30.1, false));
+        assertTrue(new SoakChecks(history).isLost(submission));
+        assertFalse(
+                new SoakChecks(history).isLost(submission("m30", MessageClass.IDEMPOTENT, SoakHistory.Answer.NONE)));
+        history.ends.add(new SoakHistory.End("m30", "dead", 31 * SECOND));
+        assertFalse(new SoakChecks(history).isLost(submission));
+    }
 }
--- a/src/test/java/loftflow/soak/SoakHistory.java
+++ b/src/test/java/loftflow/soak/SoakHistory.java
@@ -42,8 +42,10 @@
      * @param endpoint the endpoint's name; {@link #OTHER_SERVICE} where another service answers at its address
      * @param ran whether the message took effect, or may have
      * @param deliveredAtNanos when a response said that it is delivered; {@link #NEVER} where none did
+     * @param response how the upstream met it, for findings
      */
-    record Receipt(String id, String endpoint, long firstByteNanos, boolean ran, long deliveredAtNanos) {}
+    record Receipt(
+            String id, String endpoint, long firstByteNanos, boolean ran, long deliveredAtNanos, String response) {}
 
     /** The wait that an endpoint told: nothing may reach it from shortly after until its end. */
     record ToldWait(String endpoint, long fromNanos, long untilNanos) {}
--- a/src/test/java/loftflow/soak/SoakMutantTest.java
+++ b/src/test/java/loftflow/soak/SoakMutantTest.java
@@ -61,6 +61,11 @@
                     "if (millis == null ||",
                     "if (millis != null || millis == null ||",
                     "wait broken"),
+            new Mutant(
+                    "upstream/http/UpstreamCall",
+                    "        onStatusLine(code);\n        end(AttemptOutcome.ERROR);",
+                    "        endAll(AttemptOutcome.OK, true);",
+                    "lost"),
             new Mutant(
                     "discovery/EndpointWatcher",
                     "            boolean leavesGap = leavesGap(list, isFullExpected);",
--- a/src/test/java/loftflow/soak/SoakRun.java
+++ b/src/test/java/loftflow/soak/SoakRun.java
@@ -339,7 +339,8 @@
                     "broker",
                     posting.atNanos(),
                     posting.ran(),
-                    posting.ran() && brokerFate(posting.id()) == Fate.CONFIRM ? posting.atNanos() : SoakHistory.NEVER));
+                    posting.ran() && brokerFate(posting.id()) == Fate.CONFIRM ? posting.atNanos() : SoakHistory.NEVER,
+                    brokerFate(posting.id()).name()));
         }
     }
 
--- a/src/test/java/loftflow/soak/SoakUpstream.java
+++ b/src/test/java/loftflow/soak/SoakUpstream.java
@@ -37,9 +37,18 @@
         /** The call runs, and the connection ends. */
         RESET_LATE,
         /** The call runs, and nothing is answered. */
-        SILENCE
+        SILENCE,
+        /** The call runs, and a {@link MalformedResponse} is written. */
+        MALFORMED
     }
 
+    /**
+     * How a response that delivers ends the messages of a call.
+     *
+     * @param body of the response
+     */
+    private record Delivery(List<String> delivered, List<String> rejected, String body) {}
+
     /** A call as it was read. */
     private record Call(String line, Map<String, String> headers, String body, long firstByteNanos) {
         boolean isBatch() {
@@ -49,11 +58,18 @@
 
     private static final Pattern BATCH_ID = Pattern.compile("\"" + HostProtocol.MESSAGE_ID_FIELD + "\":\"([^\"]*)\"");
     private static final int PERCENT = 100;
+    /** Spreads seeds that are close to each other, of which {@link Random} makes similar first numbers. */
+    private static final long SEED_FACTOR = 0x9E3779B97F4A7C15L;
+
     private static final int BACKLOG = 256;
     private static final int MAX_BIND_ATTEMPTS = 500;
     private static final long BIND_PAUSE_MILLIS = 20;
     /** The fates of each hundred calls, in the order of {@link Fate}. */
-    private static final int[] SHARES = {90, 2, 1, 1, 2, 1, 2, 1};
+    private static final int[] SHARES = {86, 2, 1, 1, 2, 1, 2, 1, 4};
+    /** Batches are few, and a malformed response to one takes more with it. */
+    private static final int[] BATCH_SHARES = {78, 2, 1, 1, 2, 1, 2, 1, 12};
+
+    private static final String BATCH_TRIES = "batch";
 
     private final String name;
     private final long seed;
@@ -149,7 +165,7 @@
             return true;
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        Fate fate = fateOf(headers.getOrDefault("x-call-id", "batch"));
+        Fate fate = fateOf(headers.getOrDefault("x-call-id", BATCH_TRIES));
         if (fate == Fate.RESET_EARLY && length > 0) {
             return false;
         }
@@ -166,8 +182,9 @@
         }
         int attempt = tries.computeIfAbsent(id, absent -> new AtomicInteger()).getAndIncrement();
         int drawn = new Random(seed * 31 + id.hashCode() * 1_000_003L + attempt * 7_919L).nextInt(PERCENT);
-        for (int i = 0; i < SHARES.length; i++) {
-            drawn -= SHARES[i];
+        int[] shares = id.equals(BATCH_TRIES) ? BATCH_SHARES : SHARES;
+        for (int i = 0; i < shares.length; i++) {
+            drawn -= shares[i];
             if (drawn < 0) {
                 return Fate.values()[i];
             }
@@ -179,23 +196,26 @@
         List<String> ids = idsOf(call);
         switch (fate) {
             case REJECT -> {
-                record(ids, call, false, SoakHistory.NEVER);
+                record(ids, call, false, SoakHistory.NEVER, fate.name());
                 respond(socket, "503 Unavailable", "", "");
             }
             case TELL_WAIT -> {
-                record(ids, call, false, SoakHistory.NEVER);
+                record(ids, call, false, SoakHistory.NEVER, fate.name());
                 tellWait(socket);
             }
             case FAIL -> {
-                record(ids, call, true, SoakHistory.NEVER);
+                record(ids, call, true, SoakHistory.NEVER, fate.name());
                 respond(socket, "500 Error", "", "");
             }
             case RESET_LATE -> {
-                record(ids, call, true, SoakHistory.NEVER);
+                record(ids, call, true, SoakHistory.NEVER, fate.name());
                 return false;
             }
-            case SILENCE -> record(ids, call, true, SoakHistory.NEVER);
-            case DELIVER, DELIVER_LATE, RESET_EARLY -> deliver(socket, call, ids, fate == Fate.DELIVER_LATE);
+            case SILENCE -> record(ids, call, true, SoakHistory.NEVER, fate.name());
+            case DELIVER, DELIVER_LATE, RESET_EARLY -> deliver(socket, call, ids, fate);
+            case MALFORMED -> {
+                return respondMalformed(socket, call, ids);
+            }
         }
         return true;
     }
@@ -219,36 +239,58 @@
         respond(socket, "429 Too Many", HostProtocol.RETRY_AFTER_MILLIS_HEADER + ": " + waitMillis + "\r\n", "");
     }
 
-    private void deliver(Socket socket, Call call, List<String> ids, boolean isLate) throws IOException {
+    private void deliver(Socket socket, Call call, List<String> ids, Fate fate) throws IOException {
         Random random = new Random(seed + ids.hashCode());
-        pause(isLate ? 500 + random.nextInt(2_000) : 2 + random.nextInt(15));
+        pause(fate == Fate.DELIVER_LATE ? 500 + random.nextInt(2_000) : 2 + random.nextInt(15));
+        Delivery delivery = deliveryOf(call, ids, random);
+        record(delivery.rejected(), call, false, SoakHistory.NEVER, fate.name());
+        try {
+            respond(socket, "200 OK", "", delivery.body());
+            record(delivery.delivered(), call, true, System.nanoTime(), fate.name());
+        } catch (IOException e) {
+            record(delivery.delivered(), call, true, SoakHistory.NEVER, fate.name());
+            throw e;
+        }
+    }
+
+    private static Delivery deliveryOf(Call call, List<String> ids, Random random) {
+        if (!call.isBatch()) {
+            return new Delivery(ids, List.of(), "");
+        }
         List<String> delivered = new ArrayList<>();
-        StringBuilder states = new StringBuilder();
+        List<String> rejected = new ArrayList<>();
+        List<String> states = new ArrayList<>();
         for (String id : ids) {
-            boolean isRejected = call.isBatch() && random.nextInt(PERCENT) < 10;
+            boolean isRejected = random.nextInt(PERCENT) < 10;
+            (isRejected ? rejected : delivered).add(id);
             String state = isRejected ? HostProtocol.STATE_REJECTED : HostProtocol.STATE_DELIVERED;
-            states.append(states.length() == 0 ? "" : ",")
-                    .append("{\"" + HostProtocol.MESSAGE_ID_FIELD + "\":\"" + id + "\",\"" + HostProtocol.STATE_FIELD
-                            + "\":\"" + state + "\"}");
-            if (!isRejected) {
-                delivered.add(id);
-            }
+            states.add("{\"" + HostProtocol.MESSAGE_ID_FIELD + "\":\"" + id + "\",\"" + HostProtocol.STATE_FIELD
+                    + "\":\"" + state + "\"}");
         }
-        List<String> rejected = new ArrayList<>(ids);
-        rejected.removeAll(delivered);
-        record(rejected, call, false, SoakHistory.NEVER);
+        return new Delivery(delivered, rejected, "[" + String.join(",", states) + "]");
+    }
+
+    /** Writes a response that not every reader takes; returns false where the connection ends with it. */
+    private boolean respondMalformed(Socket socket, Call call, List<String> ids) throws IOException {
+        Random random = new Random((seed + ids.hashCode()) * SEED_FACTOR);
+        pause(2 + random.nextInt(15));
+        Delivery delivery = deliveryOf(call, ids, random);
+        MalformedResponse response = MalformedResponse.of(random.nextInt(Integer.MAX_VALUE));
+        String name = response.nameInReceipt(call.isBatch());
+        record(delivery.rejected(), call, false, SoakHistory.NEVER, name);
+        long deliveredAtNanos = SoakHistory.NEVER;
         try {
-            respond(socket, "200 OK", "", call.isBatch() ? "[" + states + "]" : "");
-            record(delivered, call, true, System.nanoTime());
-        } catch (IOException e) {
-            record(delivered, call, true, SoakHistory.NEVER);
-            throw e;
+            boolean isKeptOpen = response.write(socket, call.isBatch() ? delivery.body() : "ok", random);
+            deliveredAtNanos = response.delivers(call.isBatch()) ? System.nanoTime() : SoakHistory.NEVER;
+            return isKeptOpen;
+        } finally {
+            record(delivery.delivered(), call, true, deliveredAtNanos, name);
         }
     }
 
-    private void record(List<String> ids, Call call, boolean ran, long deliveredAtNanos) {
-        ids.forEach(id ->
-                history.receipts.add(new SoakHistory.Receipt(id, name, call.firstByteNanos(), ran, deliveredAtNanos)));
+    private void record(List<String> ids, Call call, boolean ran, long deliveredAtNanos, String response) {
+        ids.forEach(id -> history.receipts.add(
+                new SoakHistory.Receipt(id, name, call.firstByteNanos(), ran, deliveredAtNanos, response)));
     }
 
     private static void respond(Socket socket, String status, String headers, String body) throws IOException {
