--- a/src/main/java/loftflow/http/package-info.java
+++ b/src/main/java/loftflow/http/package-info.java
@@ -1,5 +1,6 @@
 /**
- * What listeners and upstream clients share for HTTP: the timer of a connection, and reading what has arrived on one.
+ * What listeners and HTTP clients share: the timer of a connection, reading what has arrived on one, and the decoder that
+ * finds malformed responses which Netty accepts.
  *
  * <p>May use: Netty.
  */
