--- a/src/main/java/loftflow/discovery/AgentConnection.java
+++ b/src/main/java/loftflow/discovery/AgentConnection.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -235,10 +234,8 @@
 
         /** Returns true for a response that proves nothing: what the agent has read or sent is not known. */
         private boolean isMalformed(FullHttpResponse response) {
-            String coding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
-            boolean isCodingKnown = coding == null || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding);
-            return !isCodingKnown
-                    || response.decoderResult().isFailure()
+            return response.decoderResult().isFailure()
+                    || !StrictResponseDecoder.isTransferCodingKnown(response)
                     || decoder.isMalformed()
                     || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
         }
--- a/src/main/java/loftflow/http/StrictResponseDecoder.java
+++ b/src/main/java/loftflow/http/StrictResponseDecoder.java
@@ -1,7 +1,9 @@
 package loftflow.http;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 import java.util.regex.Pattern;
@@ -33,6 +35,12 @@
         return hasMalformedLine || framingFields > 1;
     }
 
+    /** Returns true for a response whose body is sent as it is, or in chunks: any other transfer coding is unknown. */
+    public static boolean isTransferCodingKnown(HttpResponse response) {
+        String coding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
+        return coding == null || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding);
+    }
+
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         hasMalformedLine |= !VERSION.matcher(statusLine[0]).matches()
--- a/src/main/java/loftflow/upstream/http/OutcomeTable.java
+++ b/src/main/java/loftflow/upstream/http/OutcomeTable.java
@@ -52,8 +52,8 @@
     }
 
     /**
-     * The outcome of every attempt of a batch whose response is complete and tells no states. The end of a message is
-     * told by its state alone, so a status that ends one proves nothing for a batch.
+     * The outcome of every attempt of a batch whose response is complete and holds no states. A message ends by
+     * its state alone, so a status that ends one proves nothing for a batch.
      */
     static Outcome ofBatchStatus(int status, boolean isConcurrencyLimited) {
         Outcome outcome = ofStatus(status, isConcurrencyLimited);
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -17,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import loftflow.http.ConnectionTimer;
+import loftflow.http.StrictResponseDecoder;
 import loftflow.http.UnreadBytes;
 
 /**
@@ -223,11 +223,12 @@
      * the end of each message by a body that only the end of the connection delimits: that end counts as a reset.
      */
     private boolean isReadable(HttpResponse response) {
-        String coding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean isCodingKnown = coding == null || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding);
-        boolean isDelimited = coding != null || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        boolean isDelimited = response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+                || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
         boolean isWhole = isDelimited || !call.isBatch() || !response.status().equals(HttpResponseStatus.OK);
-        return isCodingKnown && isWhole && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+        return isWhole
+                && StrictResponseDecoder.isTransferCodingKnown(response)
+                && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
     }
 
     private void endAsMalformed(UpstreamCall malformed) {
