Upstream: an answer that a reset cuts short counts as an error again

The policy counts a reset in place of an answer with weight 0 and an error with weight 1 (CallEvaluator), so hosts that break their answers off were left in service.

--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -288,9 +288,12 @@
         fail(UpstreamCall::onConnectionLost);
     }
 
-    /** A connection that is reset has not ended a response, as one that is closed may do. */
+    /**
+     * A connection that is reset has not ended a response, as one that is closed may do. A response that has begun
+     * shows that the host was reached, which a reset in its place does not.
+     */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        fail(UpstreamCall::onConnectionLost);
+        fail(decoder.hasBegun() ? this::endAsMalformed : UpstreamCall::onConnectionLost);
     }
 }
