--- a/src/test/java/loftflow/upstream/http/SingleResponseTest.java
+++ b/src/test/java/loftflow/upstream/http/SingleResponseTest.java
@@ -1,11 +1,14 @@
 package loftflow.upstream.http;
 
+import static loftflow.server.RelayProcess.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.util.List;
 import loftflow.fake.ScriptedPeer;
 import loftflow.policy.api.AttemptOutcome;
+import loftflow.server.KernelSocketState;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -76,4 +79,17 @@
         Result next = results.get(sendAndAwait(1).get(0));
         assertFalse(next.isMessageCompleted(), "ended as " + next);
     }
+
+    /** The host was reached and fails in its answers: the policy weighs that as an error, not as a lost connection. */
+    @Test
+    void responseThatAResetCutsShortIsAnError() {
+        host.answer(request -> {
+            write("HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\nhalf");
+            KernelSocketState relay = KernelSocketState.ofPeer(latestConnection());
+            await(() -> !relay.hasUnread());
+            resetAtClose();
+            return ScriptedPeer.CLOSE;
+        });
+        assertEquals(MAY_HAVE_RUN, results.get(sendAndAwait(1).get(0)));
+    }
 }
