Connection limit: connections in use are not evicted, and whoever is gets an answer

Cause: at the limit ConnectionLimiter read the longest idle connection and then closed it, however recently it had been used; a request that arrived between the two was cut off. Connections with half a request counted as busy, so that a crowd of them pushed out the clients that were served. Where nothing was idle, the new connection was closed, whatever was written to it.

Change: a new connection evicts, in this order, one that has its last answer, one whose request has been incomplete for 400 ms, one that has sent nothing, one that has been idle for 2 s; else it is the one to go. A client that has had no answer gets 503 with "Connection: close" before the close: the request that crosses it is rejected, not lost. HTTP/2 keeps its rule, as its GOAWAY names the last accepted stream.

--- a/src/main/java/loftflow/listener/http/HttpClientConnection.java
+++ b/src/main/java/loftflow/listener/http/HttpClientConnection.java
@@ -100,6 +100,21 @@
         context.close();
     }
 
+    /**
+     * Closes the connection at the connection limit. A client that has no response yet is rejected, whether its request
+     * is incomplete or still on its way: without a response a request that was written whole would be lost.
+     */
+    void evict() {
+        boolean isRejected = !isClosing && !(isIdle && hasResponded);
+        isClosing = true;
+        if (isRejected) {
+            // Closing with unread bytes resets the connection; they are discarded from here on.
+            readPending();
+            context.writeAndFlush(ResponseFactory.create(ClientResponse.OVERLOADED, 0, true));
+        }
+        close();
+    }
+
     /** Reads pending bytes, unless reading is paused because the client does not read its responses. */
     void readPending() {
         if (context.channel().isWritable()) {
@@ -308,6 +323,7 @@
 
     private void handle(HttpRequestReader request) {
         isAwaitingResponse = true;
+        listener.connections().onRequestReceived(this);
         HttpRequest head = request.head();
         isKeepAlive = HttpUtil.isKeepAlive(head);
         exchange.handle(
@@ -355,6 +371,7 @@
             listener.connections().onIdle(this);
             startIdleTimeout();
         } else if (reading != null) {
+            listener.connections().onRequestStarted(this);
             startReadTimeout();
         }
         updateAutoRead();
@@ -374,8 +391,7 @@
             return;
         }
         ((DuplexChannel) context.channel()).shutdownOutput();
-        // Nothing more is owed to the client, so the connection may be evicted.
-        listener.connections().onIdle(this);
+        listener.connections().onFinished(this);
         context.channel().config().setAutoRead(true);
         timer.start(LINGER_MILLIS, TimeUnit.MILLISECONDS, this::close);
     }
--- a/src/main/java/loftflow/listener/http/HttpListener.java
+++ b/src/main/java/loftflow/listener/http/HttpListener.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import loftflow.engine.Clock;
 import loftflow.engine.EventLoopLag;
 import loftflow.engine.MessageAcceptor;
@@ -13,6 +14,9 @@
 
 /** Listens for HTTP/1.1 clients, with a limit on their connections and on the memory of their partial requests. */
 public final class HttpListener implements Listener {
+    /** A connection may be evicted once it has had no request in progress for so long. */
+    static final long MIN_IDLE_MICROS = TimeUnit.SECONDS.toMicros(2);
+
     private final Acceptor acceptor;
     private final ConnectionLimiter<HttpClientConnection> connections;
     private final RequestBufferPool bufferPool = new RequestBufferPool();
@@ -22,8 +26,8 @@
     public HttpListener(MessageAcceptor messageAcceptor, Clock clock, EventLoopLag eventLoopLag, int maxConnections) {
         acceptor = new Acceptor(eventLoopLag, channel -> channel.pipeline()
                 .addLast(new HttpClientConnection(this, messageAcceptor, clock).handlers()));
-        connections =
-                new ConnectionLimiter<>(maxConnections, HttpClientConnection::readPending, HttpClientConnection::close);
+        connections = new ConnectionLimiter<>(
+                maxConnections, MIN_IDLE_MICROS, clock, HttpClientConnection::readPending, HttpClientConnection::evict);
     }
 
     /** Listens for clients at an address. */
--- a/src/main/java/loftflow/listener/http2/ClientSession.java
+++ b/src/main/java/loftflow/listener/http2/ClientSession.java
@@ -214,7 +214,7 @@
     }
 
     void onFirstStreamOpened() {
-        listener.connections().onRequestStarted(this);
+        listener.connections().onRequestReceived(this);
         expiry.onStreamsChanged(true, clock.micros());
     }
 
--- a/src/main/java/loftflow/listener/http2/Http2Listener.java
+++ b/src/main/java/loftflow/listener/http2/Http2Listener.java
@@ -51,6 +51,9 @@
             ConnectionExpiry.TimeLimits expiry,
             long drainTimeoutMicros) {}
 
+    /** GOAWAY tells a client which of its streams were not accepted, however recently it used its connection. */
+    private static final long NO_MIN_IDLE_MICROS = 0;
+
     private static final long CHECK_INTERVAL_MILLIS = 50;
     /** The send buffer of a socket, which bounds what the kernel holds for a client that does not read. */
     private static final int SEND_BUFFER_BYTES = 64 << 10;
@@ -85,7 +88,8 @@
         acceptor = new Acceptor(eventLoopLag, this::onAccepted);
         // Pending bytes need not be read before an eviction: GOAWAY carries the last accepted stream, and the client
         // sends later ones elsewhere.
-        connections = new ConnectionLimiter<>(options.maxConnections(), session -> {}, ClientSession::evict);
+        connections = new ConnectionLimiter<>(
+                options.maxConnections(), NO_MIN_IDLE_MICROS, clock, session -> {}, ClientSession::evict);
         streamCapacity = new StreamCapacity(options.streams());
         receiveWindows = new ReceiveWindowPool(clock, connections::all, options.poolBytes(), options.classShares());
     }
