HTTP/2: a new connection is read before the connection limit evicts it

Callers would see: a client that had written its preface and first request to a new connection got neither an answer nor a GOAWAY where that connection was evicted at the limit.

Evictions read nothing, as GOAWAY names the last accepted stream; but a connection that has received nothing is closed without a GOAWAY (ClientSession.terminate).

Change: a connection in its handshake is read first, as the drain does.

--- a/src/main/java/loftflow/listener/http2/Http2Listener.java
+++ b/src/main/java/loftflow/listener/http2/Http2Listener.java
@@ -86,10 +86,12 @@
         this.clock = clock;
         this.options = options;
         acceptor = new Acceptor(eventLoopLag, this::onAccepted);
-        // Pending bytes need not be read before an eviction: GOAWAY carries the last accepted stream, and the client
-        // sends later ones elsewhere.
         connections = new ConnectionLimiter<>(
-                options.maxConnections(), NO_MIN_IDLE_MICROS, clock, session -> {}, ClientSession::evict);
+                options.maxConnections(),
+                NO_MIN_IDLE_MICROS,
+                clock,
+                Http2Listener::readPendingHandshake,
+                ClientSession::evict);
         streamCapacity = new StreamCapacity(options.streams());
         receiveWindows = new ReceiveWindowPool(clock, connections::all, options.poolBytes(), options.classShares());
     }
@@ -170,9 +172,17 @@
     @Override
     public void readPending() {
         acceptor.acceptPending();
-        connections.all().stream()
-                .filter(session -> !session.isHandshakeComplete())
-                .forEach(ClientSession::readPending);
+        connections.all().forEach(Http2Listener::readPendingHandshake);
+    }
+
+    /**
+     * Reads from a connection in its handshake: if it has received nothing, it would end without a GOAWAY. Later, GOAWAY
+     * carries the last accepted stream, and the client sends those behind it elsewhere.
+     */
+    private static void readPendingHandshake(ClientSession session) {
+        if (!session.isHandshakeComplete()) {
+            session.readPending();
+        }
     }
 
     @Override
--- a/src/test/java/loftflow/listener/http2/ConnectionEndTest.java
+++ b/src/test/java/loftflow/listener/http2/ConnectionEndTest.java
@@ -312,6 +312,26 @@
         assertAnsweredAndGoAwayReceived(client);
     }
 
+    /** The same at the connection limit, on the connection that would be evicted: it has received nothing yet. */
+    @Test
+    void pendingStreamOfANewConnectionIsAnsweredAtTheConnectionLimit() throws IOException {
+        serve(defaultOptions());
+        RawHttp2Client client = clientWithoutPreface();
+        await(() -> onLoop(() -> listener.connections().size()) == 1);
+        for (int i = 1; i < defaultOptions().maxConnections(); i++) {
+            clientWithoutPreface();
+        }
+        await(() ->
+                onLoop(() -> listener.connections().size()) == defaultOptions().maxConnections());
+        onLoop(() -> {
+            begin(client);
+            clientWithoutPreface();
+            listener.acceptor().acceptPending();
+            return null;
+        });
+        assertEquals(202, client.status(1));
+    }
+
     private static void begin(RawHttp2Client client) throws IOException {
         client.preface();
         client.send(RawHttp2Client.message("m"), "x");
