AMQP: a return without its tag ends the publishes that it may be for

Callers saw: a message that a broker had returned as unroutable ended as delivered, where the return did not carry the header with the publish's tag or carried it as another type (a trial with such a broker; no caller has reported one).

Cause: BrokerConnection.onReturn took such a return for one that says nothing, and the confirm that follows counted as the delivery. Same cause elsewhere: ReplyPublisher.onReturn, by which a completion for a reply queue that does not exist was acknowledged.

Change: PublisherConfirms decides for both. A broker returns a publish before it confirms it, on the same channel, so that a return is for an open publish: of the message that it names, else any. Where one comes into question it never ran (NOT_SENT); where several do, each may have run (RESET), and their later confirms count for nothing. A tag of no open publish still says nothing of others. FakeBroker can change the properties of what it returns.

--- a/src/main/java/loftflow/amqp/confirm/PublisherConfirms.java
+++ b/src/main/java/loftflow/amqp/confirm/PublisherConfirms.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * Tracks the publishes on one channel in confirm mode. The caller reports what was written and received; each publish
@@ -25,7 +26,10 @@
         NACKED,
         /** Returned as unroutable: it did not take effect. */
         RETURNED,
-        /** The channel closed after it was written completely and before its confirm: it may have taken effect. */
+        /**
+         * It may have taken effect: the channel closed after it was written completely and before its confirm, or a
+         * return that did not identify its publish may have been for this one.
+         */
         UNKNOWN,
         /** Not written completely, or not processed because of a channel error: it did not take effect. */
         NEVER
@@ -37,7 +41,10 @@
     private static final class Publish<T> {
         final T what;
         boolean written;
+        /** A return was for this publish. */
         boolean returned;
+        /** Its outcome is known, so that its confirm says nothing more. */
+        boolean settled;
 
         Publish(T what) {
             this.what = what;
@@ -67,7 +74,43 @@
     }
 
     /**
-     * Handles {@code basic.return}.
+     * Handles {@code basic.return}. One that lost its tag is still evidence: a broker returns a publish before it
+     * confirms it, so that it was for an open one. Where several come into question, their confirms prove nothing.
+     *
+     * @param tagHeader the value of {@link #DELIVERY_TAG_HEADER} in the returned message; null where it is absent
+     * @param isOfMessage whether a publish is of the returned message; false for all where that names none
+     * @return empty if this proves nothing that was not known
+     */
+    public List<Settled<T>> returned(Object tagHeader, Predicate<T> isOfMessage) {
+        return tagHeader instanceof Long tag ? returned(tag) : returnedWithoutTag(isOfMessage);
+    }
+
+    private List<Settled<T>> returnedWithoutTag(Predicate<T> isOfMessage) {
+        List<Publish<T>> open = unconfirmed.values().stream()
+                .filter(publish -> publish.written && !publish.returned)
+                .toList();
+        List<Publish<T>> ofMessage =
+                open.stream().filter(publish -> isOfMessage.test(publish.what)).toList();
+        List<Publish<T>> candidates = ofMessage.isEmpty() ? open : ofMessage;
+        boolean isIdentified = candidates.size() == 1;
+        List<Settled<T>> settled = new ArrayList<>();
+        for (Publish<T> candidate : candidates) {
+            candidate.returned = isIdentified;
+            settle(candidate, isIdentified ? Outcome.RETURNED : Outcome.UNKNOWN, settled);
+        }
+        return settled;
+    }
+
+    /** Adds a publish with its outcome, unless it has one. */
+    private static <T> void settle(Publish<T> publish, Outcome outcome, List<Settled<T>> settled) {
+        if (!publish.settled) {
+            publish.settled = true;
+            settled.add(new Settled<>(publish.what, outcome));
+        }
+    }
+
+    /**
+     * Handles {@code basic.return} with its tag.
      *
      * @return empty if the tag is not that of an open, completely written publish, as that proves nothing
      */
@@ -77,7 +120,9 @@
             return List.of();
         }
         publish.returned = true;
-        return List.of(new Settled<>(publish.what, Outcome.RETURNED));
+        List<Settled<T>> settled = new ArrayList<>();
+        settle(publish, Outcome.RETURNED, settled);
+        return settled;
     }
 
     /**
@@ -96,10 +141,8 @@
         }
         List<Settled<T>> settled = new ArrayList<>();
         for (Publish<T> publish : matching.values()) {
-            // A returned publish is settled already; the broker still confirms it.
-            if (!publish.returned) {
-                settled.add(new Settled<>(publish.what, acked ? Outcome.ACKED : Outcome.NACKED));
-            }
+            // The broker still confirms a publish that was returned.
+            settle(publish, acked ? Outcome.ACKED : Outcome.NACKED, settled);
         }
         matching.clear();
         return settled;
@@ -118,9 +161,7 @@
         for (Map.Entry<Long, Publish<T>> entry : unconfirmed.entrySet()) {
             Publish<T> publish = entry.getValue();
             boolean neverProcessed = !publish.written || publishAtFault && allWritten && entry.getKey() == lastTag;
-            if (!publish.returned) {
-                settled.add(new Settled<>(publish.what, neverProcessed ? Outcome.NEVER : Outcome.UNKNOWN));
-            }
+            settle(publish, neverProcessed ? Outcome.NEVER : Outcome.UNKNOWN, settled);
         }
         unconfirmed.clear();
         return settled;
--- a/src/main/java/loftflow/fake/FakeBroker.java
+++ b/src/main/java/loftflow/fake/FakeBroker.java
@@ -27,6 +27,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
+import java.util.function.UnaryOperator;
 import loftflow.amqp.codec.Method;
 import loftflow.amqp.codec.MethodType;
 import loftflow.amqp.codec.Properties;
@@ -91,6 +92,7 @@
     Function<String, Fate> fateOf = id -> Fate.CONFIRM;
     private Cut cut = Cut.NEVER;
     long lateConfirmMillis;
+    UnaryOperator<Properties> returnedProperties = UnaryOperator.identity();
     BooleanSupplier losesAcknowledgement = () -> false;
     boolean isBlocked;
     private boolean isReading = true;
@@ -231,6 +233,11 @@
         run(() -> lateConfirmMillis = millis);
     }
 
+    /** Changes the properties of messages that are returned from now on. */
+    public void returnWith(UnaryOperator<Properties> change) {
+        run(() -> returnedProperties = change);
+    }
+
     /** Cuts connections from now on; those that are there stay as they are. */
     public void cut(Cut next) {
         run(() -> cut = next);
--- a/src/main/java/loftflow/fake/FakeBrokerSession.java
+++ b/src/main/java/loftflow/fake/FakeBrokerSession.java
@@ -321,7 +321,7 @@
                         "NO_ROUTE",
                         exchange,
                         command.method().text("routing-key")),
-                command.properties(),
+                broker.returnedProperties.apply(command.properties()),
                 command.body());
     }
 
--- a/src/main/java/loftflow/listener/amqp/ReplyBody.java
+++ b/src/main/java/loftflow/listener/amqp/ReplyBody.java
@@ -21,12 +21,17 @@
 
     private ReplyBody() {}
 
+    /** The id of a reply. */
+    static String id(Message message) {
+        return message.content().messageId() + REPLY_ID_SUFFIX;
+    }
+
     /** The properties of a reply. The correlation id is the one that the client set, or else the message's id. */
     static Properties properties(Message message) {
         String messageId = message.content().messageId();
         String correlationId = message.content().reply().correlationId();
         return Properties.NONE
-                .with(Property.MESSAGE_ID, messageId + REPLY_ID_SUFFIX)
+                .with(Property.MESSAGE_ID, id(message))
                 .with(Property.CORRELATION_ID, correlationId == null ? messageId : correlationId)
                 .with(Property.TYPE, message.completion().result())
                 .with(Property.CONTENT_TYPE, CONTENT_TYPE)
--- a/src/main/java/loftflow/listener/amqp/ReplyPublisher.java
+++ b/src/main/java/loftflow/listener/amqp/ReplyPublisher.java
@@ -107,9 +107,10 @@
 
     /** The broker has returned a publish. */
     void onReturn(Command command) {
-        if (command.properties().headers().get(PublisherConfirms.DELIVERY_TAG_HEADER) instanceof Long tag) {
-            confirms.returned(tag).forEach(this::settle);
-        }
+        Object tagHeader = command.properties().headers().get(PublisherConfirms.DELIVERY_TAG_HEADER);
+        String replyId = command.properties().text(Property.MESSAGE_ID);
+        confirms.returned(tagHeader, message -> ReplyBody.id(message).equals(replyId))
+                .forEach(this::settle);
     }
 
     private void settle(PublisherConfirms.Settled<Message> settled) {
--- a/src/main/java/loftflow/upstream/amqp/BrokerConnection.java
+++ b/src/main/java/loftflow/upstream/amqp/BrokerConnection.java
@@ -12,6 +12,7 @@
 import loftflow.amqp.codec.Command;
 import loftflow.amqp.codec.Method;
 import loftflow.amqp.codec.MethodType;
+import loftflow.amqp.codec.Property;
 import loftflow.amqp.confirm.PublisherConfirms;
 import loftflow.amqp.link.AmqpClientConnection;
 import loftflow.amqp.link.AmqpConnection;
@@ -308,9 +309,10 @@
     }
 
     private void onReturn(Command command) {
-        Object tag = command.properties().headers().get(PublisherConfirms.DELIVERY_TAG_HEADER);
-        List<PublisherConfirms.Settled<Message.Attempt>> settled =
-                tag instanceof Long number ? confirms.returned(number) : List.of();
+        Object tagHeader = command.properties().headers().get(PublisherConfirms.DELIVERY_TAG_HEADER);
+        String messageId = command.properties().text(Property.MESSAGE_ID);
+        List<PublisherConfirms.Settled<Message.Attempt>> settled = confirms.returned(
+                tagHeader, attempt -> attempt.message().content().messageId().equals(messageId));
         if (settled.isEmpty()) {
             log("return of an unknown publish", "");
         } else {
@@ -319,6 +321,9 @@
                     " reason=" + command.method().text("reply-text") + " exchange=\"" + destination.exchange()
                             + "\" routingKey=\"" + destination.routingKey() + "\"");
         }
+        if (settled.size() > 1) {
+            log("return does not identify its publish", " publishes=" + settled.size());
+        }
         settled.forEach(this::settle);
     }
 
--- a/src/test/java/loftflow/amqp/confirm/PublisherConfirmsTest.java
+++ b/src/test/java/loftflow/amqp/confirm/PublisherConfirmsTest.java
@@ -49,6 +49,44 @@
         assertEquals("", text(confirms.closed(false)), "the end says no more of it than the return did");
     }
 
+    /** A broker returns a publish before it confirms it, so that only an open one can be meant. */
+    @Test
+    void returnWithoutTagIsForTheOnlyOpenPublish() {
+        publish("a", "b");
+        assertEquals("a ACKED", text(confirms.confirmed(1, false, true)));
+        confirms.publish("half");
+        assertEquals("b RETURNED", text(confirms.returned(null, publish -> false)));
+        assertEquals("", text(confirms.confirmed(2, false, true)));
+        assertEquals("", text(confirms.returned(null, publish -> false)), "it has not left whole");
+    }
+
+    /** Guards against confirms that count as delivered though one of their publishes was returned. */
+    @Test
+    void returnWithoutTagLeavesSeveralOpenPublishesUnknown() {
+        publish("a", "b");
+        assertEquals("a UNKNOWN, b UNKNOWN", text(confirms.returned("1", publish -> false)));
+        publish("c");
+        assertEquals("c UNKNOWN", text(confirms.returned(null, publish -> false)), "a or b may be meant as well");
+        assertEquals("", text(confirms.confirmed(2, true, true)));
+        publish("d");
+        assertEquals("d ACKED", text(confirms.confirmed(0, true, true)));
+    }
+
+    @Test
+    void returnWithoutTagIsForTheMessageThatItNames() {
+        publish("a", "b", "c", "c");
+        assertEquals("b RETURNED", text(confirms.returned(null, "b"::equals)));
+        assertEquals("c UNKNOWN, c UNKNOWN", text(confirms.returned(null, "c"::equals)));
+        assertEquals("a ACKED", text(confirms.confirmed(0, true, true)));
+    }
+
+    @Test
+    void tagOfNoOpenPublishSaysNothingOfOthers() {
+        publish("a");
+        assertEquals("", text(confirms.returned(9L, publish -> true)));
+        assertEquals("a ACKED", text(confirms.confirmed(1, false, true)));
+    }
+
     @Test
     void invalidConfirmSettlesNothing() {
         publish("a");
@@ -95,6 +133,27 @@
     /** Compares the outcomes with a simulated broker that processes a channel in order, over 5,000 random runs. */
     @Test
     void outcomesNeverContradictTheBroker() {
+        int never = playRandomRuns((drawn, tag, random) -> drawn.returned(tag));
+        assertTrue(never > 1_000, "drawn too seldom: " + never);
+    }
+
+    /** The same with returns that lose their tag, and some of them also what names their message. */
+    @Test
+    void outcomesNeverContradictTheBrokerWhereReturnsLoseTheirTag() {
+        playRandomRuns((drawn, tag, random) -> {
+            boolean hasTag = random.nextInt(3) == 0;
+            boolean namesMessage = random.nextBoolean();
+            return drawn.returned(hasTag ? Long.valueOf(tag) : null, publish -> namesMessage && publish.equals(tag));
+        });
+    }
+
+    /** How a broker returns a publish. */
+    private interface Return {
+        List<PublisherConfirms.Settled<Integer>> send(PublisherConfirms<Integer> drawn, int tag, Random random);
+    }
+
+    /** Returns how many publishes are said never to have been processed. */
+    private static int playRandomRuns(Return sentReturn) {
         int never = 0;
         for (int seed = 0; seed < 5_000; seed++) {
             Random random = new Random(seed);
@@ -112,7 +171,7 @@
             }
             for (int tag = 1; tag <= whole && tag != fault; tag++) {
                 if (random.nextInt(4) == 0) {
-                    drawn.returned(tag).forEach(s -> concluded.put(s.publish(), s.outcome()));
+                    sentReturn.send(drawn, tag, random).forEach(s -> concluded.put(s.publish(), s.outcome()));
                 } else {
                     ran.add(tag);
                 }
@@ -135,6 +194,6 @@
                 assertTrue(right, "seed " + seed + ": " + one + ", ran: " + ran);
             }
         }
-        assertTrue(never > 1_000, "drawn too seldom: " + never);
+        return never;
     }
 }
--- a/src/test/java/loftflow/listener/amqp/QueueConsumerTest.java
+++ b/src/test/java/loftflow/listener/amqp/QueueConsumerTest.java
@@ -266,6 +266,13 @@
         assertEquals(List.of(), acknowledgedIds);
     }
 
+    /** Guards against a completion that counts as acknowledged where its return lost its tag. */
+    @Test
+    void completionWithoutAReplyQueueGoesToTheFallbackThoughItsReturnLostAllProperties() {
+        broker.returnWith(properties -> Properties.NONE);
+        completionWithoutAReplyQueueGoesToTheFallback();
+    }
+
     @Test
     void repliesAreSentOnRequestAlwaysOrNever() {
         start();
--- a/src/test/java/loftflow/upstream/amqp/BrokerClientTest.java
+++ b/src/test/java/loftflow/upstream/amqp/BrokerClientTest.java
@@ -25,6 +25,7 @@
 import javax.net.ssl.KeyManagerFactory;
 import loftflow.amqp.codec.Method;
 import loftflow.amqp.codec.MethodType;
+import loftflow.amqp.codec.Properties;
 import loftflow.amqp.codec.Property;
 import loftflow.amqp.link.AmqpClientConnection;
 import loftflow.engine.Clock;
@@ -232,6 +233,47 @@
         assertEquals(1, broker.connections(), "the connection goes on");
     }
 
+    /** Guards against an unroutable publish that counts as delivered where its return lost its tag. */
+    @Test
+    void returnedPublishNeverRanThoughItsReturnLostAllProperties() {
+        broker.returnWith(properties -> Properties.NONE);
+        returnedPublishNeverRan();
+    }
+
+    /** A return without properties leaves it open which of two publishes it is for, whatever confirms follow. */
+    @Test
+    void returnWithoutPropertiesLeavesOpenPublishesUnknown() {
+        Completion unknown = new Completion(AttemptOutcome.RESET, false, 0);
+        broker.returnWith(properties -> Properties.NONE);
+        publishOneAndHaveAnotherReturned();
+        assertEquals(unknown, completionOf("routed"));
+        assertEquals(unknown, completionOf("returned"));
+        broker.bind("orders", "direct", "k", "q");
+        broker.be(Fate.CONFIRM_LATE);
+        send("later");
+        assertEquals(AttemptOutcome.OK, outcomeOf("later"));
+        assertEquals(Set.of(), lateDeliveries);
+    }
+
+    @Test
+    void returnThatLostItsTagIsForTheMessageThatItNames() {
+        broker.returnWith(properties -> properties.with(Property.HEADERS, Map.of()));
+        publishOneAndHaveAnotherReturned();
+        assertEquals(new Completion(AttemptOutcome.NOT_SENT, false, 0), completionOf("returned"));
+        assertEquals(AttemptOutcome.OK, outcomeOf("routed"));
+    }
+
+    /** The confirm of the first message follows the return of the second. */
+    private void publishOneAndHaveAnotherReturned() {
+        broker.lateBy(500);
+        broker.be(Fate.CONFIRM_LATE);
+        send("routed");
+        awaitPosted("routed");
+        broker.remove("q");
+        broker.be(Fate.CONFIRM);
+        send("returned");
+    }
+
     @Test
     void nackedPublishMayHaveRun() {
         broker.be(Fate.NACK);
