Listener tests: one set-up for the four that talk to an HTTP/1.1 listener by sockets

AmbiguousRequestTest and UnreadResponsesTest had their own copies of what IdleCloseTest had. They extend HttpListenerTestBase now; requests, assertions, limits and timeouts are as before.

--- a/src/test/java/loftflow/listener/http/AmbiguousRequestTest.java
+++ b/src/test/java/loftflow/listener/http/AmbiguousRequestTest.java
@@ -4,22 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import loftflow.engine.Clock;
-import loftflow.engine.EventLoopLag;
-import loftflow.listener.FakeMessageAcceptor;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -33,7 +24,7 @@
  * is accepted with exactly its body, and the next request is read behind it.
  */
 @Timeout(60)
-class AmbiguousRequestTest {
+class AmbiguousRequestTest extends HttpListenerTestBase {
     private static final int RECEIVE_TIMEOUT_MILLIS = 6_000;
     private static final int ACCEPTED = 202;
     private static final int MALFORMED = 400;
@@ -54,25 +45,9 @@
         }
     }
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = (EventLoop) group.next();
-    private final FakeMessageAcceptor messageAcceptor = new FakeMessageAcceptor();
-    private InetSocketAddress address;
-
     @BeforeEach
-    void listen() throws InterruptedException {
-        Clock clock = Clock.system();
-        HttpListener listener =
-                new HttpListener(messageAcceptor, clock, new EventLoopLag((micros, task) -> () -> {}, clock), 8);
-        address = (InetSocketAddress) listener.listen(loop, new InetSocketAddress("127.0.0.1", 0))
-                .sync()
-                .channel()
-                .localAddress();
-    }
-
-    @AfterEach
-    void end() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    void start() throws InterruptedException {
+        listen();
     }
 
     // ---- requests
@@ -389,16 +364,13 @@
                 .toList();
     }
 
-    private Socket connect() throws IOException {
-        Socket client = new Socket(address.getAddress(), address.getPort());
+    @Override
+    Socket connect() throws IOException {
+        Socket client = super.connect();
         client.setSoTimeout(RECEIVE_TIMEOUT_MILLIS);
         return client;
     }
 
-    private static void send(Socket client, String bytes) throws IOException {
-        client.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-    }
-
     /** Reads a response, which has no body; returns its status, or {@link #NO_RESPONSE} where the connection ends. */
     private static int readStatus(Socket client) throws IOException {
         StringBuilder response = new StringBuilder();
--- a/src/test/java/loftflow/listener/http/ConnectionEvictionTest.java
+++ b/src/test/java/loftflow/listener/http/ConnectionEvictionTest.java
@@ -29,7 +29,7 @@
     private final List<Socket> clients = new ArrayList<>();
 
     @BeforeEach
-    void listen() throws InterruptedException {
+    void start() throws InterruptedException {
         listen(nowMicros::get, MAX_CONNECTIONS);
     }
 
@@ -51,6 +51,9 @@
     private Socket openAndUse() throws Exception {
         Socket client = open();
         assertServes(client);
+        // The response is received before the relay counts its connection as idle, which is the time that elapses
+        // later.
+        loop.submit(() -> {}).sync();
         return client;
     }
 
--- a/src/test/java/loftflow/listener/http/HttpListenerTestBase.java
+++ b/src/test/java/loftflow/listener/http/HttpListenerTestBase.java
@@ -26,7 +26,12 @@
     final EventLoop loop = (EventLoop) group.next();
     final FakeMessageAcceptor messageAcceptor = new FakeMessageAcceptor();
     HttpListener listener;
-    private InetSocketAddress address;
+    InetSocketAddress address;
+
+    /** Starts the listener with the machine's clock and a connection limit that the test does not reach. */
+    void listen() throws InterruptedException {
+        listen(Clock.system(), 8);
+    }
 
     /** Starts the listener. */
     void listen(Clock clock, int maxConnections) throws InterruptedException {
@@ -65,7 +70,7 @@
 
     static void send(Socket client, String text) {
         try {
-            client.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            client.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/test/java/loftflow/listener/http/IdleCloseTest.java
+++ b/src/test/java/loftflow/listener/http/IdleCloseTest.java
@@ -9,7 +9,6 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
-import loftflow.engine.Clock;
 import loftflow.server.RelayProcess;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,8 +20,8 @@
 @Timeout(60)
 class IdleCloseTest extends HttpListenerTestBase {
     @BeforeEach
-    void listen() throws InterruptedException {
-        listen(Clock.system(), 8);
+    void start() throws InterruptedException {
+        listen();
     }
 
     /**
--- a/src/test/java/loftflow/listener/http/UnreadResponsesTest.java
+++ b/src/test/java/loftflow/listener/http/UnreadResponsesTest.java
@@ -5,21 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import loftflow.engine.Clock;
-import loftflow.engine.EventLoopLag;
-import loftflow.listener.FakeMessageAcceptor;
 import loftflow.server.KernelSocketState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -28,38 +20,25 @@
 
 /** A client that sends requests on one connection and does not read the responses. */
 @Timeout(60)
-class UnreadResponsesTest {
-    private static final String MESSAGE =
-            "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: m\r\nX-Call-Class: safe\r\n"
-                    + "X-Budget-Ms: 20000\r\nX-Consignee: dest=7\r\nContent-Length: 1\r\n\r\nx";
+class UnreadResponsesTest extends HttpListenerTestBase {
     private static final String ACCEPTED_RESPONSE = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
     private static final int BATCH = 8;
     /** More responses than the relay buffers before it stops reading requests. */
     private static final int MAX_BUFFERED_RESPONSES = 1000;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = (EventLoop) group.next();
-    private final FakeMessageAcceptor messageAcceptor = new FakeMessageAcceptor();
-    private HttpListener listener;
     private SocketChannel client;
 
     @BeforeEach
-    void connect() throws Exception {
-        Clock clock = Clock.system();
-        listener = new HttpListener(messageAcceptor, clock, new EventLoopLag((micros, task) -> () -> {}, clock), 8);
-        InetSocketAddress address = (InetSocketAddress) listener.listen(loop, new InetSocketAddress("127.0.0.1", 0))
-                .sync()
-                .channel()
-                .localAddress();
+    void start() throws Exception {
+        listen();
         client = SocketChannel.open();
         client.setOption(StandardSocketOptions.SO_RCVBUF, 4096);
         client.connect(address);
     }
 
     @AfterEach
-    void end() throws IOException {
+    void disconnect() throws IOException {
         client.close();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
     private <T> T on(Callable<T> task) {
@@ -79,7 +58,7 @@
     }
 
     private int sendBatch() throws IOException {
-        for (ByteBuffer batch = bytes(MESSAGE.repeat(BATCH)); batch.hasRemaining(); ) {
+        for (ByteBuffer batch = bytes(REQUEST.repeat(BATCH)); batch.hasRemaining(); ) {
             client.write(batch);
         }
         return BATCH;
@@ -160,7 +139,7 @@
     @Test
     void clientThatNeverReadsItsLastResponseIsClosed() throws Exception {
         sendUntilResponsesAreBuffered();
-        client.write(bytes(MESSAGE.replace("Host", "Connection: close\r\nHost")));
+        client.write(bytes(REQUEST.replace("Host", "Connection: close\r\nHost")));
         await(() -> on(() -> listener.connections().size()) == 0);
     }
 }
