--- a/src/main/java/loftflow/listener/http2/Http2Listener.java
+++ b/src/main/java/loftflow/listener/http2/Http2Listener.java
@@ -176,8 +176,8 @@
     }
 
     /**
-     * Reads from a connection in its handshake: if it has received nothing, it would end without a GOAWAY. Later, GOAWAY
-     * carries the last accepted stream, and the client sends those behind it elsewhere.
+     * Reads from a connection in its handshake: if it has received nothing, it would end without a GOAWAY. Later,
+     * GOAWAY carries the last accepted stream, and the client sends those behind it elsewhere.
      */
     private static void readPendingHandshake(ClientSession session) {
         if (!session.isHandshakeComplete()) {
