A copied acknowledgement no longer forgets a notice that the agent has not read

Cause: a 204 names no notice. On the one connection of the notifier a copy was read as the answer to the next request, whose notices were then forgotten.

Change: each request of the notifier has a connection of its own; the next one is opened as soon as an answer has come, so no request waits for a handshake. The connection before is used again only while the agent accepts no other (it moves) or after 50 ms. A response that comes before the request is written is no longer taken for its answer.

No delay matters: the first response on a connection can't be a copy.

--- a/src/main/java/loftflow/completion/HttpCompletionNotifier.java
+++ b/src/main/java/loftflow/completion/HttpCompletionNotifier.java
@@ -53,7 +53,8 @@
         this.loop = loop;
         this.onAcknowledged = onAcknowledged;
         this.onUnreachable = onUnreachable;
-        connection = new AgentConnection(loop, address);
+        // An acknowledgement names no notice, and an acknowledged notice is not sent again.
+        connection = new AgentConnection(loop, address, AgentConnection.Reuse.IF_UNAVOIDABLE);
     }
 
     /**
--- a/src/main/java/loftflow/discovery/AgentConnection.java
+++ b/src/main/java/loftflow/discovery/AgentConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -27,10 +28,16 @@
 import java.util.concurrent.TimeUnit;
 import loftflow.http.StrictResponseDecoder;
 import loftflow.http.UnreadBytes;
+import loftflow.log.Log;
 
 /**
  * A persistent HTTP/1.1 connection to the platform's agent that carries one request at a time. A closed connection is
  * reopened by the next request. Must be used on its event loop.
+ *
+ * <p>A response is matched to a request by its position on the connection, so a second copy of a response would be read
+ * as the response to a later request. Where responses name nothing, each request can have a connection of its own
+ * ({@link Reuse#IF_UNAVOIDABLE}): the next one is opened as soon as a response has come, and the one before it is used
+ * again only while the agent accepts no connections.
  */
 public final class AgentConnection {
     private static final int MAX_RESPONSE_BYTES = 2 << 20;
@@ -38,8 +45,18 @@
     /** The minimum time for the response once the connection is open. A local agent responds well within it. */
     private static final long MIN_RESPONSE_TIMEOUT_MILLIS = 100;
 
+    /** How long a request waits for a connection of its own before it reuses the one before it. */
+    private static final int MAX_SUCCESSOR_WAIT_MILLIS = 50;
+
     private static final int NO_RESPONSE = 0;
 
+    /** When a connection carries more than one request. */
+    public enum Reuse {
+        ALWAYS,
+        /** Only while no other connection to the agent can be opened. */
+        IF_UNAVOIDABLE
+    }
+
     /** Receives the outcome of a request. */
     public interface ResponseHandler {
         /**
@@ -52,12 +69,19 @@
     }
 
     private final EventLoop loop;
+    private final Reuse reuse;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
     /** The open or opening connection; null if there is none. */
     private Channel channel;
     /** The connection attempt of {@link #channel}. */
     private ChannelFuture connectFuture;
+    /** Whether {@link #channel} has carried a request. */
+    private boolean isUsed;
+    /** The opening connection that will take the place of {@link #channel}; null if there is none. */
+    private ChannelFuture successor;
+    /** The request in progress while it waits for a connection; null if it has been written or there is none. */
+    private FullHttpRequest unwrittenRequest;
 
     /** The handler of the request in progress; null if there is none. */
     private ResponseHandler pendingHandler;
@@ -69,9 +93,19 @@
         this(loop, address, NioSocketChannel::new);
     }
 
+    /** Creates a connection that reuses its socket as given. */
+    public AgentConnection(EventLoop loop, InetSocketAddress address, Reuse reuse) {
+        this(loop, address, NioSocketChannel::new, reuse);
+    }
+
     /** Creates a connection that obtains its sockets from a factory, which may throw. */
     AgentConnection(EventLoop loop, InetSocketAddress address, ChannelFactory<Channel> sockets) {
+        this(loop, address, sockets, Reuse.ALWAYS);
+    }
+
+    private AgentConnection(EventLoop loop, InetSocketAddress address, ChannelFactory<Channel> sockets, Reuse reuse) {
         this.loop = loop;
+        this.reuse = reuse;
         this.address = address;
         bootstrap = new Bootstrap()
                 .group(loop)
@@ -110,18 +144,70 @@
                 HttpVersion.HTTP_1_1, method, path, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
         request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         HttpUtil.setContentLength(request, request.content().readableBytes());
+        unwrittenRequest = request;
+        if (mustReplace()) {
+            openSuccessor();
+            loop.schedule(() -> writeOnOpenConnection(request), MAX_SUCCESSOR_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            writeOnOpenConnection(request);
+        }
+    }
+
+    /** Returns whether the connection has carried a request and another one is to carry the next. */
+    private boolean mustReplace() {
+        return reuse == Reuse.IF_UNAVOIDABLE && isUsed && isOpen();
+    }
+
+    /** Opens the connection for the next request, unless it is being opened. */
+    private void openSuccessor() {
+        if (successor != null) {
+            return;
+        }
+        ChannelFuture attempt = bootstrap.connect(address);
+        successor = attempt;
+        // If the socket could not be created, this listener runs on another thread.
+        attempt.addListener(connected -> loop.execute(() -> onSuccessorConnected(attempt)));
+    }
+
+    /** Replaces the connection, unless a request is in progress on it, and writes the request that waits for that. */
+    private void onSuccessorConnected(ChannelFuture attempt) {
+        if (successor != attempt) {
+            closeIfOpen(attempt.channel());
+            return;
+        }
+        successor = null;
+        boolean isInUse = pendingHandler != null && unwrittenRequest == null;
+        if (attempt.isSuccess() && !isInUse) {
+            Channel replaced = channel;
+            channel = attempt.channel();
+            connectFuture = attempt;
+            isUsed = false;
+            closeIfOpen(replaced);
+        } else {
+            closeIfOpen(attempt.channel());
+        }
+        if (unwrittenRequest != null) {
+            writeOnOpenConnection(unwrittenRequest);
+        }
+    }
+
+    /** Writes a request, unless it has been written or ended, on the connection or on a new one if it has closed. */
+    private void writeOnOpenConnection(FullHttpRequest request) {
+        if (unwrittenRequest != request) {
+            return;
+        }
         open();
         ChannelFuture attempt = connectFuture;
         boolean hadToConnect = !attempt.isDone();
         attempt.addListener(connected -> {
-            if (!connected.isSuccess()) {
-                request.release();
-                return;
+            if (connected.isSuccess() && unwrittenRequest == request && attempt.channel() == channel) {
+                if (hadToConnect) {
+                    extendTimeout();
+                }
+                unwrittenRequest = null;
+                isUsed = true;
+                channel.writeAndFlush(request);
             }
-            if (hadToConnect && attempt.channel() == channel) {
-                extendTimeout();
-            }
-            attempt.channel().writeAndFlush(request);
         });
     }
 
@@ -153,6 +239,7 @@
         ChannelFuture attempt = bootstrap.connect(address);
         connectFuture = attempt;
         channel = attempt.channel();
+        isUsed = false;
         attempt.addListener(connected -> {
             if (!connected.isSuccess()) {
                 // If the socket could not be created, this listener runs on another thread.
@@ -170,10 +257,14 @@
 
     /** Closes the connection, unless its socket could not be created: closing such a channel throws. */
     private void close() {
-        Channel previous = channel;
+        closeIfOpen(channel);
         channel = null;
-        if (previous != null && previous.isOpen()) {
-            previous.close();
+        successor = null;
+    }
+
+    private static void closeIfOpen(Channel closed) {
+        if (closed != null && closed.isOpen()) {
+            closed.close();
         }
     }
 
@@ -203,11 +294,19 @@
         if (pendingHandler != null) {
             ResponseHandler handler = pendingHandler;
             pendingHandler = null;
+            releaseUnwritten();
             timeout.cancel(false);
             handler.onResponse(status, body);
         }
     }
 
+    private void releaseUnwritten() {
+        if (unwrittenRequest != null) {
+            unwrittenRequest.release();
+            unwrittenRequest = null;
+        }
+    }
+
     private final class ResponseReader extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final StrictResponseDecoder decoder;
 
@@ -226,11 +325,20 @@
                 return;
             }
             decoder.awaitResponse();
+            boolean isUnsolicited = pendingHandler == null || unwrittenRequest != null;
             // After a response without a request, later responses cannot be matched to requests.
-            if (pendingHandler == null || !HttpUtil.isKeepAlive(response)) {
+            if (isUnsolicited || !HttpUtil.isKeepAlive(response)) {
                 ctx.close();
                 channel = null;
             }
+            if (isUnsolicited) {
+                Log.line("agent: unsolicited response status="
+                        + response.status().code());
+                return;
+            }
+            if (mustReplace()) {
+                openSuccessor();
+            }
             completeRequest(response.status().code(), response.content().toString(StandardCharsets.UTF_8));
         }
 
--- a/src/test/java/loftflow/completion/HttpCompletionNotifierTest.java
+++ b/src/test/java/loftflow/completion/HttpCompletionNotifierTest.java
@@ -18,9 +18,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 import loftflow.engine.Message;
 import loftflow.fake.ScriptedPeer;
@@ -70,6 +74,48 @@
         }
     }
 
+    /** The notice was lost: a copy acknowledged it, and the agent ended the connection without reading it. */
+    @Test
+    void noticeBehindACopiedAcknowledgementReachesTheAgent() throws Exception {
+        int count = 200;
+        Set<String> received = ConcurrentHashMap.newKeySet();
+        try (ScriptedPeer platform = ScriptedPeer.always(ScriptedPeer.status(204))) {
+            platform.answer(request -> {
+                receiveNotices(request.body(), received);
+                return platform.count("POST") % 2 == 0 ? acknowledgeTwice(platform) : ScriptedPeer.status(204);
+            });
+            List<String> acknowledged = new CopyOnWriteArrayList<>();
+            HttpCompletionNotifier notifier = notifier(addressOf(platform), acknowledged);
+            for (int i = 0; i < count; i++) {
+                Message message = completed(i);
+                loop.execute(() -> notifier.notifyCompletion(message));
+                TimeUnit.MILLISECONDS.sleep(1);
+            }
+            await(() -> acknowledged.size() == count);
+            assertEquals(Set.copyOf(acknowledged), received);
+        }
+    }
+
+    private static String acknowledgeTwice(ScriptedPeer platform) {
+        Socket connection = platform.connections.get(platform.connections.size() - 1);
+        for (int i = 0; i < 2; i++) {
+            try {
+                connection.getOutputStream().write(ScriptedPeer.status(204).getBytes(StandardCharsets.ISO_8859_1));
+            } catch (IOException e) {
+                // The notifier has closed the connection.
+            }
+            RelayProcess.blockThread(3);
+        }
+        return ScriptedPeer.CLOSE;
+    }
+
+    private static void receiveNotices(String body, Set<String> received) {
+        Matcher notice = Pattern.compile("\"ref\":\"([^\"]*)\"").matcher(body);
+        while (notice.find()) {
+            received.add(notice.group(1));
+        }
+    }
+
     /** If the platform rejects a batch for one malformed notice, that one is dropped and the others acknowledged. */
     @Test
     void malformedNoticeIsDropped() throws Exception {
