Conclusions from answers that may be copies are corrected until their deadlines

The repair before went by delays (2, 100, 500 ms), looked at the last call alone, and forgot what a connection had concluded when it ended or carried its next call.

Cause: HTTP/1.1 matches by position. A conclusion was final although the response that would disprove it had not been read: (1) the connection ended, by the host or by the relay itself (single use, a copy on another connection, eviction); (2) the call's own response ended the next call, and only that one was corrected; (3) a rejection behind an older rejection passed for its own.

Change: ResponseLedger, free of sockets and clocks, holds what the responses of a connection prove. With n surplus responses a call's own is one of the n + 1 that followed its request; its outcome stands if they agree, whatever the delays. A connection that is not used any more is read on until its calls' responses are overdue, or to their deadlines where the host is known for copies. One that ends before leaves its last call unproven: the message is opened again, repeated if its class allows that, else reported as failed. A rejection of a message that must not be repeated counts where it can only be its own (in step, no rejection on this connection before): such calls go to connections that can prove one, others wait for the slowest recent response time of the host, doubled. A batch response that names its messages proves all before it.

Log: 'upstream: connection ended early ... reason=... unproven=n', and the reasons of all closes as counts every 10 s.

--- a/src/main/java/loftflow/engine/AttemptDispatcher.java
+++ b/src/main/java/loftflow/engine/AttemptDispatcher.java
@@ -195,6 +195,7 @@
         } else if (!message.isDone() && context.nowMicros() <= message.content().deadlineMicros()) {
             // The message has been delivered, so the policy must not start another attempt.
             events.add(new MessageWithdrawn(message.number()));
+            message.setClosingAttempt(attempt);
             lifecycle.finish(message, true);
         }
     }
--- a/src/main/java/loftflow/upstream/http/ConnectionRegistry.java
+++ b/src/main/java/loftflow/upstream/http/ConnectionRegistry.java
@@ -4,10 +4,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Tracks the connections to all hosts and limits their number. At the limit, idle connections are evicted first, then
- * those that only await a late response. A pool that cannot open a connection even so is starved until one closes. Must
+ * those that only await a late response, then retired ones. A pool that cannot open a connection even so is starved until one closes. Must
  * be used on the event loop.
  */
 final class ConnectionRegistry {
@@ -20,6 +21,8 @@
     private final Set<UpstreamConnection> idle = new LinkedHashSet<>();
     /** Connections that await a late response, longest waiting first. */
     private final Set<UpstreamConnection> awaitingLateResponse = new LinkedHashSet<>();
+    /** Connections that carry no more calls and are still read, longest retired first. */
+    private final Set<UpstreamConnection> retired = new LinkedHashSet<>();
     /** Pools with queued calls that cannot open a connection until another one closes. */
     private final Set<HostConnectionPool> starvedPools = new LinkedHashSet<>();
 
@@ -46,6 +49,10 @@
         awaitingLateResponse.add(connection);
     }
 
+    void addRetired(UpstreamConnection connection) {
+        retired.add(connection);
+    }
+
     void addIdle(UpstreamConnection connection) {
         idle.add(connection);
     }
@@ -61,6 +68,7 @@
     void removeUnusable(UpstreamConnection connection) {
         idle.remove(connection);
         awaitingLateResponse.remove(connection);
+        retired.remove(connection);
     }
 
     /**
@@ -70,9 +78,10 @@
      */
     boolean tryReserve(HostConnectionPool pool) {
         // A starved pool may take the place of an evicted connection, so one eviction may not be enough.
-        while (open.size() >= maxConnections && hasEvictable()) {
-            Set<UpstreamConnection> evictable = idle.isEmpty() ? awaitingLateResponse : idle;
-            evictable.iterator().next().close();
+        for (UpstreamConnection next = findEvictable();
+                open.size() >= maxConnections && next != null;
+                next = findEvictable()) {
+            next.close(ConnectionCloseReason.EVICTED);
         }
         if (open.size() >= maxConnections) {
             starvedPools.add(pool);
@@ -81,8 +90,11 @@
         return true;
     }
 
-    private boolean hasEvictable() {
-        return !idle.isEmpty() || !awaitingLateResponse.isEmpty();
+    private UpstreamConnection findEvictable() {
+        return Stream.of(idle, awaitingLateResponse, retired)
+                .flatMap(Set::stream)
+                .findFirst()
+                .orElse(null);
     }
 
     void onOpening(UpstreamConnection connection) {
--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -37,6 +37,7 @@
      * @param idleTimeoutMicros the idle time after which a connection is closed and no longer used
      * @param lateResponseMicros how long a late response is awaited after a timeout; 0 to not await it
      * @param reuseDelayNanos see {@link ReuseDelay}
+     * @param closeLog logs why connections were closed
      * @param openCalls the call of each attempt without an outcome
      */
     record Environment(
@@ -48,6 +49,7 @@
             long lateResponseMicros,
             ConnectionRegistry connections,
             long reuseDelayNanos,
+            ConnectionCloseLog closeLog,
             Map<Message.Attempt, UpstreamCall> openCalls,
             UpstreamClient.ResultListener results) {}
 
@@ -69,13 +71,12 @@
 
     /** With so many connections to a host, a call waits for one of them rather than for a new one. */
     private static final int MAX_CONNECTIONS_FOR_QUIET = 8;
-    /** A call waits so long for a connection to become quiet before another one is opened for it. */
-    private static final long MAX_QUIET_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final Environment environment;
     private Endpoint endpoint;
     private final RetryAfterDeadline retryAfter;
     private final ReuseDelay reuseDelay;
+    private final ResponseTimeBound responseTimeBound = new ResponseTimeBound();
     private final int maxBatchSize;
     /** Connections without a call, longest quiet first; they may be within the reuse delay. */
     private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
@@ -84,6 +85,9 @@
     /** Calls that wait for a connection, oldest first. */
     private final Set<UpstreamCall> queue = new LinkedHashSet<>();
 
+    /** Connections that carry no more calls and are still read. */
+    private final Set<UpstreamConnection> retired = new HashSet<>();
+
     /** Open connections and those that are being established. */
     private int openConnections;
 
@@ -162,7 +166,7 @@
             queue.remove(call);
             call.end(AttemptOutcome.NOT_SENT);
         });
-        closeIdle();
+        retireIdle(ConnectionCloseReason.NOT_POOLED);
     }
 
     private boolean canPool(UpstreamConnection connection) {
@@ -212,20 +216,26 @@
     }
 
     /**
-     * Closes idle connections after a call was reset or timed out, since they may have failed as well. A call on a
+     * Retires idle connections after a call was reset or timed out, since they may have failed as well. A call on a
      * failed connection would end as a reset and might have run, whereas a failed connect proves that the call did not
      * run.
      */
     @Override
     public void closeIdle() {
+        retireIdle(ConnectionCloseReason.OTHER_CALL_FAILED);
+    }
+
+    private void retireIdle(ConnectionCloseReason reason) {
         idleClosures++;
-        List.copyOf(idle).forEach(UpstreamConnection::close);
-        List.copyOf(awaitingQuiet).forEach(UpstreamConnection::close);
+        List.copyOf(idle).forEach(connection -> connection.retire(reason));
+        List.copyOf(awaitingQuiet).forEach(connection -> connection.retire(reason));
     }
 
-    private void closeUsedIdle() {
-        List.copyOf(idle).stream().filter(connection -> !connection.isNew()).forEach(UpstreamConnection::close);
-        List.copyOf(awaitingQuiet).forEach(UpstreamConnection::close);
+    private void retireUsedIdle() {
+        List.copyOf(idle).stream()
+                .filter(connection -> !connection.isNew())
+                .forEach(connection -> connection.retire(ConnectionCloseReason.SINGLE_USE));
+        List.copyOf(awaitingQuiet).forEach(connection -> connection.retire(ConnectionCloseReason.SINGLE_USE));
     }
 
     @Override
@@ -239,21 +249,35 @@
         return environment.lateResponseMicros();
     }
 
-    /** Assigns the connection to the oldest queued call, else pools it, or closes it if it may not stay idle. */
+    /** Assigns the connection to the oldest queued call, else pools it, or retires it if it may not stay idle. */
     @Override
     public void onReusable(UpstreamConnection connection) {
         awaitingQuiet.remove(connection);
-        if (!queue.isEmpty()) {
-            UpstreamCall call = queue.iterator().next();
-            queue.remove(call);
-            begin(connection, call);
+        UpstreamCall next = queue.stream()
+                .filter(call -> isSuitable(connection, call))
+                .findFirst()
+                .orElse(null);
+        if (next != null) {
+            queue.remove(next);
+            begin(connection, next);
         } else if (canPool(connection)) {
             // It has been quiet for longer than those that were used meanwhile.
             idle.addFirst(connection);
             trackIdle(connection);
         } else {
-            connection.close();
+            connection.retire(ConnectionCloseReason.NOT_POOLED);
         }
+        connectForQueuedCalls();
+    }
+
+    /**
+     * Returns whether a connection may carry a call. One on which a rejection was received can't prove another one, so
+     * a call that must not be repeated uses it only where no other connection can be opened.
+     */
+    private boolean isSuitable(UpstreamConnection connection, UpstreamCall call) {
+        return !call.mustProveRejection()
+                || !connection.hasReceivedRejection()
+                || environment.connections().isFull();
     }
 
     @Override
@@ -267,13 +291,23 @@
     }
 
     @Override
-    public long reuseDelayNanos(boolean mayBeCopy) {
-        return reuseDelay.nanos(hasRoomForConnections(), mayBeCopy);
+    public long reuseDelayNanos() {
+        return reuseDelay.nanos(hasRoomForConnections());
+    }
+
+    @Override
+    public long fullReuseDelayNanos() {
+        return reuseDelay.nanos(true);
     }
 
     @Override
-    public long fullReuseDelayNanos(boolean mayBeCopy) {
-        return reuseDelay.nanos(true, mayBeCopy);
+    public long responseTimeBoundMicros() {
+        return responseTimeBound.micros();
+    }
+
+    @Override
+    public void onResponseTime(long elapsedMicros) {
+        responseTimeBound.onResponse(nowMicros(), elapsedMicros);
     }
 
     @Override
@@ -282,17 +316,20 @@
     }
 
     private boolean hasRoomForConnections() {
-        return openConnections < MAX_CONNECTIONS_FOR_QUIET
+        return openConnections - retired.size() < MAX_CONNECTIONS_FOR_QUIET
                 && !environment.connections().isFull();
     }
 
     @Override
-    public void onUnsolicitedResponse(int status, long afterNanos) {
+    public void onUnsolicitedResponse(int status, long afterNanos, long retryAfterMicros) {
         Log.line("upstream: unsolicited response route=" + route() + " status=" + status + " afterMillis="
                 + TimeUnit.NANOSECONDS.toMillis(afterNanos));
         reuseDelay.onUnsolicitedResponse();
+        if (retryAfterMicros > 0) {
+            onRetryAfter(retryAfterMicros);
+        }
         // What another connection receives next may be a copy as well.
-        closeUsedIdle();
+        retireUsedIdle();
     }
 
     @Override
@@ -300,15 +337,24 @@
         environment.results().onOutcomeDisproved(attempt);
     }
 
+    @Override
+    public void onConnectionEnded(ConnectionCloseReason reason, int callCount, int disprovedCount) {
+        environment.closeLog().onClosed(route(), reason, callCount, disprovedCount);
+    }
+
     private void trackIdle(UpstreamConnection connection) {
         environment.connections().addIdle(connection);
         connection.closeAfterIdle(environment.idleTimeoutMicros());
     }
 
     @Override
-    public void onClosed(UpstreamConnection connection) {
+    public void onRetired(UpstreamConnection connection, boolean isStillRead) {
         idle.remove(connection);
         environment.connections().removeUnusable(connection);
+        if (isStillRead) {
+            retired.add(connection);
+            environment.connections().addRetired(connection);
+        }
         if (awaitingQuiet.remove(connection)) {
             connectForQueuedCalls();
         }
@@ -330,44 +376,56 @@
         }
     }
 
-    /** Removes and returns an idle connection that may carry a call now; null if there is none. */
-    private UpstreamConnection pollUsable() {
-        for (UpstreamConnection next = findQuiet(); next != null; next = findQuiet()) {
+    /** Removes and returns an idle connection that may carry the call now; null if there is none. */
+    private UpstreamConnection pollUsable(UpstreamCall call) {
+        for (UpstreamConnection next = findQuiet(call); next != null; next = findQuiet(call)) {
             idle.remove(next);
             environment.connections().removeIdle(next);
             if (next.isUsable(environment.idleTimeoutMicros())) {
                 return next;
             }
-            next.close();
+            next.retire(ConnectionCloseReason.IDLE_TIMEOUT);
         }
         return null;
     }
 
     /**
      * Returns the most recently used connection that has been quiet for the whole reuse delay, so that a surplus of
-     * connections reaches the idle timeout. Without one, and without room for another connection, returns the longest
-     * quiet one if it has been quiet for the shorter delay; otherwise null.
+     * connections reaches the idle timeout; preferably one whose proofs the call needs, or else does not need. Without
+     * one, and without room for another connection, returns the longest quiet one if it has been quiet for the shorter
+     * delay; otherwise null.
      */
-    private UpstreamConnection findQuiet() {
+    private UpstreamConnection findQuiet(UpstreamCall call) {
+        UpstreamConnection suitable = null;
         for (Iterator<UpstreamConnection> next = idle.descendingIterator(); next.hasNext(); ) {
             UpstreamConnection connection = next.next();
-            if (connection.isFullyQuiet()) {
+            if (!connection.isFullyQuiet() || !isSuitable(connection, call)) {
+                continue;
+            }
+            if (connection.canProveRejection() == call.mustProveRejection()) {
                 return connection;
             }
+            suitable = suitable == null ? connection : suitable;
+        }
+        if (suitable != null) {
+            return suitable;
         }
         UpstreamConnection longestQuiet = idle.peekFirst();
-        return longestQuiet != null && longestQuiet.quietInNanos() <= 0 ? longestQuiet : null;
+        return longestQuiet != null && longestQuiet.quietInNanos() <= 0 && isSuitable(longestQuiet, call)
+                ? longestQuiet
+                : null;
     }
 
     /** Sends a call on a quiet connection, or queues it for the first connection that is ready. */
     void start(UpstreamCall call) {
-        UpstreamConnection connection = pollUsable();
+        UpstreamConnection connection = pollUsable(call);
         if (connection != null) {
             begin(connection, call);
             return;
         }
         queue.add(call);
         UpstreamConnection nextQuiet = idle.stream()
+                .filter(candidate -> isSuitable(candidate, call))
                 .min(Comparator.comparingLong(UpstreamConnection::quietInNanos))
                 .orElse(null);
         if (nextQuiet != null) {
@@ -375,15 +433,20 @@
             environment.connections().removeIdle(nextQuiet);
             awaitingQuiet.add(nextQuiet);
             nextQuiet.becomeReusableOnceQuiet();
+            return;
         }
-        if (nextQuiet == null || nextQuiet.quietInNanos() > MAX_QUIET_WAIT_NANOS && isSendableOnNewConnection(call)) {
-            connect();
+        if (!hasRoomForConnections()) {
+            replaceUnsuitable(call);
         }
+        connect();
     }
 
-    /** Returns whether a call arrives in time even if a handshake delays it. */
-    private boolean isSendableOnNewConnection(UpstreamCall call) {
-        return nowMicros() + environment.connectTimeoutMicros() < call.latestArrivalMicros();
+    /** Retires the longest idle connection that can't carry a call, so that another one may take its place. */
+    private void replaceUnsuitable(UpstreamCall call) {
+        idle.stream()
+                .filter(connection -> !isSuitable(connection, call))
+                .findFirst()
+                .ifPresent(connection -> connection.retire(ConnectionCloseReason.REJECTION_RECEIVED));
     }
 
     /** Opens connections until one is on its way for each queued call, as far as the limit allows. */
@@ -438,6 +501,7 @@
     private void onChannelClosed(UpstreamConnection connection) {
         if (environment.connections().onChannelClosed(connection)) {
             openConnections--;
+            retired.remove(connection);
             environment.connections().connectStarvedPools();
         }
     }
--- a/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
+++ b/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
@@ -17,6 +17,7 @@
 import loftflow.engine.Endpoint;
 import loftflow.engine.Message;
 import loftflow.engine.UpstreamClient;
+import loftflow.log.Log;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.Availability;
 import loftflow.policy.api.DestinationKind;
@@ -104,6 +105,7 @@
                 options.lateResponseMicros(),
                 new ConnectionRegistry(options.maxConnections()),
                 TimeUnit.MICROSECONDS.toNanos(options.reuseDelayMicros()),
+                new ConnectionCloseLog(System::nanoTime, Log::line),
                 openCalls,
                 results);
     }
--- /dev/null
+++ b/src/main/java/loftflow/upstream/http/RejectedMessageIds.java
@@ -0,0 +1,26 @@
+package loftflow.upstream.http;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * The ids of the messages that were rejected on a connection by a response that named them. If such a message is sent
+ * again on the connection, a copy of that response names it too. Not thread-safe.
+ */
+final class RejectedMessageIds {
+    private static final int MAX_IDS = 256;
+
+    private final Set<String> ids = new LinkedHashSet<>();
+
+    boolean contains(String messageId) {
+        return ids.contains(messageId);
+    }
+
+    /** Adds an id; of too many, the oldest is forgotten. */
+    void add(String messageId) {
+        ids.add(messageId);
+        if (ids.size() > MAX_IDS) {
+            ids.remove(ids.iterator().next());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/loftflow/upstream/http/ResponseLedger.java
@@ -0,0 +1,191 @@
+package loftflow.upstream.http;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Determines what the responses on one connection prove about its calls.
+ *
+ * <p>HTTP/1.1 matches a response to a call by its position alone. A second copy of a response, however late it comes, is
+ * read as the response to a later call, and that call's own response is then read as the one of the call behind it. A
+ * response proves something only if no earlier response is outstanding and none had the same status; the outcomes that
+ * are taken from all others can be contradicted until the deadline of their messages:
+ *
+ * <ul>
+ *   <li>With n surplus responses on the connection, the own response of a call is one of the n + 1 that followed its
+ *       request. Its outcome stands if these agree.
+ *   <li>If the connection ends, one more surplus response is assumed, and the response that it hides never comes.
+ * </ul>
+ *
+ * <p>Free of sockets and clocks; times are in microseconds on a monotonic clock. Not thread-safe.
+ *
+ * @param <C> the type of the calls
+ */
+final class ResponseLedger<C> {
+    /** Older outcomes are no longer tracked, so that the messages of a busy connection can be released. */
+    private static final int MAX_TRACKED_CALLS = 16;
+    /** As above, for the total size of the tracked messages; the last call is always tracked. */
+    private static final int MAX_TRACKED_BYTES = 64 << 10;
+
+    /**
+     * An outcome that was taken from a response without proof.
+     *
+     * @param dueMicros when the call's own response should have come
+     * @param deadlineMicros when nothing is owed for the call any more
+     */
+    private record Unproven<C>(C call, int status, long dueMicros, long deadlineMicros, int sizeBytes) {}
+
+    /** The outcomes since the last proven one, in the order of their calls. */
+    private final List<Unproven<C>> unproven = new ArrayList<>();
+    /** The calls of {@link #unproven} whose outcome has been contradicted. */
+    private final Set<C> contradicted = new HashSet<>();
+    /** The statuses of the responses that no call awaited. */
+    private final List<Integer> surplus = new ArrayList<>();
+
+    private final Set<Integer> receivedStatuses = new HashSet<>();
+    /** Whether no response to an earlier call can be outstanding. */
+    private boolean isInStep = true;
+
+    private long dueMicros;
+
+    /**
+     * Called when a call is sent.
+     *
+     * @param responseDueMicros the latest time at which its response is expected
+     */
+    void onSent(long nowMicros, long responseDueMicros) {
+        isInStep = isInStepAt(nowMicros);
+        dueMicros = responseDueMicros;
+    }
+
+    /** Returns whether a call that is sent at the given time could not receive the response to an earlier call. */
+    boolean isInStepAt(long nowMicros) {
+        return surplus.isEmpty() && (unproven.isEmpty() || nowMicros >= dueMicros);
+    }
+
+    /** Returns whether a response with the given status can only be the one to the call that was sent last. */
+    boolean isProof(int status) {
+        return isInStep && !receivedStatuses.contains(status);
+    }
+
+    /**
+     * Called when the outcome of the call that was sent last has been taken from a response.
+     *
+     * @param isNamed whether the response names its call
+     * @param deadlineMicros until when the outcome can be corrected
+     * @param sizeBytes the size of the messages that are kept for a correction
+     */
+    void onResponse(C call, int status, boolean isNamed, long deadlineMicros, int sizeBytes) {
+        boolean isNew = receivedStatuses.add(status);
+        if (isNamed || (isNew && unproven.isEmpty() && surplus.isEmpty())) {
+            // A host answers in order, so the earlier calls have received their own responses too.
+            unproven.clear();
+            contradicted.clear();
+            return;
+        }
+        unproven.add(new Unproven<>(call, status, dueMicros, deadlineMicros, sizeBytes));
+        while (unproven.size() > 1 && (unproven.size() > MAX_TRACKED_CALLS || trackedBytes() > MAX_TRACKED_BYTES)) {
+            contradicted.remove(unproven.remove(0).call());
+        }
+    }
+
+    private long trackedBytes() {
+        return unproven.stream().mapToLong(Unproven::sizeBytes).sum();
+    }
+
+    /**
+     * Called when a response was received that no call awaits.
+     *
+     * @return the calls whose outcome it contradicts, each once
+     */
+    List<C> onSurplus(int status) {
+        receivedStatuses.add(status);
+        surplus.add(status);
+        List<C> calls = new ArrayList<>();
+        for (int i = 0; i < unproven.size(); i++) {
+            if (!isAgreed(i, surplus.size())) {
+                addContradicted(unproven.get(i), calls);
+            }
+        }
+        return calls;
+    }
+
+    /**
+     * Called when the connection has ended.
+     *
+     * @param isSuspect whether the host is known to send surplus responses
+     * @return the calls whose own response may not have been received, each once
+     */
+    List<C> onEnd(long nowMicros, boolean isSuspect) {
+        List<C> calls = new ArrayList<>();
+        for (int i = 0; i < unproven.size(); i++) {
+            Unproven<C> outcome = unproven.get(i);
+            if (nowMicros < neededUntilMicros(outcome, isSuspect) && !isAgreed(i, surplus.size() + 1)) {
+                addContradicted(outcome, calls);
+            }
+        }
+        return calls;
+    }
+
+    private void addContradicted(Unproven<C> outcome, List<C> calls) {
+        if (contradicted.add(outcome.call())) {
+            calls.add(outcome.call());
+        }
+    }
+
+    /** Returns whether a call has the same outcome whichever of the responses up to the given shift is its own. */
+    private boolean isAgreed(int index, int maxShift) {
+        int received = unproven.size() + surplus.size();
+        if (index + maxShift >= received) {
+            return false;
+        }
+        int status = unproven.get(index).status();
+        for (int position = index + 1; position <= index + maxShift; position++) {
+            if (statusAt(position) != status) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private int statusAt(int position) {
+        return position < unproven.size() ? unproven.get(position).status() : surplus.get(position - unproven.size());
+    }
+
+    /**
+     * Called on an open connection whose host is known to send surplus responses.
+     *
+     * @return the calls whose deadline has come and whose own response may not have been received, each once
+     */
+    List<C> onDeadlines(long nowMicros) {
+        List<C> calls = new ArrayList<>();
+        for (int i = 0; i < unproven.size(); i++) {
+            Unproven<C> outcome = unproven.get(i);
+            if (nowMicros >= outcome.deadlineMicros() && !isAgreed(i, Math.max(1, surplus.size()))) {
+                addContradicted(outcome, calls);
+            }
+        }
+        return calls;
+    }
+
+    /**
+     * Returns the next time after the given one at which the connection is needed less, although it carries no more
+     * calls; 0 if it is not worth reading any longer.
+     */
+    long nextCheckMicros(long nowMicros, boolean isSuspect) {
+        return unproven.stream()
+                .mapToLong(outcome -> contradicted.contains(outcome.call())
+                        ? outcome.dueMicros()
+                        : neededUntilMicros(outcome, isSuspect))
+                .filter(checkMicros -> checkMicros > nowMicros)
+                .min()
+                .orElse(0);
+    }
+
+    private long neededUntilMicros(Unproven<C> outcome, boolean isSuspect) {
+        boolean isWholeTimeNeeded = isSuspect || !surplus.isEmpty();
+        return isWholeTimeNeeded ? outcome.deadlineMicros() : Math.min(outcome.dueMicros(), outcome.deadlineMicros());
+    }
+}
--- a/src/main/java/loftflow/upstream/http/ReuseDelay.java
+++ b/src/main/java/loftflow/upstream/http/ReuseDelay.java
@@ -4,16 +4,14 @@
 import java.util.function.LongSupplier;
 
 /**
- * Determines when a connection to a host may carry another call. HTTP/1.1 matches responses to requests by order alone,
- * so a late second response would be read as the response to the next call: a connection has to be quiet for a time
- * after a response. After a response to no call, each connection to the host carries one call for a while. To be used
- * on the event loop.
+ * Determines when a connection to a host may carry another call. A connection is quiet for a time after a response, so
+ * that most surplus responses are seen before they can be read as the response to the next call; the
+ * {@link ResponseLedger} corrects what the others cause. After a response to no call, each connection to the host
+ * carries one call for a while. To be used on the event loop.
  */
 final class ReuseDelay {
     /** The delay where a host has many connections already; bytes that follow a response at once arrive within it. */
     private static final long MIN_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
-    /** The longest time after a response at which a copy of it is expected. */
-    static final long MAX_COPY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /** For how long connections are not reused after an unsolicited response. */
     private static final long SINGLE_USE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
@@ -37,14 +35,9 @@
      * Returns the delay in nanoseconds.
      *
      * @param hasRoomForConnections whether another connection to the host may be opened instead
-     * @param mayBeCopy whether the last response may have been a copy of the one before it, so that the response to the
-     *     last call has yet to come
      */
-    long nanos(boolean hasRoomForConnections, boolean mayBeCopy) {
-        if (!hasRoomForConnections) {
-            return MIN_DELAY_NANOS;
-        }
-        return mayBeCopy ? MAX_COPY_DELAY_NANOS : preferredNanos;
+    long nanos(boolean hasRoomForConnections) {
+        return hasRoomForConnections ? preferredNanos : MIN_DELAY_NANOS;
     }
 
     /** Returns whether a connection must not carry another call, because of a recent unsolicited response. */
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -9,9 +9,12 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import loftflow.engine.Message;
 import loftflow.engine.UpstreamClient;
 import loftflow.json.MalformedInputException;
@@ -80,13 +83,20 @@
 
     /** The connection on which a call is sent. */
     interface Connection {
-        void close();
+        /** Closes the connection because nobody awaits the response of the current call any more. */
+        void abandon();
 
         /** Stays open only for the late response of the current call. */
         void awaitLateResponse();
 
         /** Reads bytes that the kernel has received but the event loop has not read. */
         void readPending();
+
+        /** Returns whether an earlier response on the connection named the message as rejected. */
+        boolean hasRejected(String messageId);
+
+        /** Reports that the response named the message as rejected. */
+        void onRejected(String messageId);
     }
 
     /** The maximum back-off; longer requested back-offs are capped. */
@@ -115,6 +125,10 @@
      * a consequence, all messages of a slow batch time out together with the one that has the least time left.
      */
     private final long deadlineMicros;
+    /** The latest deadline of the call's messages. */
+    private final long latestDeadlineMicros;
+
+    private final int sizeBytes;
     /** The path of a probe; null for a call that carries messages. */
     private final String probePath;
 
@@ -134,8 +148,12 @@
     /** The timed-out attempt whose late response is awaited; null if there is none. */
     private Message.Attempt lateAttempt;
 
-    /** The attempts that the status of the response ended, which did not name them. */
+    /** The attempts that the status of the response ended as delivered or as not executed without naming them. */
     private List<Message.Attempt> attemptsEndedByStatus = List.of();
+    /** The ids of all messages that were sent. */
+    private Set<String> sentIds = Set.of();
+    /** The states in the response to a batch by message id; empty if there are none. */
+    private Map<String, String> reportedStates = Map.of();
 
     private final ByteBuf responseBody = Unpooled.buffer(0, MAX_RESPONSE_BODY_BYTES);
 
@@ -151,6 +169,13 @@
                 .mapToLong(outbound -> outbound.attempt().message().content().deadlineMicros())
                 .min()
                 .orElse(startedAtMicros);
+        latestDeadlineMicros = outboundAttempts.stream()
+                .mapToLong(outbound -> outbound.attempt().message().content().deadlineMicros())
+                .max()
+                .orElse(startedAtMicros);
+        sizeBytes = outboundAttempts.stream()
+                .mapToInt(outbound -> outbound.attempt().message().content().body().length)
+                .sum();
         for (UpstreamClient.OutboundAttempt outbound : outboundAttempts) {
             Message.Attempt attempt = outbound.attempt();
             long timeoutMicros = Math.min(outbound.timeoutMicros(), deadlineMicros - startedAtMicros);
@@ -166,6 +191,8 @@
         this.owner = owner;
         startedAtMicros = owner.nowMicros();
         deadlineMicros = startedAtMicros + timeoutMicros;
+        latestDeadlineMicros = deadlineMicros;
+        sizeBytes = 0;
         this.probePath = probePath;
         isBatch = false;
         mayRepeat = true;
@@ -210,6 +237,29 @@
                 .orElse(Long.MAX_VALUE);
     }
 
+    /** Returns the latest deadline of its messages, or the end of a probe's timeout. */
+    long latestDeadlineMicros() {
+        return latestDeadlineMicros;
+    }
+
+    /** Returns the total size of the messages' bodies. */
+    int sizeBytes() {
+        return sizeBytes;
+    }
+
+    /** Returns until when its response is awaited. */
+    long latestTimeoutMicros() {
+        return pendingAttempts.values().stream()
+                .mapToLong(PendingAttempt::timeoutAtMicros)
+                .max()
+                .orElse(deadlineMicros);
+    }
+
+    /** Returns whether a rejection has to be proven, because another attempt does harm if this one was executed. */
+    boolean mustProveRejection() {
+        return !mayRepeat && !isCompleted();
+    }
+
     /** Returns whether every attempt of this call, or its probe, has an outcome. */
     boolean isCompleted() {
         return isProbe() ? isProbeCompleted : pendingAttempts.isEmpty();
@@ -234,14 +284,13 @@
         if (isProbe()) {
             return RequestFactory.createProbe(owner.authority(), probePath);
         }
+        sentIds = pendingAttempts.keySet().stream()
+                .map(attempt -> attempt.message().content().messageId())
+                .collect(Collectors.toUnmodifiableSet());
         FullHttpRequest request = isBatch
                 ? RequestFactory.createBatch(owner.authority(), pendingAttempts.keySet())
                 : createSingleRequest();
-        long latestTimeoutMicros = pendingAttempts.values().stream()
-                .mapToLong(PendingAttempt::timeoutAtMicros)
-                .max()
-                .orElse(0);
-        long leftMillis = Math.max(0, latestTimeoutMicros - owner.nowMicros()) / MICROS_PER_MILLI;
+        long leftMillis = Math.max(0, latestTimeoutMicros() - owner.nowMicros()) / MICROS_PER_MILLI;
         request.headers().set(HostProtocol.TIMEOUT_MILLIS_HEADER, leftMillis);
         return request;
     }
@@ -256,13 +305,15 @@
      * malformed or never completes, and even if the call has been abandoned.
      */
     void onRetryAfter(HttpResponse response) {
-        retryAfterMicros = parseRetryAfterMicros(response.headers().get(HostProtocol.RETRY_AFTER_MILLIS_HEADER));
+        retryAfterMicros = retryAfterMicros(response);
         if (retryAfterMicros > 0) {
             owner.onRetryAfter(retryAfterMicros);
         }
     }
 
-    private static long parseRetryAfterMicros(String millis) {
+    /** Returns the back-off that a response requests, in microseconds; 0 for none. */
+    static long retryAfterMicros(HttpResponse response) {
+        String millis = response.headers().get(HostProtocol.RETRY_AFTER_MILLIS_HEADER);
         if (millis == null || !millis.matches(WHOLE_MILLIS_PATTERN)) {
             return 0;
         }
@@ -288,6 +339,7 @@
             if (lateAttempt != null) {
                 Message.Attempt delivered = lateAttempt;
                 lateAttempt = null;
+                attemptsEndedByStatus = List.of(delivered);
                 owner.onLateDelivery(delivered);
             }
         }
@@ -315,6 +367,56 @@
         return true;
     }
 
+    /** Decodes the message states in the complete response to a batch. */
+    void readStates() {
+        if (!isBatch || status != HttpResponseStatus.OK.code()) {
+            return;
+        }
+        try {
+            reportedStates = BatchCodec.decodeStates(responseBody.toString(StandardCharsets.UTF_8));
+        } catch (IOException | MalformedInputException e) {
+            Log.line("upstream: malformed batch response route=" + owner.route() + " cause=" + e.getMessage());
+        }
+    }
+
+    /**
+     * Returns whether the complete response names only messages of this call, none of which an earlier response on the
+     * connection named, so that it can't be the response to another call.
+     */
+    boolean isNamedInResponse() {
+        return !reportedStates.isEmpty()
+                && sentIds.containsAll(reportedStates.keySet())
+                && reportedStates.keySet().stream().noneMatch(connection::hasRejected);
+    }
+
+    /** Returns whether the complete response to a batch is not the one to this call. */
+    boolean isResponseOfAnotherCall() {
+        return isBatch
+                && status == HttpResponseStatus.OK.code()
+                && Collections.disjoint(reportedStates.keySet(), sentIds);
+    }
+
+    /** Returns whether the status of the complete response shows that no message of the call was executed. */
+    boolean isRejection() {
+        return !isProbe() && outcomeOfStatus().isProvenNotExecuted();
+    }
+
+    /** Returns whether the status of the complete response lets the messages of the call be sent again. */
+    boolean isRetryableRejection() {
+        return isRejection() && !outcomeOfStatus().isMessageCompleted();
+    }
+
+    private OutcomeTable.Outcome outcomeOfStatus() {
+        return isBatch
+                ? OutcomeTable.ofBatchStatus(status, isConcurrencyLimited)
+                : OutcomeTable.ofStatus(status, isConcurrencyLimited);
+    }
+
+    /** Returns whether a status alone has ended attempts as delivered or as not executed. */
+    boolean isEndedByStatus() {
+        return !attemptsEndedByStatus.isEmpty();
+    }
+
     /** Ends the call according to its complete response. */
     void onResponseComplete() {
         if (lateAttempt != null) {
@@ -328,48 +430,29 @@
             // Messages that the response does not mention may have been executed.
             end(AttemptOutcome.ERROR);
         } else {
-            OutcomeTable.Outcome outcome = isBatch
-                    ? OutcomeTable.ofBatchStatus(status, isConcurrencyLimited)
-                    : OutcomeTable.ofStatus(status, isConcurrencyLimited);
+            OutcomeTable.Outcome outcome = outcomeOfStatus();
             endAllByStatus(outcome.attemptOutcome(), outcome.isMessageCompleted());
         }
     }
 
-    /**
-     * Returns whether the complete response proves that no attempt was executed, and a wrong proof would do harm that
-     * can't be repaired: a repeated attempt.
-     */
-    boolean needsConfirmation() {
-        return !mayRepeat && OutcomeTable.ofStatus(status, isConcurrencyLimited).isProvenNotExecuted();
-    }
-
-    /** Ends a call whose response may have been a copy of an earlier one, as another response shows. */
-    void onContradictedResponse() {
-        report = LimitReport.NONE;
-        end(AttemptOutcome.ERROR);
-    }
-
     private void endAllByStatus(AttemptOutcome outcome, boolean isMessageCompleted) {
-        if (!pendingAttempts.isEmpty()) {
+        boolean isCertain = outcome == AttemptOutcome.OK || outcome.isProvenNotExecuted();
+        if (!pendingAttempts.isEmpty() && isCertain) {
             attemptsEndedByStatus = List.copyOf(pendingAttempts.keySet());
         }
         endAll(outcome, isMessageCompleted);
     }
 
     /**
-     * Handles a further response on the connection of this call, after the one that ended it. One of the two may be a
-     * copy of an earlier response, so if they differ, neither proves what happened to the call.
+     * Corrects the outcome that was taken from a response, or ends the call if it has none yet: another response may be
+     * its own. The call may have been executed.
      */
-    void onUnsolicitedResponse(HttpResponse response) {
-        if (!response.decoderResult().isSuccess()) {
-            return;
-        }
-        onRetryAfter(response);
-        if (response.status().code() != status) {
-            List<Message.Attempt> disproved = attemptsEndedByStatus;
-            attemptsEndedByStatus = List.of();
-            disproved.forEach(owner::onOutcomeDisproved);
-        }
+    void onOutcomeContradicted() {
+        report = LimitReport.NONE;
+        end(AttemptOutcome.ERROR);
+        List<Message.Attempt> disproved = attemptsEndedByStatus;
+        attemptsEndedByStatus = List.of();
+        disproved.forEach(owner::onOutcomeDisproved);
     }
 
     private void onProbeResponse() {
@@ -388,17 +471,17 @@
     }
 
     private void endEachByReportedState() {
-        Map<String, String> states;
-        try {
-            states = BatchCodec.decodeStates(responseBody.toString(StandardCharsets.UTF_8));
-        } catch (IOException | MalformedInputException e) {
-            Log.line("upstream: malformed batch response route=" + owner.route() + " cause=" + e.getMessage());
-            return;
-        }
         for (Message.Attempt attempt : new ArrayList<>(pendingAttempts.keySet())) {
             String messageId = attempt.message().content().messageId();
-            String state = states.getOrDefault(messageId, HostProtocol.STATE_FAILED);
+            String state = reportedStates.getOrDefault(messageId, HostProtocol.STATE_FAILED);
             OutcomeTable.Outcome outcome = OutcomeTable.ofMessageState(state);
+            if (outcome.isProvenNotExecuted() && !mayRepeat && connection.hasRejected(messageId)) {
+                endAttempt(attempt, AttemptOutcome.ERROR, false);
+                continue;
+            }
+            if (outcome.isProvenNotExecuted()) {
+                connection.onRejected(messageId);
+            }
             endAttempt(attempt, outcome.attemptOutcome(), outcome.isMessageCompleted());
         }
     }
@@ -483,7 +566,7 @@
             lateAttempt = timedOut;
             connection.awaitLateResponse();
         } else {
-            connection.close();
+            connection.abandon();
         }
     }
 }
--- a/src/test/java/loftflow/server/DisprovedOutcomeTest.java
+++ b/src/test/java/loftflow/server/DisprovedOutcomeTest.java
@@ -47,6 +47,9 @@
         await(() -> host.requests.size() == 1);
         TimeUnit.MILLISECONDS.sleep(NEXT_CALL_MILLIS);
         assertEquals(202, relay.submit("m1", requestClass, 7));
+    }
+
+    private void awaitDisproved() {
         await(() -> relay.log().contains("engine: outcome disproved message=m1"));
         await(() -> host.connections.get(0).isClosed());
     }
@@ -67,6 +70,7 @@
     @Test
     void idempotentMessageDeliveredByACopyIsSentAgain() throws Exception {
         submitBehindCopy(200, 503, "safe");
+        awaitDisproved();
         await(() -> host.requests.size() == 3 && relay.openJournalMessages().isEmpty());
         assertEquals(List.of("m0", "m1", "m1"), sentIds());
     }
@@ -75,6 +79,7 @@
     @Test
     void nonIdempotentMessageDeliveredByACopyIsReportedAsFailed() throws Exception {
         submitBehindCopy(200, 503, "unsafe");
+        awaitDisproved();
         await(() ->
                 relay.hasNotified("m1", "dead") && relay.openJournalMessages().isEmpty());
         assertEquals(List.of("m0", "m1"), sentIds());
@@ -84,6 +89,7 @@
     @Test
     void orderedMessageDeliveredByACopyIsReportedAsFailed() throws Exception {
         submitBehindCopy(200, 503, "ordered");
+        awaitDisproved();
         await(() ->
                 relay.hasNotified("m1", "dead") && relay.openJournalMessages().isEmpty());
         assertEquals(List.of("m0", "m1"), sentIds());
