A connection's conclusions stay open while its last response can be outstanding

Cause, from the hosts' traces: a call that a copy ended counted as overdue by its own time although later calls had moved its answer on; a connection on which a batch was given the answer to another call was closed at once with the answers that were left.

Change: what counts is when the response to the last call of the connection is due; a connection that is known to be out of step is retired, not closed, and its host counts as one that sends copies. At the limit, connections whose outcomes are proven are evicted first. The log tells why a connection was retired and why it ended.

ResponseLedgerTest.endOfTheConnectionLeavesEveryCallUnproven... covers the shift.

--- a/src/main/java/loftflow/upstream/http/ConnectionCloseLog.java
+++ b/src/main/java/loftflow/upstream/http/ConnectionCloseLog.java
@@ -33,14 +33,21 @@
     /**
      * Counts a closed connection.
      *
+     * @param retireReason why it carried no more calls
+     * @param closeReason why it was closed
      * @param callCount the calls that it has carried
      * @param unprovenCount the calls whose outcome is no longer proven
      */
-    void onClosed(String route, ConnectionCloseReason reason, int callCount, int unprovenCount) {
-        counts.merge(reason, 1, Integer::sum);
+    void onClosed(
+            String route,
+            ConnectionCloseReason retireReason,
+            ConnectionCloseReason closeReason,
+            int callCount,
+            int unprovenCount) {
+        counts.merge(retireReason, 1, Integer::sum);
         if (unprovenCount > 0) {
-            logger.accept("upstream: connection ended early route=" + route + " reason=" + reason.text() + " calls="
-                    + callCount + " unproven=" + unprovenCount);
+            logger.accept("upstream: connection ended early route=" + route + " retired=" + retireReason.text()
+                    + " reason=" + closeReason.text() + " calls=" + callCount + " unproven=" + unprovenCount);
         }
         if (nanoClock.getAsLong() - reportedAtNanos >= TimeUnit.SECONDS.toNanos(INTERVAL_SECONDS)) {
             reportedAtNanos = nanoClock.getAsLong();
--- a/src/main/java/loftflow/upstream/http/ConnectionRegistry.java
+++ b/src/main/java/loftflow/upstream/http/ConnectionRegistry.java
@@ -7,9 +7,9 @@
 import java.util.stream.Stream;
 
 /**
- * Tracks the connections to all hosts and limits their number. At the limit, idle connections are evicted first, then
- * those that only await a late response, then retired ones. A pool that cannot open a connection even so is starved until one closes. Must
- * be used on the event loop.
+ * Tracks the connections to all hosts and limits their number. At the limit, idle connections whose outcomes are proven
+ * are evicted first, then those that only await a late response, then retired ones, then all other idle ones. A pool
+ * that cannot open a connection even so is starved until one closes. Must be used on the event loop.
  */
 final class ConnectionRegistry {
     /** At most the connection limit divided by this number may await a late response at the same time. */
@@ -91,8 +91,9 @@
     }
 
     private UpstreamConnection findEvictable() {
-        return Stream.of(idle, awaitingLateResponse, retired)
-                .flatMap(Set::stream)
+        return Stream.concat(
+                        idle.stream().filter(connection -> !connection.isNeeded()),
+                        Stream.of(awaitingLateResponse, retired, idle).flatMap(Set::stream))
                 .findFirst()
                 .orElse(null);
     }
--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -338,8 +338,9 @@
     }
 
     @Override
-    public void onConnectionEnded(ConnectionCloseReason reason, int callCount, int disprovedCount) {
-        environment.closeLog().onClosed(route(), reason, callCount, disprovedCount);
+    public void onConnectionEnded(
+            ConnectionCloseReason retireReason, ConnectionCloseReason closeReason, int callCount, int unprovenCount) {
+        environment.closeLog().onClosed(route(), retireReason, closeReason, callCount, unprovenCount);
     }
 
     private void trackIdle(UpstreamConnection connection) {
--- a/src/main/java/loftflow/upstream/http/ResponseLedger.java
+++ b/src/main/java/loftflow/upstream/http/ResponseLedger.java
@@ -32,10 +32,9 @@
     /**
      * An outcome that was taken from a response without proof.
      *
-     * @param dueMicros when the call's own response should have come
      * @param deadlineMicros when nothing is owed for the call any more
      */
-    private record Unproven<C>(C call, int status, long dueMicros, long deadlineMicros, int sizeBytes) {}
+    private record Unproven<C>(C call, int status, long deadlineMicros, int sizeBytes) {}
 
     /** The outcomes since the last proven one, in the order of their calls. */
     private final List<Unproven<C>> unproven = new ArrayList<>();
@@ -48,6 +47,10 @@
     /** Whether no response to an earlier call can be outstanding. */
     private boolean isInStep = true;
 
+    /**
+     * When the response to the call that was sent last should have come. If none is outstanding then, none ever was: a
+     * surplus response among the earlier ones would have left this one over.
+     */
     private long dueMicros;
 
     /**
@@ -65,6 +68,11 @@
         return surplus.isEmpty() && (unproven.isEmpty() || nowMicros >= dueMicros);
     }
 
+    /** Returns whether no response to an earlier call could come when the last call was sent. */
+    boolean isInStep() {
+        return isInStep;
+    }
+
     /** Returns whether a response with the given status can only be the one to the call that was sent last. */
     boolean isProof(int status) {
         return isInStep && !receivedStatuses.contains(status);
@@ -85,7 +93,7 @@
             contradicted.clear();
             return;
         }
-        unproven.add(new Unproven<>(call, status, dueMicros, deadlineMicros, sizeBytes));
+        unproven.add(new Unproven<>(call, status, deadlineMicros, sizeBytes));
         while (unproven.size() > 1 && (unproven.size() > MAX_TRACKED_CALLS || trackedBytes() > MAX_TRACKED_BYTES)) {
             contradicted.remove(unproven.remove(0).call());
         }
@@ -176,9 +184,8 @@
      */
     long nextCheckMicros(long nowMicros, boolean isSuspect) {
         return unproven.stream()
-                .mapToLong(outcome -> contradicted.contains(outcome.call())
-                        ? outcome.dueMicros()
-                        : neededUntilMicros(outcome, isSuspect))
+                .mapToLong(outcome ->
+                        contradicted.contains(outcome.call()) ? dueMicros : neededUntilMicros(outcome, isSuspect))
                 .filter(checkMicros -> checkMicros > nowMicros)
                 .min()
                 .orElse(0);
@@ -186,6 +193,6 @@
 
     private long neededUntilMicros(Unproven<C> outcome, boolean isSuspect) {
         boolean isWholeTimeNeeded = isSuspect || !surplus.isEmpty();
-        return isWholeTimeNeeded ? outcome.deadlineMicros() : Math.min(outcome.dueMicros(), outcome.deadlineMicros());
+        return isWholeTimeNeeded ? outcome.deadlineMicros() : Math.min(dueMicros, outcome.deadlineMicros());
     }
 }
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -71,7 +71,11 @@
         void onRetired(UpstreamConnection connection, boolean isStillRead);
 
         /** Reports that the connection has closed. */
-        void onConnectionEnded(ConnectionCloseReason reason, int callCount, int disprovedCount);
+        void onConnectionEnded(
+                ConnectionCloseReason retireReason,
+                ConnectionCloseReason closeReason,
+                int callCount,
+                int unprovenCount);
 
         /** Schedules a task on the event loop. */
         Future<?> schedule(long delayMicros, Runnable task);
@@ -102,9 +106,13 @@
     private boolean hasReceivedRejection;
     /** Whether bytes were received that belong to no call and to no complete response. */
     private boolean hasStrayBytes;
+    /** Whether a batch received the response to another call, so that its own is outstanding. */
+    private boolean isOutOfStep;
     /** True if the call has timed out and the connection only awaits its late response. */
     private boolean isAwaitingLateResponse;
     /** Why it carries no more calls; null while it may. */
+    private ConnectionCloseReason retireReason;
+    /** Why this relay closed it; null while it has not. */
     private ConnectionCloseReason closeReason;
 
     /** When the last response was received; initially the creation time. */
@@ -190,7 +198,7 @@
      */
     boolean isUsable(long idleTimeoutMicros) {
         readPending();
-        return closeReason == null
+        return retireReason == null
                 && context.channel().isActive()
                 && !decoder.hasLeftover()
                 && System.nanoTime() - idleSinceNanos < TimeUnit.MICROSECONDS.toNanos(idleTimeoutMicros);
@@ -232,18 +240,22 @@
 
     /** Carries no more calls; closes at once unless an outcome that was taken from its responses can be contradicted. */
     void retire(ConnectionCloseReason reason) {
-        boolean isNeeded = heldCall != null || nextCheckMicros() > 0;
-        if (!isNeeded || !context.channel().isActive()) {
+        if (!isNeeded() || !context.channel().isActive()) {
             close(reason);
             return;
         }
-        closeReason = closeReason == null ? reason : closeReason;
+        retireReason = retireReason == null ? reason : retireReason;
         owner.onRetired(this, true);
         if (heldCall == null) {
             startCheckTimer();
         }
     }
 
+    /** Returns whether a response may still come that contradicts an outcome. */
+    boolean isNeeded() {
+        return heldCall != null || nextCheckMicros() > 0;
+    }
+
     private long nextCheckMicros() {
         return ledger.nextCheckMicros(owner.nowMicros(), owner.isSingleUse());
     }
@@ -261,7 +273,7 @@
         if (nextCheckMicros() > 0) {
             startCheckTimer();
         } else {
-            close(closeReason);
+            close(retireReason);
         }
     }
 
@@ -272,6 +284,7 @@
 
     /** Closes the connection at once. */
     void close(ConnectionCloseReason reason) {
+        retireReason = retireReason == null ? reason : retireReason;
         closeReason = closeReason == null ? reason : closeReason;
         // Notify the owner first, so that it does not select the connection while it is being closed.
         owner.onRetired(this, false);
@@ -363,11 +376,10 @@
         isResponseComplete = true;
         completed.readStates();
         owner.onResponseTime(owner.nowMicros() - sentAtMicros);
-        boolean isProof = completed.isNamedInResponse() || ledger.isProof(decoder.status());
+        boolean isProof = isNamed(completed) || ledger.isProof(decoder.status());
         record(completed);
         hasReceivedRejection |= completed.isRetryableRejection();
-        // What follows on a connection that is out of step belongs to this call.
-        isReusable &= !completed.isResponseOfAnotherCall();
+        isOutOfStep |= completed.isResponseOfAnotherCall();
         if (!isProof && isReusable && completed.mustProveRejection() && completed.isRejection()) {
             heldCall = completed;
         } else {
@@ -380,11 +392,16 @@
         ledger.onResponse(
                 completed,
                 decoder.status(),
-                completed.isNamedInResponse(),
+                isNamed(completed),
                 completed.latestDeadlineMicros(),
                 completed.sizeBytes());
     }
 
+    /** Returns whether the response can only be the one to its call; one that announces the end has no copy before. */
+    private boolean isNamed(UpstreamCall completed) {
+        return completed.isNamedInResponse() || !isReusable && ledger.isInStep();
+    }
+
     /** Lets a held response take effect: the one that would contradict it has not come in time. */
     private void onHoldEnded() {
         readPending();
@@ -456,7 +473,7 @@
     }
 
     private void reuseOrClose() {
-        if (closeReason != null) {
+        if (retireReason != null) {
             return;
         }
         // Leftover bytes arrived with the response but are not part of it.
@@ -465,6 +482,9 @@
             close(ConnectionCloseReason.MALFORMED_RESPONSE);
         } else if (!isReusable || !context.channel().isActive()) {
             close(ConnectionCloseReason.NOT_PERSISTENT);
+        } else if (isOutOfStep) {
+            owner.onUnsolicitedResponse(decoder.status(), 0, 0);
+            retire(ConnectionCloseReason.UNSOLICITED_RESPONSE);
         } else if (isAwaitingLateResponse) {
             retire(ConnectionCloseReason.CALL_ABANDONED);
         } else if (owner.isSingleUse()) {
@@ -477,7 +497,7 @@
     /** Reports the connection as reusable, unless the idle connections to the host were retired in the meantime. */
     private void becomeReusable(int idleClosuresBefore) {
         readPending();
-        if (closeReason != null || !context.channel().isActive()) {
+        if (retireReason != null || !context.channel().isActive()) {
             return;
         }
         if (idleClosuresBefore != owner.idleClosures()) {
@@ -498,14 +518,17 @@
             fail(UpstreamCall::onConnectionLost, ConnectionCloseReason.CLOSED_BY_HOST);
         }
         closeReason = closeReason == null ? ConnectionCloseReason.CLOSED_BY_HOST : closeReason;
+        retireReason = retireReason == null ? closeReason : retireReason;
         owner.onRetired(this, false);
-        List<UpstreamCall> unconfirmed = ledger.onEnd(owner.nowMicros(), owner.isSingleUse() || hasStrayBytes);
+        boolean isSuspect =
+                hasStrayBytes || isOutOfStep || owner.isSingleUse() && closeReason != ConnectionCloseReason.EVICTED;
+        List<UpstreamCall> unconfirmed = ledger.onEnd(owner.nowMicros(), isSuspect);
         unconfirmed.forEach(UpstreamCall::onOutcomeContradicted);
         if (heldCall != null) {
             heldCall.onOutcomeContradicted();
             heldCall = null;
         }
-        owner.onConnectionEnded(closeReason, callCount, unconfirmed.size());
+        owner.onConnectionEnded(retireReason, closeReason, callCount, unconfirmed.size());
     }
 
     /**
--- a/src/test/java/loftflow/upstream/http/ResponseLedgerTest.java
+++ b/src/test/java/loftflow/upstream/http/ResponseLedgerTest.java
@@ -92,6 +92,15 @@
         assertEquals(List.of(1), ledger.onEnd(DUE_MICROS, true));
     }
 
+    @Test
+    void endOfTheConnectionLeavesEveryCallUnprovenThatTheLastResponseMayBelongTo() {
+        call(0, 200);
+        call(1, 200);
+        nowMicros = DUE_MICROS / 2;
+        call(2, 503);
+        assertEquals(List.of(1, 2), ledger.onEnd(DUE_MICROS, false));
+    }
+
     @Test
     void callOfASuspectHostIsUnprovenAtItsDeadlineUnlessItsCopyCame() {
         call(0, 200);
