A kill no longer forgets a message whose answer came sooner than its host ever answers

A message that a copy had reported as delivered was recorded as done at once, so a kill before its own answer (a rejection) lost it.

Change: an unproven answer that comes in less than half the shortest time that the host ever needed for one of that status takes effect once its own is overdue. Only answers that are certainly a call's own set that time, and those that stood the wait.

The other tests of the class let the copy come after 150 ms, no sooner than the host answers, as they check what is disproved later.

--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -76,7 +76,7 @@
     private Endpoint endpoint;
     private final RetryAfterDeadline retryAfter;
     private final ReuseDelay reuseDelay;
-    private final ResponseTimeBound responseTimeBound = new ResponseTimeBound();
+    private final HostResponseTimes responseTimes = new HostResponseTimes();
     private final int maxBatchSize;
     /** Connections without a call, longest quiet first; they may be within the reuse delay. */
     private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
@@ -301,13 +301,8 @@
     }
 
     @Override
-    public long responseTimeBoundMicros() {
-        return responseTimeBound.micros();
-    }
-
-    @Override
-    public void onResponseTime(long elapsedMicros) {
-        responseTimeBound.onResponse(nowMicros(), elapsedMicros);
+    public HostResponseTimes responseTimes() {
+        return responseTimes;
     }
 
     @Override
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -50,11 +50,8 @@
         /** Returns the same delay as if the host had room for more connections. */
         long fullReuseDelayNanos();
 
-        /** Returns within how many microseconds the host should respond, see {@link ResponseTimeBound}. */
-        long responseTimeBoundMicros();
-
-        /** Reports how long the host took for a response, in microseconds. */
-        void onResponseTime(long elapsedMicros);
+        /** Returns what is known of the host's response times. */
+        HostResponseTimes responseTimes();
 
         /**
          * Reports a response to no call.
@@ -97,8 +94,13 @@
     /** The call whose complete response takes effect unless another one follows in time; null if there is none. */
     private UpstreamCall heldCall;
 
+    private int heldStatus;
+
     private int callCount;
     private long sentAtMicros;
+    /** How long the last response took. */
+    private long elapsedMicros;
+
     private boolean isReusable;
     private boolean isInformational;
     private boolean isResponseComplete;
@@ -149,7 +151,10 @@
         callCount++;
         sentAtMicros = owner.nowMicros();
         ledger.onSent(
-                sentAtMicros, Math.min(next.latestTimeoutMicros(), sentAtMicros + owner.responseTimeBoundMicros()));
+                sentAtMicros,
+                Math.min(
+                        next.latestTimeoutMicros(),
+                        sentAtMicros + owner.responseTimes().boundMicros()));
         isReusable = false;
         decoder.awaitResponse();
         next.onConnectionAssigned(this);
@@ -375,19 +380,34 @@
         respondedAtNanos = System.nanoTime();
         isResponseComplete = true;
         completed.readStates();
-        owner.onResponseTime(owner.nowMicros() - sentAtMicros);
+        elapsedMicros = owner.nowMicros() - sentAtMicros;
+        owner.responseTimes().onResponse(owner.nowMicros(), elapsedMicros);
         boolean isProof = isNamed(completed) || ledger.isProof(decoder.status());
+        if (isProof) {
+            owner.responseTimes().onOwnResponse(decoder.status(), elapsedMicros);
+        }
         record(completed);
         hasReceivedRejection |= completed.isRetryableRejection();
         isOutOfStep |= completed.isResponseOfAnotherCall();
-        if (!isProof && isReusable && completed.mustProveRejection() && completed.isRejection()) {
+        if (!isProof && isReusable && !completed.isCompleted() && isDoubtful(completed)) {
             heldCall = completed;
+            heldStatus = decoder.status();
         } else {
             completed.onResponseComplete();
         }
         decoder.awaitResponse();
     }
 
+    /**
+     * Returns whether an unproven response takes effect only later: because a wrong rejection could not be undone, or
+     * because the host has never responded so fast, so that its own response is still to be expected, even by the next
+     * process.
+     */
+    private boolean isDoubtful(UpstreamCall completed) {
+        return completed.mustProveRejection() && completed.isRejection()
+                || owner.responseTimes().isTooFast(decoder.status(), elapsedMicros);
+    }
+
     private void record(UpstreamCall completed) {
         ledger.onResponse(
                 completed,
@@ -406,6 +426,7 @@
     private void onHoldEnded() {
         readPending();
         if (heldCall != null && context.channel().isActive()) {
+            owner.responseTimes().onOwnResponse(heldStatus, elapsedMicros);
             releaseHeldCall();
             reuseOrClose();
         }
@@ -455,7 +476,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (isResponseComplete && heldCall != null && !decoder.hasLeftover()) {
             isResponseComplete = false;
-            timer.start(owner.responseTimeBoundMicros(), TimeUnit.MICROSECONDS, this::onHoldEnded);
+            timer.start(owner.responseTimes().boundMicros(), TimeUnit.MICROSECONDS, this::onHoldEnded);
         } else if (isResponseComplete) {
             isResponseComplete = false;
             reuseOrClose();
@@ -468,7 +489,10 @@
             if (!timer.isRunning()) {
                 timer.start(MAX_RESPONSE_MICROS, TimeUnit.MICROSECONDS, this::failAsMalformed);
             }
-            call.onStatusLine(decoder.status());
+            if (ledger.isProof(decoder.status())
+                    || !owner.responseTimes().isTooFast(decoder.status(), owner.nowMicros() - sentAtMicros)) {
+                call.onStatusLine(decoder.status());
+            }
         }
     }
 
--- a/src/test/java/loftflow/server/DisprovedOutcomeTest.java
+++ b/src/test/java/loftflow/server/DisprovedOutcomeTest.java
@@ -20,6 +20,8 @@
 class DisprovedOutcomeTest extends RelayTestBase {
     /** Longer than a copy is expected, so that no response is held back. */
     private static final long NEXT_CALL_MILLIS = 600;
+    /** Until the copy, which is no sooner than the host has responded before. */
+    private static final long COPY_MILLIS = 150;
     /** Until the response to the second call, which comes after the copy. */
     private static final long RESPONSE_MILLIS = 300;
 
@@ -35,6 +37,7 @@
                 case 1:
                     return status(firstStatus);
                 case 2:
+                    RelayProcess.blockThread(COPY_MILLIS);
                     write(host.connections.get(0), status(firstStatus));
                     RelayProcess.blockThread(RESPONSE_MILLIS);
                     return status(nextStatus);
@@ -85,6 +88,31 @@
         assertEquals(List.of("m0", "m1"), sentIds());
     }
 
+    /** The message was lost: a kill forgot that its delivery had been reported sooner than the host ever responds. */
+    @Test
+    void messageDeliveredByACopyBeforeAKillIsReportedAsFailed() throws Exception {
+        host.answer(request -> {
+            if (host.count("POST") == 1) {
+                RelayProcess.blockThread(RESPONSE_MILLIS);
+            } else {
+                write(host.connections.get(0), status(200));
+                RelayProcess.blockThread(RESPONSE_MILLIS);
+            }
+            return status(host.count("POST") == 1 ? 200 : 503);
+        });
+        relay.start();
+        assertEquals(202, relay.submit("m0", "unsafe", 7));
+        await(() -> host.requests.size() == 1);
+        TimeUnit.MILLISECONDS.sleep(NEXT_CALL_MILLIS);
+        assertEquals(202, relay.submit("m1", "unsafe", 7));
+        await(() -> host.requests.size() == 2);
+        TimeUnit.MILLISECONDS.sleep(RESPONSE_MILLIS / 2);
+        relay.kill();
+        relay.start();
+        await(() -> relay.hasNotified("m1", "dead"));
+        assertEquals(List.of("m0", "m1"), sentIds());
+    }
+
     /** A later message with its ordering key may have been sent since. */
     @Test
     void orderedMessageDeliveredByACopyIsReportedAsFailed() throws Exception {
