Rejections wait for the host's usual response time; answers are not held for being fast

Change: (1) the bound is the usual response time and four times its variation (RFC 6298), 500 ms at least. How long a connection is read on goes by the slowest answer as before.

--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -28,7 +28,7 @@
  * Pools the connections to one host and queues the calls that wait for one. A call uses an idle connection if there is
  * one that is quiet, otherwise the first that becomes reusable or is established. Must be used on the event loop.
  */
-final class HostConnectionPool implements UpstreamCall.Owner, UpstreamConnection.Owner {
+final class HostConnectionPool implements UpstreamCallOwner, UpstreamConnectionOwner {
     /**
      * Dependencies and settings shared by the pools of all hosts.
      *
@@ -53,22 +53,6 @@
             Map<Message.Attempt, UpstreamCall> openCalls,
             UpstreamClient.ResultListener results) {}
 
-    /**
-     * The end of the back-off that a destination or an independent route requested. The pools of a destination share it
-     * unless its routes are independent.
-     */
-    static final class RetryAfterDeadline {
-        private long notBeforeMicros;
-
-        private void extendTo(long untilMicros) {
-            notBeforeMicros = Math.max(notBeforeMicros, untilMicros);
-        }
-
-        private boolean isInForce(long nowMicros) {
-            return nowMicros < notBeforeMicros;
-        }
-    }
-
     /** With so many connections to a host, a call waits for one of them rather than for a new one. */
     private static final int MAX_CONNECTIONS_FOR_QUIET = 8;
 
--- a/src/main/java/loftflow/upstream/http/HostResponseTimes.java
+++ b/src/main/java/loftflow/upstream/http/HostResponseTimes.java
@@ -1,22 +1,23 @@
 package loftflow.upstream.http;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** What is known of the times that a host needs for its responses, in microseconds. Not thread-safe. */
 final class HostResponseTimes {
     private static final long MIN_BOUND_MICROS = TimeUnit.MILLISECONDS.toMicros(500);
+    /** Weights of a new response time in the smoothed one and in its variation, and their bound, as in RFC 6298. */
+    private static final int SMOOTHING_DIVISOR = 8;
+
+    private static final int VARIATION_DIVISOR = 4;
+    private static final int VARIATION_FACTOR = 4;
     private static final int SLOWEST_RESPONSE_FACTOR = 2;
-    private static final int FASTEST_RESPONSE_DIVISOR = 2;
     private static final long PERIOD_MICROS = TimeUnit.SECONDS.toMicros(60);
 
+    private long smoothedMicros;
+    private long variationMicros;
     private long slowestMicros;
     private long slowestBeforeMicros;
     private long periodEndMicros;
-    /** The fastest response that was certainly the one to its call, by status. */
-    private final Map<Integer, Long> fastestMicros = new HashMap<>();
-
     /** Adds a response time. */
     void onResponse(long nowMicros, long elapsedMicros) {
         if (nowMicros >= periodEndMicros) {
@@ -25,20 +26,27 @@
             periodEndMicros = nowMicros + PERIOD_MICROS;
         }
         slowestMicros = Math.max(slowestMicros, elapsedMicros);
+        smooth(elapsedMicros);
     }
 
-    /** Adds the time of a response that is certainly the one to its call. */
-    void onOwnResponse(int status, long elapsedMicros) {
-        fastestMicros.merge(status, elapsedMicros, Math::min);
+    private void smooth(long elapsedMicros) {
+        if (smoothedMicros == 0) {
+            smoothedMicros = elapsedMicros;
+            variationMicros = elapsedMicros / 2;
+        } else {
+            variationMicros += (Math.abs(elapsedMicros - smoothedMicros) - variationMicros) / VARIATION_DIVISOR;
+            smoothedMicros += (elapsedMicros - smoothedMicros) / SMOOTHING_DIVISOR;
+        }
     }
 
-    /** Returns within which time the host should respond: a multiple of its slowest recent response. */
-    long boundMicros() {
-        return Math.max(MIN_BOUND_MICROS, SLOWEST_RESPONSE_FACTOR * Math.max(slowestMicros, slowestBeforeMicros));
+    /** Returns within which time the host usually responds; it is too short for a few responses. */
+    long usualBoundMicros() {
+        long usualMicros = smoothedMicros + VARIATION_FACTOR * variationMicros;
+        return Math.min(boundMicros(), Math.max(MIN_BOUND_MICROS, usualMicros));
     }
 
-    /** Returns whether the host has always needed much longer for a response with the status. */
-    boolean isTooFast(int status, long elapsedMicros) {
-        return elapsedMicros < fastestMicros.getOrDefault(status, 0L) / FASTEST_RESPONSE_DIVISOR;
+    /** Returns within which time the host responds at the latest: a multiple of its slowest recent response. */
+    long boundMicros() {
+        return Math.max(MIN_BOUND_MICROS, SLOWEST_RESPONSE_FACTOR * Math.max(slowestMicros, slowestBeforeMicros));
     }
 }
--- a/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
+++ b/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
@@ -69,7 +69,7 @@
     private final boolean hasLoadReports;
     private final Map<String, DestinationKind> kinds = new HashMap<>();
     private final Map<String, HostConnectionPool> pools = new HashMap<>();
-    private final Map<Integer, HostConnectionPool.RetryAfterDeadline> retryAfterByDestination = new HashMap<>();
+    private final Map<Integer, RetryAfterDeadline> retryAfterByDestination = new HashMap<>();
     private final Map<Message.Attempt, UpstreamCall> openCalls = new HashMap<>();
 
     /** Creates a client on an event loop; the settings provide the destination kinds and the connect timeout. */
@@ -155,12 +155,12 @@
      */
     private void add(Endpoint endpoint, HostConnectionPool previous) {
         DestinationKind kind = kinds.get(endpoint.entry().kind());
-        HostConnectionPool.RetryAfterDeadline retryAfter;
+        RetryAfterDeadline retryAfter;
         if (kind == null || !kind.independentRoutes()) {
             retryAfter = retryAfterByDestination.computeIfAbsent(
-                    endpoint.entry().destination(), destination -> new HostConnectionPool.RetryAfterDeadline());
+                    endpoint.entry().destination(), destination -> new RetryAfterDeadline());
         } else if (previous == null) {
-            retryAfter = new HostConnectionPool.RetryAfterDeadline();
+            retryAfter = new RetryAfterDeadline();
         } else {
             retryAfter = previous.retryAfter();
         }
--- a/src/main/java/loftflow/upstream/http/ResponseDecoder.java
+++ b/src/main/java/loftflow/upstream/http/ResponseDecoder.java
@@ -2,6 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import loftflow.http.StrictResponseDecoder;
 
 /**
@@ -39,6 +42,21 @@
         return actualReadableBytes() > 0;
     }
 
+    /**
+     * Returns whether the end of a response can be determined. It cannot for an unknown transfer coding, for a protocol
+     * switch, and for a body with message states that is delimited only by the end of the connection, which counts as a
+     * reset.
+     */
+    static boolean hasSupportedFraming(HttpResponse response, boolean isBatch) {
+        boolean isDelimited = response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+                || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        boolean hasUndelimitedStates =
+                !isDelimited && isBatch && response.status().equals(HttpResponseStatus.OK);
+        return !hasUndelimitedStates
+                && isTransferCodingKnown(response)
+                && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
         headScanner.scan((ByteBuf) bytes);
--- a/src/main/java/loftflow/upstream/http/ResponseLedger.java
+++ b/src/main/java/loftflow/upstream/http/ResponseLedger.java
@@ -8,10 +8,10 @@
 /**
  * Determines what the responses on one connection prove about its calls.
  *
- * <p>HTTP/1.1 matches a response to a call by its position alone. A second copy of a response, however late it comes, is
- * read as the response to a later call, and that call's own response is then read as the one of the call behind it. A
- * response proves something only if no earlier response is outstanding and none had the same status; the outcomes that
- * are taken from all others can be contradicted until the deadline of their messages:
+ * <p>HTTP/1.1 matches a response to a call by its position alone. A second copy of a response, however late, is read as
+ * the response to a later call, and that call's own response as the one of the call behind it. A response proves
+ * something only if no earlier response is outstanding and none had the same status; the outcomes that are taken from
+ * all others can be contradicted until the deadline of their messages:
  *
  * <ul>
  *   <li>With n surplus responses on the connection, the own response of a call is one of the n + 1 that followed its
@@ -46,6 +46,8 @@
     private final Set<Integer> receivedStatuses = new HashSet<>();
     /** Whether no response to an earlier call can be outstanding. */
     private boolean isInStep = true;
+    /** When a response to an earlier call is no longer expected to be outstanding. */
+    private long inStepFromMicros;
 
     /**
      * When the response to the call that was sent last should have come. If none is outstanding then, none ever was: a
@@ -56,16 +58,18 @@
     /**
      * Called when a call is sent.
      *
-     * @param responseDueMicros the latest time at which its response is expected
+     * @param usualDueMicros the time at which its response usually has come
+     * @param latestDueMicros the latest time at which its response is expected
      */
-    void onSent(long nowMicros, long responseDueMicros) {
+    void onSent(long nowMicros, long usualDueMicros, long latestDueMicros) {
         isInStep = isInStepAt(nowMicros);
-        dueMicros = responseDueMicros;
+        inStepFromMicros = usualDueMicros;
+        dueMicros = latestDueMicros;
     }
 
     /** Returns whether a call that is sent at the given time could not receive the response to an earlier call. */
     boolean isInStepAt(long nowMicros) {
-        return surplus.isEmpty() && (unproven.isEmpty() || nowMicros >= dueMicros);
+        return surplus.isEmpty() && (unproven.isEmpty() || nowMicros >= inStepFromMicros);
     }
 
     /** Returns whether no response to an earlier call could come when the last call was sent. */
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -1,13 +1,10 @@
 package loftflow.upstream.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -17,10 +14,8 @@
 import java.util.stream.Collectors;
 import loftflow.engine.Message;
 import loftflow.engine.UpstreamClient;
-import loftflow.json.MalformedInputException;
 import loftflow.log.Log;
 import loftflow.policy.api.AttemptOutcome;
-import loftflow.policy.api.LimitReport;
 import loftflow.protocol.HostProtocol;
 
 /**
@@ -28,59 +23,6 @@
  * each of its attempts. Must be used on the event loop.
  */
 final class UpstreamCall {
-    /** The owner of a call, which is the connection pool of the called host. */
-    interface Owner {
-        String route();
-
-        /** Returns the host's address and port, for the {@code Host} header. */
-        String authority();
-
-        /** Returns the current time in microseconds, on the clock of message deadlines. */
-        long nowMicros();
-
-        /** Schedules a task on the event loop. */
-        Future<?> schedule(long delayMicros, Runnable task);
-
-        /**
-         * Reports the outcome of an attempt.
-         *
-         * @param isMessageCompleted whether the message needs no further attempt
-         * @param retryAfterMicros the back-off that the host requested; 0 for none
-         */
-        void onAttemptCompleted(
-                Message.Attempt attempt,
-                AttemptOutcome outcome,
-                boolean isMessageCompleted,
-                long retryAfterMicros,
-                LimitReport report);
-
-        /** Reports the outcome of a probe. */
-        void onProbeCompleted(UpstreamCall call, AttemptOutcome outcome, long retryAfterMicros, LimitReport report);
-
-        /**
-         * Removes a call that is abandoned while it waits for a connection.
-         *
-         * @return {@link AttemptOutcome#CONNECT_FAILED} if a connection to the host was being opened, otherwise
-         *     {@link AttemptOutcome#NOT_SENT}
-         */
-        AttemptOutcome removeFromQueue(UpstreamCall call);
-
-        /** Reports that the host requested a back-off, in microseconds from now. */
-        void onRetryAfter(long retryAfterMicros);
-
-        /** Reports that a later response contradicts the one that ended an attempt. */
-        void onOutcomeDisproved(Message.Attempt attempt);
-
-        /** Reports that a late response proved the delivery of an attempt that had timed out. */
-        void onLateDelivery(Message.Attempt attempt);
-
-        /** Returns whether a connection may stay open to await the late response of a call. */
-        boolean canAwaitLateResponse();
-
-        /** Closes idle connections to the host, which may have failed together with the connection of this call. */
-        void closeIdle();
-    }
-
     /** The connection on which a call is sent. */
     interface Connection {
         /** Closes the connection because nobody awaits the response of the current call any more. */
@@ -99,14 +41,7 @@
         void onRejected(String messageId);
     }
 
-    /** The maximum back-off; longer requested back-offs are capped. */
-    private static final long MAX_RETRY_AFTER_MILLIS = 3_600_000;
-
-    /** The maximum size of a response body. */
-    private static final int MAX_RESPONSE_BODY_BYTES = 64 << 10;
-
     private static final long MICROS_PER_MILLI = 1000;
-    private static final String WHOLE_MILLIS_PATTERN = "\\d{1,9}";
 
     /**
      * An attempt without an outcome.
@@ -117,7 +52,7 @@
     private record PendingAttempt(
             Message.Attempt attempt, long timeoutAtMicros, long latestArrivalMicros, Future<?> timeout) {}
 
-    private final Owner owner;
+    private final UpstreamCallOwner owner;
     private final long startedAtMicros;
     /**
      * The earliest deadline of the call's messages, which applies to the whole call. A host drops the call at that
@@ -141,10 +76,7 @@
     private Connection connection;
     private boolean isSent;
     private boolean isProbeCompleted;
-    private int status;
-    private LimitReport report = LimitReport.NONE;
-    private long retryAfterMicros;
-    private boolean isConcurrencyLimited;
+    private final CallResponse response = new CallResponse();
     /** The timed-out attempt whose late response is awaited; null if there is none. */
     private Message.Attempt lateAttempt;
 
@@ -152,13 +84,9 @@
     private List<Message.Attempt> attemptsEndedByStatus = List.of();
     /** The ids of all messages that were sent. */
     private Set<String> sentIds = Set.of();
-    /** The states in the response to a batch by message id; empty if there are none. */
-    private Map<String, String> reportedStates = Map.of();
-
-    private final ByteBuf responseBody = Unpooled.buffer(0, MAX_RESPONSE_BODY_BYTES);
 
     /** Creates a call for one or more attempts, and starts their timeouts. */
-    UpstreamCall(Owner owner, List<UpstreamClient.OutboundAttempt> outboundAttempts) {
+    UpstreamCall(UpstreamCallOwner owner, List<UpstreamClient.OutboundAttempt> outboundAttempts) {
         this.owner = owner;
         startedAtMicros = owner.nowMicros();
         probePath = null;
@@ -187,7 +115,7 @@
     }
 
     /** Creates a probe, and starts its timeout. */
-    UpstreamCall(Owner owner, String probePath, long timeoutMicros) {
+    UpstreamCall(UpstreamCallOwner owner, String probePath, long timeoutMicros) {
         this.owner = owner;
         startedAtMicros = owner.nowMicros();
         deadlineMicros = startedAtMicros + timeoutMicros;
@@ -304,28 +232,16 @@
      * Applies the back-off in a complete response head. It applies even if the rest of the response is truncated,
      * malformed or never completes, and even if the call has been abandoned.
      */
-    void onRetryAfter(HttpResponse response) {
-        retryAfterMicros = retryAfterMicros(response);
-        if (retryAfterMicros > 0) {
-            owner.onRetryAfter(retryAfterMicros);
+    void onRetryAfter(HttpResponse head) {
+        response.readRetryAfter(head);
+        if (response.retryAfterMicros() > 0) {
+            owner.onRetryAfter(response.retryAfterMicros());
         }
     }
 
-    /** Returns the back-off that a response requests, in microseconds; 0 for none. */
-    static long retryAfterMicros(HttpResponse response) {
-        String millis = response.headers().get(HostProtocol.RETRY_AFTER_MILLIS_HEADER);
-        if (millis == null || !millis.matches(WHOLE_MILLIS_PATTERN)) {
-            return 0;
-        }
-        return Math.min(MAX_RETRY_AFTER_MILLIS, Long.parseLong(millis)) * MICROS_PER_MILLI;
-    }
-
     /** Stores the head of a response, which takes effect once the response is complete. */
-    void onHead(HttpResponse response) {
-        status = response.status().code();
-        report = LoadReportParser.parse(response.headers().get(HostProtocol.LOAD_REPORT_HEADER));
-        isConcurrencyLimited = HostProtocol.CONCURRENCY_LIMITED.equals(
-                response.headers().get(HostProtocol.CONCURRENCY_LIMITED_HEADER));
+    void onHead(HttpResponse head) {
+        response.readHead(head);
     }
 
     /**
@@ -334,7 +250,7 @@
      */
     void onStatusLine(int code) {
         if (!isProbe() && !isBatch && code == HttpResponseStatus.OK.code()) {
-            status = code;
+            response.setStatus(code);
             endAllByStatus(AttemptOutcome.OK, true);
             if (lateAttempt != null) {
                 Message.Attempt delivered = lateAttempt;
@@ -349,7 +265,7 @@
     void onMalformedResponse(int code) {
         Log.line("upstream: malformed response route=" + owner.route() + " status=" + code + " attempts="
                 + pendingAttempts.size());
-        report = LimitReport.NONE;
+        response.discardReport();
         onStatusLine(code);
         end(AttemptOutcome.ERROR);
     }
@@ -360,22 +276,13 @@
      * @return false if the body exceeds its maximum size
      */
     boolean onBody(ByteBuf chunk) {
-        if (responseBody.readableBytes() + chunk.readableBytes() > MAX_RESPONSE_BODY_BYTES) {
-            return false;
-        }
-        responseBody.writeBytes(chunk);
-        return true;
+        return response.appendBody(chunk);
     }
 
     /** Decodes the message states in the complete response to a batch. */
     void readStates() {
-        if (!isBatch || status != HttpResponseStatus.OK.code()) {
-            return;
-        }
-        try {
-            reportedStates = BatchCodec.decodeStates(responseBody.toString(StandardCharsets.UTF_8));
-        } catch (IOException | MalformedInputException e) {
-            Log.line("upstream: malformed batch response route=" + owner.route() + " cause=" + e.getMessage());
+        if (isBatch && response.isOk()) {
+            response.readStates(owner.route());
         }
     }
 
@@ -384,16 +291,14 @@
      * connection named, so that it can't be the response to another call.
      */
     boolean isNamedInResponse() {
-        return !reportedStates.isEmpty()
-                && sentIds.containsAll(reportedStates.keySet())
-                && reportedStates.keySet().stream().noneMatch(connection::hasRejected);
+        return !response.namedIds().isEmpty()
+                && sentIds.containsAll(response.namedIds())
+                && response.namedIds().stream().noneMatch(connection::hasRejected);
     }
 
     /** Returns whether the complete response to a batch is not the one to this call. */
     boolean isResponseOfAnotherCall() {
-        return isBatch
-                && status == HttpResponseStatus.OK.code()
-                && Collections.disjoint(reportedStates.keySet(), sentIds);
+        return isBatch && response.isOk() && Collections.disjoint(response.namedIds(), sentIds);
     }
 
     /** Returns whether the status of the complete response shows that no message of the call was executed. */
@@ -407,9 +312,7 @@
     }
 
     private OutcomeTable.Outcome outcomeOfStatus() {
-        return isBatch
-                ? OutcomeTable.ofBatchStatus(status, isConcurrencyLimited)
-                : OutcomeTable.ofStatus(status, isConcurrencyLimited);
+        return response.outcome(isBatch);
     }
 
     /** Returns whether a status alone has ended attempts as delivered or as not executed. */
@@ -420,12 +323,12 @@
     /** Ends the call according to its complete response. */
     void onResponseComplete() {
         if (lateAttempt != null) {
-            onStatusLine(status);
+            onStatusLine(response.status());
         } else if (isProbe()) {
             onProbeResponse();
         } else if (isBatch && isPastDeadline()) {
             end(AttemptOutcome.TIMEOUT);
-        } else if (isBatch && status == HttpResponseStatus.OK.code()) {
+        } else if (isBatch && response.isOk()) {
             endEachByReportedState();
             // Messages that the response does not mention may have been executed.
             end(AttemptOutcome.ERROR);
@@ -448,7 +351,7 @@
      * its own. The call may have been executed.
      */
     void onOutcomeContradicted() {
-        report = LimitReport.NONE;
+        response.discardReport();
         end(AttemptOutcome.ERROR);
         List<Message.Attempt> disproved = attemptsEndedByStatus;
         attemptsEndedByStatus = List.of();
@@ -456,10 +359,8 @@
     }
 
     private void onProbeResponse() {
-        if (status == HttpResponseStatus.OK.code() && report.equals(LimitReport.NONE)) {
-            report = LoadReportParser.parse(responseBody.toString(StandardCharsets.UTF_8));
-        }
-        endProbe(OutcomeTable.ofProbeStatus(status));
+        response.readReportInBody();
+        endProbe(OutcomeTable.ofProbeStatus(response.status()));
     }
 
     /**
@@ -473,7 +374,7 @@
     private void endEachByReportedState() {
         for (Message.Attempt attempt : new ArrayList<>(pendingAttempts.keySet())) {
             String messageId = attempt.message().content().messageId();
-            String state = reportedStates.getOrDefault(messageId, HostProtocol.STATE_FAILED);
+            String state = response.state(messageId);
             OutcomeTable.Outcome outcome = OutcomeTable.ofMessageState(state);
             if (outcome.isProvenNotExecuted() && !mayRepeat && connection.hasRejected(messageId)) {
                 endAttempt(attempt, AttemptOutcome.ERROR, false);
@@ -510,7 +411,8 @@
         PendingAttempt pending = pendingAttempts.remove(attempt);
         if (pending != null) {
             pending.timeout().cancel(false);
-            owner.onAttemptCompleted(attempt, outcome, isMessageCompleted, retryAfterMicros, report);
+            owner.onAttemptCompleted(
+                    attempt, outcome, isMessageCompleted, response.retryAfterMicros(), response.report());
         }
     }
 
@@ -518,7 +420,7 @@
         if (!isProbeCompleted) {
             isProbeCompleted = true;
             probeTimeout.cancel(false);
-            owner.onProbeCompleted(this, outcome, retryAfterMicros, report);
+            owner.onProbeCompleted(this, outcome, response.retryAfterMicros(), response.report());
         }
     }
 
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -4,20 +4,16 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.concurrent.Future;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import loftflow.http.ConnectionTimer;
-import loftflow.http.StrictResponseDecoder;
 import loftflow.http.UnreadBytes;
 
 /**
@@ -26,65 +22,10 @@
  * taken from one of its responses can be contradicted, see {@link ResponseLedger}.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements UpstreamCall.Connection {
-    /** The owner of a connection, which is the connection pool of its host. */
-    interface Owner {
-        /** Returns the current time in microseconds, on the clock of message deadlines. */
-        long nowMicros();
-
-        /** Returns how many times the idle connections to the host have been retired as unreliable. */
-        int idleClosures();
-
-        /** Reports that the connection can carry another call. */
-        void onReusable(UpstreamConnection connection);
-
-        /**
-         * Offers a connection that has just received a response and can carry another call after the reuse delay.
-         *
-         * @return false if the connection is not pooled, because a call waits for it or it may not stay idle
-         */
-        boolean offerIdle(UpstreamConnection connection);
-
-        /** Returns how long a connection is quiet before it carries the next call, see {@link ReuseDelay#nanos}. */
-        long reuseDelayNanos();
-
-        /** Returns the same delay as if the host had room for more connections. */
-        long fullReuseDelayNanos();
-
-        /** Returns what is known of the host's response times. */
-        HostResponseTimes responseTimes();
-
-        /**
-         * Reports a response to no call.
-         *
-         * @param afterNanos the time since the last response on the connection
-         * @param retryAfterMicros the back-off that the response requests; 0 for none
-         */
-        void onUnsolicitedResponse(int status, long afterNanos, long retryAfterMicros);
-
-        /** Returns whether the host has sent an unsolicited response not long ago. */
-        boolean isSingleUse();
-
-        /** Reports that the connection carries no more calls, and whether it is still read. */
-        void onRetired(UpstreamConnection connection, boolean isStillRead);
-
-        /** Reports that the connection has closed. */
-        void onConnectionEnded(
-                ConnectionCloseReason retireReason,
-                ConnectionCloseReason closeReason,
-                int callCount,
-                int unprovenCount);
-
-        /** Schedules a task on the event loop. */
-        Future<?> schedule(long delayMicros, Runnable task);
-
-        /** Reports that the connection now awaits a late response, and returns for how many microseconds. */
-        long onAwaitingLateResponse(UpstreamConnection connection);
-    }
-
     /** The longest time from the first byte of a response to its last. Hosts write a whole response at once. */
     private static final long MAX_RESPONSE_MICROS = 500_000;
 
-    private final Owner owner;
+    private final UpstreamConnectionOwner owner;
     private final ResponseDecoder decoder = new ResponseDecoder();
     private final ResponseLedger<UpstreamCall> ledger = new ResponseLedger<>();
     private final RejectedMessageIds rejectedIds = new RejectedMessageIds();
@@ -94,13 +35,8 @@
     /** The call whose complete response takes effect unless another one follows in time; null if there is none. */
     private UpstreamCall heldCall;
 
-    private int heldStatus;
-
     private int callCount;
     private long sentAtMicros;
-    /** How long the last response took. */
-    private long elapsedMicros;
-
     private boolean isReusable;
     private boolean isInformational;
     private boolean isResponseComplete;
@@ -124,7 +60,7 @@
 
     private final ConnectionTimer timer;
 
-    UpstreamConnection(Owner owner) {
+    UpstreamConnection(UpstreamConnectionOwner owner) {
         this.owner = owner;
         timer = new ConnectionTimer((nanos, task) -> owner.schedule(TimeUnit.NANOSECONDS.toMicros(nanos), task));
     }
@@ -150,11 +86,9 @@
         call = next;
         callCount++;
         sentAtMicros = owner.nowMicros();
-        ledger.onSent(
-                sentAtMicros,
-                Math.min(
-                        next.latestTimeoutMicros(),
-                        sentAtMicros + owner.responseTimes().boundMicros()));
+        HostResponseTimes times = owner.responseTimes();
+        long latestDueMicros = Math.min(next.latestTimeoutMicros(), sentAtMicros + times.boundMicros());
+        ledger.onSent(sentAtMicros, sentAtMicros + times.usualBoundMicros(), latestDueMicros);
         isReusable = false;
         decoder.awaitResponse();
         next.onConnectionAssigned(this);
@@ -188,8 +122,8 @@
     }
 
     /**
-     * Closes the connection after it has been idle for the given time. A call that is assigned to the connection but not
-     * sent does not restart the idle time.
+     * Closes the connection after it has been idle for the given time. A call that is assigned to it but not sent does
+     * not restart the idle time.
      */
     void closeAfterIdle(long idleTimeoutMicros) {
         long leftNanos = idleSinceNanos + TimeUnit.MICROSECONDS.toNanos(idleTimeoutMicros) - System.nanoTime();
@@ -243,7 +177,7 @@
         timer.start(Math.max(0, quietInNanos()), TimeUnit.NANOSECONDS, () -> becomeReusable(idleClosuresBefore));
     }
 
-    /** Carries no more calls; closes at once unless an outcome that was taken from its responses can be contradicted. */
+    /** Carries no more calls; closes at once unless an outcome of its calls can be contradicted. */
     void retire(ConnectionCloseReason reason) {
         if (!isNeeded() || !context.channel().isActive()) {
             close(reason);
@@ -343,7 +277,7 @@
     private void onUnsolicitedResponse(HttpResponse response) {
         int status = response.status().code();
         owner.onUnsolicitedResponse(
-                status, System.nanoTime() - respondedAtNanos, UpstreamCall.retryAfterMicros(response));
+                status, System.nanoTime() - respondedAtNanos, CallResponse.retryAfterMicros(response));
         List<UpstreamCall> contradicted = ledger.onSurplus(status);
         contradicted.forEach(UpstreamCall::onOutcomeContradicted);
         releaseHeldCall();
@@ -355,7 +289,7 @@
         isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         // A head that began before the call was written is not a response to it.
         boolean isAwaited = isInformational || response.status().code() == decoder.status();
-        if (!isAwaited || !hasSupportedFraming(response)) {
+        if (!isAwaited || !ResponseDecoder.hasSupportedFraming(response, call.isBatch())) {
             failAsMalformed();
             return false;
         }
@@ -380,34 +314,19 @@
         respondedAtNanos = System.nanoTime();
         isResponseComplete = true;
         completed.readStates();
-        elapsedMicros = owner.nowMicros() - sentAtMicros;
-        owner.responseTimes().onResponse(owner.nowMicros(), elapsedMicros);
+        owner.responseTimes().onResponse(owner.nowMicros(), owner.nowMicros() - sentAtMicros);
         boolean isProof = isNamed(completed) || ledger.isProof(decoder.status());
-        if (isProof) {
-            owner.responseTimes().onOwnResponse(decoder.status(), elapsedMicros);
-        }
         record(completed);
         hasReceivedRejection |= completed.isRetryableRejection();
         isOutOfStep |= completed.isResponseOfAnotherCall();
-        if (!isProof && isReusable && !completed.isCompleted() && isDoubtful(completed)) {
+        if (!isProof && isReusable && completed.mustProveRejection() && completed.isRejection()) {
             heldCall = completed;
-            heldStatus = decoder.status();
         } else {
             completed.onResponseComplete();
         }
         decoder.awaitResponse();
     }
 
-    /**
-     * Returns whether an unproven response takes effect only later: because a wrong rejection could not be undone, or
-     * because the host has never responded so fast, so that its own response is still to be expected, even by the next
-     * process.
-     */
-    private boolean isDoubtful(UpstreamCall completed) {
-        return completed.mustProveRejection() && completed.isRejection()
-                || owner.responseTimes().isTooFast(decoder.status(), elapsedMicros);
-    }
-
     private void record(UpstreamCall completed) {
         ledger.onResponse(
                 completed,
@@ -426,7 +345,6 @@
     private void onHoldEnded() {
         readPending();
         if (heldCall != null && context.channel().isActive()) {
-            owner.responseTimes().onOwnResponse(heldStatus, elapsedMicros);
             releaseHeldCall();
             reuseOrClose();
         }
@@ -440,21 +358,6 @@
         }
     }
 
-    /**
-     * Returns whether the end of a response can be determined. It cannot for an unknown transfer coding, for a protocol
-     * switch, and for a body with message states that is delimited only by the end of the connection, which counts as a
-     * reset.
-     */
-    private boolean hasSupportedFraming(HttpResponse response) {
-        boolean isDelimited = response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-                || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        boolean hasUndelimitedStates =
-                !isDelimited && call.isBatch() && response.status().equals(HttpResponseStatus.OK);
-        return !hasUndelimitedStates
-                && StrictResponseDecoder.isTransferCodingKnown(response)
-                && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
-    }
-
     private void failAsMalformed() {
         fail(malformed -> malformed.onMalformedResponse(decoder.status()), ConnectionCloseReason.MALFORMED_RESPONSE);
     }
@@ -476,7 +379,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (isResponseComplete && heldCall != null && !decoder.hasLeftover()) {
             isResponseComplete = false;
-            timer.start(owner.responseTimes().boundMicros(), TimeUnit.MICROSECONDS, this::onHoldEnded);
+            timer.start(owner.responseTimes().usualBoundMicros(), TimeUnit.MICROSECONDS, this::onHoldEnded);
         } else if (isResponseComplete) {
             isResponseComplete = false;
             reuseOrClose();
@@ -489,10 +392,7 @@
             if (!timer.isRunning()) {
                 timer.start(MAX_RESPONSE_MICROS, TimeUnit.MICROSECONDS, this::failAsMalformed);
             }
-            if (ledger.isProof(decoder.status())
-                    || !owner.responseTimes().isTooFast(decoder.status(), owner.nowMicros() - sentAtMicros)) {
-                call.onStatusLine(decoder.status());
-            }
+            call.onStatusLine(decoder.status());
         }
     }
 
