A copy that is cut off no longer delivers for good; malformed batch answers mark no host

What callers would have seen: a message that the first line of a cut-off copy of a 200 had ended was lost when the connection ended.

Cause, read in the new code and shown by the test: an answer that ended early was recorded as its call's own, because such a connection is not reusable, which elsewhere stands for an answer that announces the end. Also: a batch answer that can't be read at all marked its host as one that sends copies for a minute; now only an answer that names other messages does. A retired connection whose held answer took effect is closed in its time.

Test: LateContradictionTest.copyThatIsCutOffBehindItsFirstLineDisprovesTheDelivery.

--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -296,11 +296,16 @@
                 && response.namedIds().stream().noneMatch(connection::hasRejected);
     }
 
-    /** Returns whether the complete response to a batch is not the one to this call. */
-    boolean isResponseOfAnotherCall() {
+    /** Returns whether the complete response to a batch reports delivery without naming any of its messages. */
+    boolean isUnnamedInBatchResponse() {
         return isBatch && response.isOk() && Collections.disjoint(response.namedIds(), sentIds);
     }
 
+    /** Returns whether the complete response names messages of other calls alone. */
+    boolean isResponseOfAnotherCall() {
+        return isUnnamedInBatchResponse() && !response.namedIds().isEmpty();
+    }
+
     /** Returns whether the status of the complete response shows that no message of the call was executed. */
     boolean isRejection() {
         return !isProbe() && outcomeOfStatus().isProvenNotExecuted();
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -44,7 +44,7 @@
     private boolean hasReceivedRejection;
     /** Whether bytes were received that belong to no call and to no complete response. */
     private boolean hasStrayBytes;
-    /** Whether a batch received the response to another call, so that its own is outstanding. */
+    /** Whether a batch received a response that names none of its messages, so that its own may be outstanding. */
     private boolean isOutOfStep;
     /** True if the call has timed out and the connection only awaits its late response. */
     private boolean isAwaitingLateResponse;
@@ -316,9 +316,12 @@
         completed.readStates();
         owner.responseTimes().onResponse(owner.nowMicros(), owner.nowMicros() - sentAtMicros);
         boolean isProof = isNamed(completed) || ledger.isProof(decoder.status());
-        record(completed);
+        record(completed, isNamed(completed));
         hasReceivedRejection |= completed.isRetryableRejection();
-        isOutOfStep |= completed.isResponseOfAnotherCall();
+        if (completed.isResponseOfAnotherCall()) {
+            owner.onUnsolicitedResponse(decoder.status(), 0, 0);
+        }
+        isOutOfStep |= completed.isUnnamedInBatchResponse();
         if (!isProof && isReusable && completed.mustProveRejection() && completed.isRejection()) {
             heldCall = completed;
         } else {
@@ -327,13 +330,8 @@
         decoder.awaitResponse();
     }
 
-    private void record(UpstreamCall completed) {
-        ledger.onResponse(
-                completed,
-                decoder.status(),
-                isNamed(completed),
-                completed.latestDeadlineMicros(),
-                completed.sizeBytes());
+    private void record(UpstreamCall ended, boolean isNamed) {
+        ledger.onResponse(ended, decoder.status(), isNamed, ended.latestDeadlineMicros(), ended.sizeBytes());
     }
 
     /** Returns whether the response can only be the one to its call; one that announces the end has no copy before. */
@@ -370,7 +368,7 @@
             endCall.accept(failed);
         }
         if (failed != null && failed.isEndedByStatus()) {
-            record(failed);
+            record(failed, false);
         }
         close(reason);
     }
@@ -398,6 +396,7 @@
 
     private void reuseOrClose() {
         if (retireReason != null) {
+            retire(retireReason);
             return;
         }
         // Leftover bytes arrived with the response but are not part of it.
@@ -407,7 +406,6 @@
         } else if (!isReusable || !context.channel().isActive()) {
             close(ConnectionCloseReason.NOT_PERSISTENT);
         } else if (isOutOfStep) {
-            owner.onUnsolicitedResponse(decoder.status(), 0, 0);
             retire(ConnectionCloseReason.UNSOLICITED_RESPONSE);
         } else if (isAwaitingLateResponse) {
             retire(ConnectionCloseReason.CALL_ABANDONED);
--- a/src/test/java/loftflow/upstream/http/LateContradictionTest.java
+++ b/src/test/java/loftflow/upstream/http/LateContradictionTest.java
@@ -94,6 +94,19 @@
         }
     }
 
+    /** The message was lost: the first line of a copy that was cut off delivered it for good. */
+    @Test
+    void copyThatIsCutOffBehindItsFirstLineDisprovesTheDelivery() {
+        deliverFirst();
+        host.answer(request -> {
+            writeCopyLater("HTTP/1.1 200 X\r\nContent-");
+            RelayProcess.blockThread(COPY_TO_RESPONSE_MILLIS);
+            return ScriptedPeer.CLOSE;
+        });
+        assertEquals(DELIVERED, results.get(sendAndAwait(1).get(0)));
+        await(() -> disproved.contains("m1"));
+    }
+
     /** The message is lost: a host that goes on after a copy without answering the call leaves no trace of it. */
     @Tag("known-red")
     @Test
