The connection used last carries the next call again, also one that needs a proof

Cause: calls that must not be repeated went to a connection that could prove a rejection, which is one that has been quiet for longer. Behind a cut such connections are silent or reset, so more calls timed out there.

Change: the most recently used one that has received no rejection. A rejection that it can't prove waits, as before.

--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -371,24 +371,16 @@
 
     /**
      * Returns the most recently used connection that has been quiet for the whole reuse delay, so that a surplus of
-     * connections reaches the idle timeout; preferably one whose proofs the call needs, or else does not need. Without
-     * one, and without room for another connection, returns the longest quiet one if it has been quiet for the shorter
-     * delay; otherwise null.
+     * connections reaches the idle timeout, and calls avoid those that may have failed unseen. Without one, and without
+     * room for another connection, returns the longest quiet one if it has been quiet for the shorter delay; otherwise
+     * null.
      */
     private UpstreamConnection findQuiet(UpstreamCall call) {
-        UpstreamConnection suitable = null;
         for (Iterator<UpstreamConnection> next = idle.descendingIterator(); next.hasNext(); ) {
             UpstreamConnection connection = next.next();
-            if (!connection.isFullyQuiet() || !isSuitable(connection, call)) {
-                continue;
-            }
-            if (connection.canProveRejection() == call.mustProveRejection()) {
+            if (connection.isFullyQuiet() && isSuitable(connection, call)) {
                 return connection;
             }
-            suitable = suitable == null ? connection : suitable;
-        }
-        if (suitable != null) {
-            return suitable;
         }
         UpstreamConnection longestQuiet = idle.peekFirst();
         return longestQuiet != null && longestQuiet.quietInNanos() <= 0 && isSuitable(longestQuiet, call)
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -153,11 +153,6 @@
         return hasReceivedRejection;
     }
 
-    /** Returns whether a rejection of a call that is sent now would prove that it was not executed. */
-    boolean canProveRejection() {
-        return !hasReceivedRejection && ledger.isInStepAt(owner.nowMicros());
-    }
-
     /** Returns the time in nanoseconds until the connection has been quiet for the reuse delay; 0 or less if it has. */
     long quietInNanos() {
         return isNew() ? 0 : respondedAtNanos + owner.reuseDelayNanos() - System.nanoTime();
