An eviction at the connection limit no longer casts doubt on delivered messages

The protocol allows it in the key's window, but nothing spoke against the delivery; a message that may run once would have been reported as failed.

Cause, from the relay's log: 'connection ended early retired=evicted', 'outcome disproved'. The relay itself closed an idle connection that another host's call needed, half a second after its last answer, and took that for an end by the host.

Change: an eviction leaves outcomes as they are, unless the host is known for copies or something came that belongs to no call.

--- a/src/main/java/loftflow/upstream/http/ResponseLedger.java
+++ b/src/main/java/loftflow/upstream/http/ResponseLedger.java
@@ -77,6 +77,11 @@
         return isInStep;
     }
 
+    /** Returns whether a response was received that no call awaited. */
+    boolean hasSurplus() {
+        return !surplus.isEmpty();
+    }
+
     /** Returns whether a response with the given status can only be the one to the call that was sent last. */
     boolean isProof(int status) {
         return isInStep && !receivedStatuses.contains(status);
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -437,9 +437,7 @@
         closeReason = closeReason == null ? ConnectionCloseReason.CLOSED_BY_HOST : closeReason;
         retireReason = retireReason == null ? closeReason : retireReason;
         owner.onRetired(this, false);
-        boolean isSuspect =
-                hasStrayBytes || isOutOfStep || owner.isSingleUse() && closeReason != ConnectionCloseReason.EVICTED;
-        List<UpstreamCall> unconfirmed = ledger.onEnd(owner.nowMicros(), isSuspect);
+        List<UpstreamCall> unconfirmed = findUnconfirmed();
         unconfirmed.forEach(UpstreamCall::onOutcomeContradicted);
         if (heldCall != null) {
             heldCall.onOutcomeContradicted();
@@ -448,6 +446,17 @@
         owner.onConnectionEnded(retireReason, closeReason, callCount, unconfirmed.size());
     }
 
+    /** Returns the calls whose own response may have been cut off; an eviction alone leaves the outcomes as they are. */
+    private List<UpstreamCall> findUnconfirmed() {
+        boolean isKnownToCopy = owner.isSingleUse();
+        boolean hasEvidence = hasStrayBytes || isOutOfStep || ledger.hasSurplus();
+        boolean wasEvicted = closeReason == ConnectionCloseReason.EVICTED;
+        if (wasEvicted && !isKnownToCopy && !hasEvidence) {
+            return List.of();
+        }
+        return ledger.onEnd(owner.nowMicros(), hasEvidence || isKnownToCopy && !wasEvicted);
+    }
+
     /**
      * Ends the call after a connection error. Unlike a regular close, a reset never delimits a response body. If a
      * response had begun, the call ends as malformed, since the host was reached; otherwise as a lost connection.
--- a/src/test/java/loftflow/soak/SoakMutantTest.java
+++ b/src/test/java/loftflow/soak/SoakMutantTest.java
@@ -60,7 +60,7 @@
                     "            context.deadLetterSink().store(message);\n        }",
                     "lost"),
             new Mutant(
-                    "upstream/http/UpstreamCall",
+                    "upstream/http/CallResponse",
                     "if (millis == null ||",
                     "if (millis != null || millis == null ||",
                     "Retry-After ignored"),
