--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -446,7 +446,7 @@
         owner.onConnectionEnded(retireReason, closeReason, callCount, unconfirmed.size());
     }
 
-    /** Returns the calls whose own response may have been cut off; an eviction alone leaves the outcomes as they are. */
+    /** Returns the calls whose own response may have been cut off; an eviction alone casts no doubt on the others. */
     private List<UpstreamCall> findUnconfirmed() {
         boolean isKnownToCopy = owner.isSingleUse();
         boolean hasEvidence = hasStrayBytes || isOutOfStep || ledger.hasSurplus();
