WarmStartRestartTest: the kill waits for the record of the rejection, not for the delta alone

The test kills the relay as soon as it sees the delta, which is written when the head of the response is read; the outcome follows in the same pass of the event loop. The message is of a class that must not be repeated, so with no outcome recorded it must not be called again. The bounds (a second call, 5 s at least) are as before.

--- a/src/test/java/loftflow/server/WarmStartRestartTest.java
+++ b/src/test/java/loftflow/server/WarmStartRestartTest.java
@@ -7,8 +7,10 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -21,6 +23,8 @@
 import loftflow.fake.FakePartner;
 import loftflow.fake.ScriptedPeer;
 import loftflow.fake.ServedRelay;
+import loftflow.journal.Journal;
+import loftflow.policy.api.AttemptOutcome;
 import loftflow.warmstart.KnownEndpoint;
 import loftflow.warmstart.Snapshot;
 import loftflow.warmstart.store.SnapshotSamples;
@@ -34,6 +38,8 @@
 /** Tests relays that start from a snapshot while discovery is down and reconcile it once discovery responds. */
 @Order(1)
 class WarmStartRestartTest extends RelayFileTestBase {
+    private static final long DISK_BYTES = 8L << 20;
+
     private final Map<String, FakePartner> partners = new HashMap<>();
     private FakeDiscoveryAgent discovery;
     private Path stateFolder;
@@ -340,6 +346,8 @@
             submit(first, "s1", 7);
             await(() -> host.count("POST ") == 1);
             await(() -> hasDelta("RETRY_AFTER iron-1") || hasRetryAfter());
+            // The delta is written before the outcome; a message without an outcome may have been executed.
+            await(this::hasRecordedRejection);
             first.close();
             discovery.close();
             isOverloaded.set(false);
@@ -350,6 +358,23 @@
         }
     }
 
+    /** Returns true if the journal has the outcome of the first attempt of its open message, a rejection. */
+    private boolean hasRecordedRejection() {
+        try {
+            Path copy = Files.createDirectories(folder.resolve("journal-copy"));
+            try (DirectoryStream<Path> segments = Files.newDirectoryStream(stateFolder, "journal-*.log")) {
+                for (Path segment : segments) {
+                    Files.copy(segment, copy.resolve(segment.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+                }
+            }
+            try (Journal journal = new Journal(copy, DISK_BYTES)) {
+                return journal.openMessages().get(0).attempts().get(0).outcome() == AttemptOutcome.REJECTED;
+            }
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private boolean hasRetryAfter() {
         try {
             return SnapshotSamples.readLatest(stateFolder).endpoints().stream()
