AMQP connections start at once: tasks in between used up their open timeout

Cause: Bootstrap.connect() registers the channel and connects in a later task of the loop, while the open timeout runs from the call. Fix: the channel is registered and connected in the same task, so the time counts from the SYN.

--- a/src/main/java/loftflow/amqp/link/AmqpClientConnection.java
+++ b/src/main/java/loftflow/amqp/link/AmqpClientConnection.java
@@ -94,14 +94,16 @@
     public static AmqpClientConnection connect(
             EventLoop loop, Broker broker, int maxBodyBytes, long timeoutMicros, Listener owner) {
         AmqpClientConnection connection = new AmqpClientConnection(broker.login(), maxBodyBytes, owner);
-        InetSocketAddress address = broker.address();
-        ChannelFuture connected = new Bootstrap()
+        ChannelFuture registered = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, timeoutMicros / 1_000))
                 .handler(initializer(broker, connection))
-                .connect(address);
+                .register();
+        // Bootstrap.connect() would connect in a later task, and the tasks in between would use up the timeout.
+        ChannelFuture connected =
+                registered.cause() == null ? registered.channel().connect(broker.address()) : registered;
         connection.openProgress = new OpenProgress(loop, connected.channel(), timeoutMicros);
         connection.startOpenTimeout(timeoutMicros);
         connected.addListener(done -> {
--- a/src/test/java/loftflow/upstream/amqp/BrokerClientTest.java
+++ b/src/test/java/loftflow/upstream/amqp/BrokerClientTest.java
@@ -22,6 +22,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import javax.net.ssl.KeyManagerFactory;
 import loftflow.amqp.codec.Method;
 import loftflow.amqp.codec.MethodType;
@@ -523,6 +524,21 @@
         assertEquals(AttemptOutcome.OK, outcomeOf("a"));
     }
 
+    /** Guards against an open timeout that runs while the connection waits behind other tasks of its event loop. */
+    @Test
+    void connectionIsStartedAheadOfTasksThatWaitForTheEventLoop() {
+        AtomicBoolean isBusy = new AtomicBoolean(true);
+        loop.execute(() -> RelayProcess.blockThread(200));
+        send("a");
+        loop.execute(() -> {
+            RelayProcess.blockThread(2_000);
+            isBusy.set(false);
+        });
+        await(() -> broker.connections() == 1);
+        assertTrue(isBusy.get(), "the broker was not connected to before the loop was idle");
+        assertEquals(AttemptOutcome.OK, outcomeOf("a"));
+    }
+
     @Test
     void tlsWithATrustedAndAnUntrustedCertificate() throws Exception {
         Path store = folder.resolve("store.p12");
