Soak: a call arrives at a host when its bytes come, not when the host has answered the call before

Failure: SoakResponseCopyTest with slow hosts (known red): "Retry-After ignored", "executed twice" (keyed, beyond its window), "out of order" and "late by 240 to 318 ms", 11 of 19 runs, three side by side on five cores. Traces (each call, answer and close of the relay printed): s0-143 is sent at 1193.929 s on a connection on which a copy had answered the call before; the host writes a Retry-After at 1194.038, and the fake host, still pausing for the earlier call, reads s0-143 at 1194.257 and takes that for its arrival. h1-952 is sent 0.7 s before the time that is recorded as its first byte. Why the check was wrong: a host begins a call when its last byte has come (PROTOCOL). The fake host now watches its connection while it pauses, takes the time at which bytes are there as the arrival, and counts the pause of a call from there.

--- a/src/test/java/loftflow/soak/SoakResponseCopyTest.java
+++ b/src/test/java/loftflow/soak/SoakResponseCopyTest.java
@@ -6,8 +6,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import loftflow.fake.ServedRelay;
-import org.junit.jupiter.api.Tag;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,7 +29,7 @@
 
     /** What disproves a conclusion came later than expected, behind further calls, or as the end of the connection. */
     @ParameterizedTest
-    @CsvSource({"3, 20, 4, 119, 15", "80, 400, 4, 119, 15", "500, 1500, 4, 119, 0"})
+    @CsvSource({"3, 20, 4, 119, 15", "80, 400, 4, 119, 15", "500, 1500, 4, 119, 0", "300, 900, 200, 1200, 0"})
     void copiesOfAnyDelayLoseAndDuplicateNoMessage(
             int minDelayMillis, int maxDelayMillis, int minResponseMillis, int maxResponseMillis, int unansweredPercent)
             throws Exception {
@@ -45,13 +43,6 @@
                 false));
     }
 
-    /** Connections were evicted before the responses that would have corrected what a copy had ended. */
-    @Tag("known-red")
-    @Test
-    void copiesBeforeSlowHostsLoseAndDuplicateNoMessage() throws Exception {
-        play(new ResponseCopies.Plan(COPIES_PERCENT, 300, 900, 200, 1_200, 0, false));
-    }
-
     private void play(ResponseCopies.Plan copies) throws Exception {
         SoakPlan plan = new SoakPlan(
                 SEED,
--- a/src/test/java/loftflow/soak/SoakUpstream.java
+++ b/src/test/java/loftflow/soak/SoakUpstream.java
@@ -53,7 +53,13 @@
     private record Delivery(List<String> delivered, List<String> rejected, String body) {}
 
     /** A request that was read whole. */
-    private record Call(String line, Map<String, String> headers, String body, long firstByteNanos) {
+    private record Call(
+            String line, Map<String, String> headers, String body, long firstByteNanos, ArrivalTimes arrivals) {
+        /** Waits until the given time has passed since the call arrived. */
+        void pause(long millis) {
+            arrivals.pauseUntil(firstByteNanos + TimeUnit.MILLISECONDS.toNanos(millis));
+        }
+
         boolean isBatch() {
             return line.contains(HostProtocol.BATCH_PATH + " ");
         }
@@ -143,8 +149,8 @@
     private void serve(Socket socket) {
         try (socket) {
             socket.setTcpNoDelay(true);
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            while (handleNext(socket, in)) {
+            ArrivalTimes arrivals = new ArrivalTimes(new BufferedInputStream(socket.getInputStream()));
+            while (handleNext(socket, arrivals)) {
                 // The connection stays open for the next call.
             }
         } catch (IOException e) {
@@ -155,12 +161,13 @@
     }
 
     /** Reads and handles a call; returns false if the connection is to be closed. */
-    private boolean handleNext(Socket socket, InputStream in) throws IOException {
+    private boolean handleNext(Socket socket, ArrivalTimes arrivals) throws IOException {
+        InputStream in = arrivals.input();
         int first = in.read();
         if (first < 0) {
             return false;
         }
-        long firstByteNanos = System.nanoTime();
+        long firstByteNanos = arrivals.takeFirstByteNanos();
         String line = (char) first + line(in);
         Map<String, String> headers = new TreeMap<>();
         for (String header = line(in); !header.isEmpty(); header = line(in)) {
@@ -181,7 +188,7 @@
         if (body.length() < length) {
             return false;
         }
-        return handle(socket, new Call(line, headers, body, firstByteNanos), behavior);
+        return handle(socket, new Call(line, headers, body, firstByteNanos, arrivals), behavior);
     }
 
     private Behavior behaviorFor(String id) {
@@ -213,13 +220,13 @@
         long unansweredMillis = copies.unansweredMillis(socket);
         if (unansweredMillis > 0) {
             record(ids, call, false, SoakHistory.NEVER, "UNANSWERED");
-            pause(unansweredMillis);
+            call.pause(unansweredMillis);
             return false;
         }
         switch (behavior) {
             case REJECT -> {
                 record(ids, call, false, SoakHistory.NEVER, behavior.name());
-                pause(copies.isActive() ? responseMillis(new Random(seed + ids.hashCode())) : 0);
+                call.pause(copies.isActive() ? responseMillis(new Random(seed + ids.hashCode())) : 0);
                 respond(socket, "503 Unavailable", "", "");
             }
             case TELL_WAIT -> {
@@ -264,7 +271,7 @@
 
     private void deliver(Socket socket, Call call, List<String> ids, Behavior behavior) throws IOException {
         Random random = new Random(seed + ids.hashCode());
-        pause(behavior == Behavior.DELIVER_LATE ? 500 + random.nextInt(2_000) : responseMillis(random));
+        call.pause(behavior == Behavior.DELIVER_LATE ? 500 + random.nextInt(2_000) : responseMillis(random));
         Delivery delivery = deliveryOf(call, ids, random);
         record(delivery.rejected(), call, false, SoakHistory.NEVER, behavior.name());
         try {
@@ -301,7 +308,7 @@
     /** Sends a randomly selected malformed response; returns false if the connection ends with it. */
     private boolean respondMalformed(Socket socket, Call call, List<String> ids) throws IOException {
         Random random = new Random((seed + ids.hashCode()) * SEED_FACTOR);
-        pause(2 + random.nextInt(15));
+        call.pause(2 + random.nextInt(15));
         Delivery delivery = deliveryOf(call, ids, random);
         MalformedResponse response = MalformedResponse.of(random.nextInt(Integer.MAX_VALUE));
         String name = response.nameInReceipt(call.isBatch());
