Tests whose first message was rejected unseen repeat it, as a client does

They submit a message without a look at the answer; a relay that has too little CPU rejects what it reads late (LateReadTest), and nothing ever follows. They now fail at once at any status but 202 and 503, and repeat after a 503; that is stricter than before.

--- a/src/test/java/loftflow/server/RelayProcess.java
+++ b/src/test/java/loftflow/server/RelayProcess.java
@@ -21,6 +21,8 @@
 /** A relay in a process of its own, with scripted peers as upstreams and discovery agent. */
 public final class RelayProcess implements AutoCloseable {
     private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+    private static final int STATUS_ACCEPTED = 202;
+    private static final int STATUS_REJECTED = 503;
     private static final int TIMEOUT_SECONDS = 30;
 
     /**
@@ -259,6 +261,26 @@
                 .status();
     }
 
+    /** As below, with 20 s for the message. */
+    void submitUntilAccepted(String id, String requestClass, int destination) {
+        submitUntilAccepted(id, requestClass, destination, 20_000, "hello");
+    }
+
+    /** Submits a message and repeats it while it is rejected: a relay with little CPU rejects what it reads late. */
+    void submitUntilAccepted(String id, String requestClass, int destination, int budgetMillis, String body) {
+        await(() -> {
+            try {
+                int status = submit(id, requestClass, destination, budgetMillis, body);
+                if (status != STATUS_ACCEPTED && status != STATUS_REJECTED) {
+                    throw new AssertionError("status " + status);
+                }
+                return status == STATUS_ACCEPTED;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
     static String message(String id, String requestClass, int destination, int budgetMillis, String body) {
         return "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: " + id + "\r\nX-Call-Class: " + requestClass
                 + "\r\nX-Caller: acme\r\nX-Budget-Ms: " + budgetMillis + "\r\nIdempotency-Key: key-" + id
