Copies of responses are recognized by their bytes where the responses of a host differ

Callers saw: an accepted message that was neither delivered nor reported, where a copy had ended its call and nothing contradicted it in time: the host stayed silent, ended the connection later than it usually answers, or the relay was killed. The correction depends on what comes behind the copy; nothing bounds how late that is. Cause: responses were compared by status alone, so nearly each 200 looked like a copy of the one before it. Fix: a connection remembers a fingerprint (status, headers, body) of its responses. A response with a new one is no copy, whatever its delay, so more outcomes are proven at once. Where at least four responses with a status have been seen of a host and all differed, one that equals an earlier one on its connection is a copy: it ends no call, which goes on awaiting its own response, and the host is known for copies from then on. A host that repeats its responses shows that by equal ones on two connections, or by two such copies with nothing behind them; it is then treated as before.

--- /dev/null
+++ b/src/main/java/loftflow/upstream/http/CopyDetector.java
@@ -0,0 +1,80 @@
+package loftflow.upstream.http;
+
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** Recognizes copies of earlier responses on one connection by their fingerprints. Not thread-safe. */
+final class CopyDetector {
+    /** A copy of a response that has so many behind it is not recognized. */
+    private static final int MAX_REMEMBERED_RESPONSES = 1024;
+
+    private final ResponseVariety variety;
+    private final Set<Long> received = new LinkedHashSet<>();
+    /** The status of a copy behind which no response has been received; 0 for none. */
+    private int unconfirmedStatus;
+
+    /**
+     * Creates a detector for a connection without responses.
+     *
+     * @param variety what is known of the responses of the host
+     */
+    CopyDetector(ResponseVariety variety) {
+        this.variety = variety;
+    }
+
+    /** Returns whether any response has been received. */
+    boolean hasReceived() {
+        return !received.isEmpty();
+    }
+
+    /** Returns whether a response equals an earlier one on the connection. */
+    boolean isRepeated(long fingerprint) {
+        return received.contains(fingerprint);
+    }
+
+    /** Returns whether a response with the given status that has not been received whole may turn out to be a copy. */
+    boolean canRecognize(int status) {
+        return hasReceived() && variety.isDistinct(status);
+    }
+
+    /** Returns whether a response is a copy: it equals an earlier one, although the host's responses differ. */
+    boolean isCopy(int status, long fingerprint) {
+        return isRepeated(fingerprint) && variety.isDistinct(status);
+    }
+
+    /** Called when a response was ignored as a copy. */
+    void onCopyIgnored(int status) {
+        unconfirmedStatus = status;
+    }
+
+    /**
+     * Called when a response was taken as the one to its call.
+     *
+     * @param isProbe whether the call was a probe: equal responses to probes say nothing of those to messages
+     */
+    void onResponse(int status, long fingerprint, boolean isProbe) {
+        if (unconfirmedStatus != 0) {
+            unconfirmedStatus = 0;
+            variety.onCopyConfirmed();
+        }
+        if (!received.add(fingerprint)) {
+            return;
+        }
+        if (!isProbe) {
+            variety.onNewOnConnection(status, fingerprint);
+        }
+        if (received.size() > MAX_REMEMBERED_RESPONSES) {
+            Iterator<Long> oldest = received.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    /** Called when the connection has ended. */
+    void onEnd() {
+        if (unconfirmedStatus != 0) {
+            variety.onCopyUnconfirmed(unconfirmedStatus);
+        }
+    }
+}
--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -61,6 +61,7 @@
     private final RetryAfterDeadline retryAfter;
     private final ReuseDelay reuseDelay;
     private final HostResponseTimes responseTimes = new HostResponseTimes();
+    private final ResponseVariety responseVariety = new ResponseVariety();
     private final int maxBatchSize;
     /** Connections without a call, longest quiet first; they may be within the reuse delay. */
     private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
@@ -284,6 +285,11 @@
         return reuseDelay.nanos(true);
     }
 
+    @Override
+    public ResponseVariety responseVariety() {
+        return responseVariety;
+    }
+
     @Override
     public HostResponseTimes responseTimes() {
         return responseTimes;
--- a/src/main/java/loftflow/upstream/http/ResponseDecoder.java
+++ b/src/main/java/loftflow/upstream/http/ResponseDecoder.java
@@ -21,6 +21,12 @@
         headScanner.reset();
     }
 
+    /** As {@link #awaitResponse}, where bytes of it may have been received together with the response before. */
+    void awaitResponseInLeftover() {
+        awaitResponse();
+        headScanner.scan(internalBuffer());
+    }
+
     /** Returns the status of the awaited response, see {@link ResponseHeadScanner#status}. */
     int status() {
         return headScanner.status();
--- a/src/main/java/loftflow/upstream/http/ResponseLedger.java
+++ b/src/main/java/loftflow/upstream/http/ResponseLedger.java
@@ -10,8 +10,8 @@
  *
  * <p>HTTP/1.1 matches a response to a call by its position alone. A second copy of a response, however late, is read as
  * the response to a later call, and that call's own response as the one of the call behind it. A response proves
- * something only if no earlier response is outstanding and none had the same status; the outcomes that are taken from
- * all others can be contradicted until the deadline of their messages:
+ * something only if no earlier response is outstanding and it equals none of them; the outcomes that are taken from all
+ * others can be contradicted until the deadline of their messages:
  *
  * <ul>
  *   <li>With n surplus responses on the connection, the own response of a call is one of the n + 1 that followed its
@@ -43,7 +43,6 @@
     /** The statuses of the responses that no call awaited. */
     private final List<Integer> surplus = new ArrayList<>();
 
-    private final Set<Integer> receivedStatuses = new HashSet<>();
     /** Whether no response to an earlier call can be outstanding. */
     private boolean isInStep = true;
     /** When a response to an earlier call is no longer expected to be outstanding. */
@@ -82,21 +81,25 @@
         return !surplus.isEmpty();
     }
 
-    /** Returns whether a response with the given status can only be the one to the call that was sent last. */
-    boolean isProof(int status) {
-        return isInStep && !receivedStatuses.contains(status);
+    /**
+     * Returns whether a response can only be the one to the call that was sent last.
+     *
+     * @param isRepeated whether it equals an earlier response on the connection
+     */
+    boolean isProof(boolean isRepeated) {
+        return isInStep && !isRepeated;
     }
 
     /**
      * Called when the outcome of the call that was sent last has been taken from a response.
      *
      * @param isNamed whether the response names its call
+     * @param isRepeated whether it may equal an earlier response on the connection
      * @param deadlineMicros until when the outcome can be corrected
      * @param sizeBytes the size of the messages that are kept for a correction
      */
-    void onResponse(C call, int status, boolean isNamed, long deadlineMicros, int sizeBytes) {
-        boolean isNew = receivedStatuses.add(status);
-        if (isNamed || (isNew && unproven.isEmpty() && surplus.isEmpty())) {
+    void onResponse(C call, int status, boolean isNamed, boolean isRepeated, long deadlineMicros, int sizeBytes) {
+        if (isNamed || (!isRepeated && unproven.isEmpty() && surplus.isEmpty())) {
             // A host answers in order, so the earlier calls have received their own responses too.
             unproven.clear();
             contradicted.clear();
@@ -118,7 +121,6 @@
      * @return the calls whose outcome it contradicts, each once
      */
     List<C> onSurplus(int status) {
-        receivedStatuses.add(status);
         surplus.add(status);
         List<C> calls = new ArrayList<>();
         for (int i = 0; i < unproven.size(); i++) {
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -76,7 +76,7 @@
     private Connection connection;
     private boolean isSent;
     private boolean isProbeCompleted;
-    private final CallResponse response = new CallResponse();
+    private CallResponse response = new CallResponse();
     /** The timed-out attempt whose late response is awaited; null if there is none. */
     private Message.Attempt lateAttempt;
 
@@ -139,7 +139,8 @@
         return isBatch;
     }
 
-    private boolean isProbe() {
+    /** Returns whether the call carries no messages. */
+    boolean isProbe() {
         return probePath != null;
     }
 
@@ -279,6 +280,11 @@
         return response.appendBody(chunk);
     }
 
+    /** Forgets a complete response that is not the one to this call, and awaits another one. */
+    void ignoreResponse() {
+        response = new CallResponse();
+    }
+
     /** Decodes the message states in the complete response to a batch. */
     void readStates() {
         if (isBatch && response.isOk()) {
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -29,6 +29,8 @@
     private final ResponseDecoder decoder = new ResponseDecoder();
     private final ResponseLedger<UpstreamCall> ledger = new ResponseLedger<>();
     private final RejectedMessageIds rejectedIds = new RejectedMessageIds();
+    private final ResponseFingerprint fingerprint = new ResponseFingerprint();
+    private final CopyDetector copies;
     private ChannelHandlerContext context;
     /** The call that awaits its complete response; null if there is none. */
     private UpstreamCall call;
@@ -62,6 +64,7 @@
 
     UpstreamConnection(UpstreamConnectionOwner owner) {
         this.owner = owner;
+        copies = new CopyDetector(owner.responseVariety());
         timer = new ConnectionTimer((nanos, task) -> owner.schedule(TimeUnit.NANOSECONDS.toMicros(nanos), task));
     }
 
@@ -290,19 +293,34 @@
         }
         if (!isInformational) {
             isReusable = HttpUtil.isKeepAlive(response);
+            fingerprint.begin(response);
             call.onHead(response);
         }
         return true;
     }
 
     private void readContent(HttpContent content) {
+        fingerprint.add(content.content());
         if (!call.onBody(content.content())) {
             failAsMalformed();
         } else if (content instanceof LastHttpContent) {
-            onResponseComplete();
+            if (!call.isProbe() && copies.isCopy(decoder.status(), fingerprint.value())) {
+                ignoreCopy();
+            } else {
+                onResponseComplete();
+            }
         }
     }
 
+    /** Goes on awaiting the response to the call, as the one that was received is a copy of an earlier one. */
+    private void ignoreCopy() {
+        copies.onCopyIgnored(decoder.status());
+        timer.stop();
+        owner.onUnsolicitedResponse(decoder.status(), System.nanoTime() - respondedAtNanos, 0);
+        call.ignoreResponse();
+        decoder.awaitResponseInLeftover();
+    }
+
     private void onResponseComplete() {
         UpstreamCall completed = call;
         call = null;
@@ -310,8 +328,10 @@
         isResponseComplete = true;
         completed.readStates();
         owner.responseTimes().onResponse(owner.nowMicros(), owner.nowMicros() - sentAtMicros);
-        boolean isProof = isNamed(completed) || ledger.isProof(decoder.status());
-        record(completed, isNamed(completed));
+        boolean isRepeated = copies.isRepeated(fingerprint.value());
+        boolean isProof = isNamed(completed) || ledger.isProof(isRepeated);
+        copies.onResponse(decoder.status(), fingerprint.value(), completed.isProbe());
+        record(completed, isNamed(completed), isRepeated);
         hasReceivedRejection |= completed.isRetryableRejection();
         if (completed.isResponseOfAnotherCall()) {
             owner.onUnsolicitedResponse(decoder.status(), 0, 0);
@@ -325,8 +345,9 @@
         decoder.awaitResponse();
     }
 
-    private void record(UpstreamCall ended, boolean isNamed) {
-        ledger.onResponse(ended, decoder.status(), isNamed, ended.latestDeadlineMicros(), ended.sizeBytes());
+    private void record(UpstreamCall ended, boolean isNamed, boolean isRepeated) {
+        ledger.onResponse(
+                ended, decoder.status(), isNamed, isRepeated, ended.latestDeadlineMicros(), ended.sizeBytes());
     }
 
     /** Returns whether the response can only be the one to its call; one that announces the end has no copy before. */
@@ -363,7 +384,7 @@
             endCall.accept(failed);
         }
         if (failed != null && failed.isEndedByStatus()) {
-            record(failed, false);
+            record(failed, false, copies.hasReceived());
         }
         close(reason);
     }
@@ -385,7 +406,9 @@
             if (!timer.isRunning()) {
                 timer.start(MAX_RESPONSE_MICROS, TimeUnit.MICROSECONDS, this::failAsMalformed);
             }
-            call.onStatusLine(decoder.status());
+            if (!copies.canRecognize(decoder.status())) {
+                call.onStatusLine(decoder.status());
+            }
         }
     }
 
@@ -431,6 +454,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         timer.end();
+        copies.onEnd();
         if (call != null) {
             fail(UpstreamCall::onConnectionLost, ConnectionCloseReason.CLOSED_BY_HOST);
         }
--- a/src/main/java/loftflow/upstream/http/UpstreamConnectionOwner.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnectionOwner.java
@@ -26,6 +26,9 @@
     /** Returns the same delay as if the host had room for more connections. */
     long fullReuseDelayNanos();
 
+    /** Returns what is known of how the host's responses differ. */
+    ResponseVariety responseVariety();
+
     /** Returns what is known of the host's response times. */
     HostResponseTimes responseTimes();
 
--- /dev/null
+++ b/src/test/java/loftflow/upstream/http/CopyDetectorTest.java
@@ -0,0 +1,78 @@
+package loftflow.upstream.http;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Tests which responses are recognized as copies of earlier ones. */
+class CopyDetectorTest {
+    private final ResponseVariety variety = new ResponseVariety();
+    private final CopyDetector copies = new CopyDetector(variety);
+
+    private void receive(int status, long... fingerprints) {
+        for (long fingerprint : fingerprints) {
+            copies.onResponse(status, fingerprint, false);
+        }
+    }
+
+    @Test
+    void repeatedResponseIsACopyWhereAllDiffer() {
+        receive(200, 1, 2, 3, 4);
+        assertTrue(copies.isCopy(200, 2));
+        assertFalse(copies.isCopy(200, 5));
+    }
+
+    @Test
+    void repeatedResponseIsNoCopyBeforeEnoughResponsesDiffered() {
+        receive(200, 1, 2, 3);
+        assertFalse(copies.isCopy(200, 2));
+    }
+
+    @Test
+    void responsesAreComparedByStatus() {
+        receive(200, 1, 2, 3, 4);
+        receive(503, 9);
+        assertFalse(copies.isCopy(503, 9));
+        assertTrue(copies.isRepeated(9));
+    }
+
+    /** Two connections with equal responses show that the host repeats them: copies stay on their connection. */
+    @Test
+    void equalResponsesOnTwoConnectionsAreNoCopies() {
+        receive(200, 1, 2, 3, 4);
+        new CopyDetector(variety).onResponse(200, 4, false);
+        assertFalse(copies.isCopy(200, 2));
+    }
+
+    @Test
+    void equalResponsesToProbesDoNotMakeACopyBelieved() {
+        receive(200, 1, 2, 3, 4);
+        copies.onResponse(200, 9, true);
+        new CopyDetector(variety).onResponse(200, 9, true);
+        assertTrue(copies.isCopy(200, 2));
+        assertTrue(copies.isCopy(200, 9));
+    }
+
+    @Test
+    void unconfirmedCopiesAreBelievedUnlessOneWasConfirmed() {
+        receive(200, 1, 2, 3, 4);
+        copies.onCopyIgnored(200);
+        copies.onEnd();
+        assertTrue(copies.isCopy(200, 2));
+        copies.onEnd();
+        assertFalse(copies.isCopy(200, 2));
+    }
+
+    @Test
+    void silenceBehindAConfirmedCopyDoesNotMakeTheNextOneBelieved() {
+        receive(200, 1, 2, 3, 4);
+        copies.onCopyIgnored(200);
+        receive(200, 5);
+        for (int i = 0; i < 5; i++) {
+            copies.onCopyIgnored(200);
+            copies.onEnd();
+        }
+        assertTrue(copies.isCopy(200, 2));
+    }
+}
--- a/src/test/java/loftflow/upstream/http/ResponseLedgerTest.java
+++ b/src/test/java/loftflow/upstream/http/ResponseLedgerTest.java
@@ -25,12 +25,16 @@
     private static final int SIZE_BYTES = 10;
 
     private final ResponseLedger<Integer> ledger = new ResponseLedger<>();
+    /** Responses with the same status are equal. */
+    private final Set<Integer> receivedStatuses = new HashSet<>();
+
     private long nowMicros;
 
     private boolean call(int number, int status) {
         ledger.onSent(nowMicros, nowMicros + DUE_MICROS, nowMicros + DUE_MICROS);
-        boolean isProof = ledger.isProof(status);
-        ledger.onResponse(number, status, false, DEADLINE_MICROS, SIZE_BYTES);
+        boolean isRepeated = !receivedStatuses.add(status);
+        boolean isProof = ledger.isProof(isRepeated);
+        ledger.onResponse(number, status, false, isRepeated, DEADLINE_MICROS, SIZE_BYTES);
         return isProof;
     }
 
@@ -78,7 +82,7 @@
         call(0, 200);
         call(1, 200);
         ledger.onSent(nowMicros, nowMicros + DUE_MICROS, nowMicros + DUE_MICROS);
-        ledger.onResponse(2, 200, true, DEADLINE_MICROS, SIZE_BYTES);
+        ledger.onResponse(2, 200, true, false, DEADLINE_MICROS, SIZE_BYTES);
         assertEquals(List.of(), ledger.onEnd(nowMicros, true));
     }
 
@@ -117,7 +121,7 @@
         int size = 20 << 10;
         for (int number = 0; number < 100; number++) {
             ledger.onSent(nowMicros, nowMicros + DUE_MICROS, nowMicros + DUE_MICROS);
-            ledger.onResponse(number, 200, false, DEADLINE_MICROS, size);
+            ledger.onResponse(number, 200, false, number > 0, DEADLINE_MICROS, size);
         }
         List<Integer> corrected = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
@@ -140,17 +144,19 @@
         Map<Integer, Integer> own = new HashMap<>();
         Map<Integer, Integer> concluded = new HashMap<>();
         Set<Integer> corrected = new HashSet<>();
+        Set<Integer> received = new HashSet<>();
         for (int number = 0; number < calls; number++) {
             checked.onSent(0, DUE_MICROS, DUE_MICROS);
             unanswered.add(number);
             own.put(number, random.nextInt(3) == 0 ? 503 : 200);
             boolean isCopy = !written.isEmpty() && random.nextInt(3) == 0;
             int status = isCopy ? written.get(random.nextInt(written.size())) : answerNext(unanswered, own, written);
-            if (checked.isProof(status)) {
+            boolean isRepeated = !received.add(status);
+            if (checked.isProof(isRepeated)) {
                 assertEquals(own.get(number), status, "proven status of call " + number);
             }
             concluded.put(number, status);
-            checked.onResponse(number, status, false, DEADLINE_MICROS, SIZE_BYTES);
+            checked.onResponse(number, status, false, isRepeated, DEADLINE_MICROS, SIZE_BYTES);
         }
         while (!unanswered.isEmpty() && !endsEarly) {
             corrected.addAll(checked.onSurplus(answerNext(unanswered, own, written)));
