--- a/src/main/java/loftflow/upstream/http/CopyDetector.java
+++ b/src/main/java/loftflow/upstream/http/CopyDetector.java
@@ -1,5 +1,6 @@
 package loftflow.upstream.http;
 
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -11,6 +12,8 @@
 
     private final ResponseVariety variety;
     private final Set<Long> received = new LinkedHashSet<>();
+    /** The statuses of responses that rejected a call. */
+    private final Set<Integer> rejections = new HashSet<>();
     /** The status of a copy behind which no response has been received; 0 for none. */
     private int unconfirmedStatus;
 
@@ -71,6 +74,16 @@
         }
     }
 
+    /** Called when a response let the messages of its call be sent again. */
+    void onRejection(int status) {
+        rejections.add(status);
+    }
+
+    /** Returns whether the next rejection will probably equal an earlier one, and so may be a copy of it. */
+    boolean mayRepeatRejection() {
+        return rejections.stream().anyMatch(variety::isConstant);
+    }
+
     /** Called when the connection has ended. */
     void onEnd() {
         if (unconfirmedStatus != 0) {
--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -256,12 +256,13 @@
     }
 
     /**
-     * Returns whether a connection may carry a call. One on which a rejection was received can't prove another one, so
-     * a call that must not be repeated uses it only where no other connection can be opened.
+     * Returns whether a connection may carry a call. Where the rejections of the host are equal, one on which a
+     * rejection was received can't prove another one, so a call that must not be repeated uses it only where no other
+     * connection can be opened.
      */
     private boolean isSuitable(UpstreamConnection connection, UpstreamCall call) {
         return !call.mustProveRejection()
-                || !connection.hasReceivedRejection()
+                || !connection.mayRepeatRejection()
                 || environment.connections().isFull();
     }
 
--- a/src/main/java/loftflow/upstream/http/ResponseVariety.java
+++ b/src/main/java/loftflow/upstream/http/ResponseVariety.java
@@ -41,6 +41,11 @@
         return distinctByStatus.getOrDefault(status, 0) >= MIN_DISTINCT_RESPONSES && !repeatedStatuses.contains(status);
     }
 
+    /** Returns whether no two different responses with a status are known, so that the next one may equal the last. */
+    boolean isConstant(int status) {
+        return distinctByStatus.getOrDefault(status, 0) <= 1;
+    }
+
     /** Called when another response followed the one that was taken for a copy. */
     void onCopyConfirmed() {
         hasConfirmedCopy = true;
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -42,8 +42,6 @@
     private boolean isReusable;
     private boolean isInformational;
     private boolean isResponseComplete;
-    /** Whether a rejection was received: a later one may be a copy of it. */
-    private boolean hasReceivedRejection;
     /** Whether bytes were received that belong to no call and to no complete response. */
     private boolean hasStrayBytes;
     /** Whether a batch received a response that names none of its messages, so that its own may be outstanding. */
@@ -151,9 +149,9 @@
         UnreadBytes.read(context.channel());
     }
 
-    /** Returns whether a rejection was received, so that a later one does not prove that its call was not executed. */
-    boolean hasReceivedRejection() {
-        return hasReceivedRejection;
+    /** Returns whether a rejection may not prove that its call was not executed, as an earlier one was equal. */
+    boolean mayRepeatRejection() {
+        return copies.mayRepeatRejection();
     }
 
     /** Returns the time in nanoseconds until the connection has been quiet for the reuse delay; 0 or less if it has. */
@@ -332,7 +330,9 @@
         boolean isProof = isNamed(completed) || ledger.isProof(isRepeated);
         copies.onResponse(decoder.status(), fingerprint.value(), completed.isProbe());
         record(completed, isNamed(completed), isRepeated);
-        hasReceivedRejection |= completed.isRetryableRejection();
+        if (completed.isRetryableRejection()) {
+            copies.onRejection(decoder.status());
+        }
         if (completed.isResponseOfAnotherCall()) {
             owner.onUnsolicitedResponse(decoder.status(), 0, 0);
         }
--- a/src/test/java/loftflow/upstream/http/CopyDetectorTest.java
+++ b/src/test/java/loftflow/upstream/http/CopyDetectorTest.java
@@ -54,6 +54,15 @@
         assertTrue(copies.isCopy(200, 9));
     }
 
+    @Test
+    void rejectionMayRepeatWhereTheHostSendsOneAlone() {
+        receive(503, 1);
+        copies.onRejection(503);
+        assertTrue(copies.mayRepeatRejection());
+        receive(503, 2);
+        assertFalse(copies.mayRepeatRejection());
+    }
+
     @Test
     void unconfirmedCopiesAreBelievedUnlessOneWasConfirmed() {
         receive(200, 1, 2, 3, 4);
--- a/src/test/java/loftflow/upstream/http/DistinctResponseCopyTest.java
+++ b/src/test/java/loftflow/upstream/http/DistinctResponseCopyTest.java
@@ -92,6 +92,19 @@
                 results.get(sendAndAwait(1).get(0)));
     }
 
+    /** Guards against a new connection for each call that must not be repeated, where rejections can be told apart. */
+    @Test
+    void connectionWithDistinctRejectionsCarriesCallsThatMustNotBeRepeated() {
+        host.answer(request -> ScriptedPeer.status(503, "X-Load-Report: " + request.id()));
+        for (int i = 0; i < RESPONSES; i++) {
+            assertEquals(
+                    new Result(AttemptOutcome.REJECTED, false),
+                    results.get(sendAndAwait(1).get(0)));
+            RelayProcess.blockThread(COPY_TO_RESPONSE_MILLIS);
+        }
+        assertEquals(2, host.connections.size());
+    }
+
     /** Guards against a host whose equal responses are never believed, so that its messages all time out. */
     @Test
     void hostThatRepeatsItsResponsesIsBelievedAfterTwoTimeouts() {
