Responses to batches don't count for whether a host's responses to single messages differ

Callers would see: a delivered message whose attempt times out, as a host that answers all single messages alike and takes batches too was taken for one whose responses differ; its second equal answer passed for a copy. Fix: only responses to single messages are counted. A batch's own answer is still told from an equal earlier one.

--- a/src/main/java/loftflow/upstream/http/CopyDetector.java
+++ b/src/main/java/loftflow/upstream/http/CopyDetector.java
@@ -54,9 +54,9 @@
     /**
      * Called when a response was taken as the one to its call.
      *
-     * @param isProbe whether the call was a probe: equal responses to probes say nothing of those to messages
+     * @param isSingleMessage whether the call carried one message; responses to others say nothing of those
      */
-    void onResponse(int status, long fingerprint, boolean isProbe) {
+    void onResponse(int status, long fingerprint, boolean isSingleMessage) {
         if (unconfirmedStatus != 0) {
             unconfirmedStatus = 0;
             variety.onCopyConfirmed();
@@ -64,7 +64,7 @@
         if (!received.add(fingerprint)) {
             return;
         }
-        if (!isProbe) {
+        if (isSingleMessage) {
             variety.onNewOnConnection(status, fingerprint);
         }
         if (received.size() > MAX_REMEMBERED_RESPONSES) {
--- a/src/main/java/loftflow/upstream/http/ResponseVariety.java
+++ b/src/main/java/loftflow/upstream/http/ResponseVariety.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 
 /**
- * Learns by status whether all responses of a host differ. If they do, a response that equals an earlier one on its
- * connection is a copy of it, and not the response to the call that awaits one. Not thread-safe.
+ * Learns by status whether all responses of a host to single messages differ. If they do, a response that equals an
+ * earlier one on its connection is a copy of it, and not the response to the call that awaits one. Not thread-safe.
  */
 final class ResponseVariety {
     /** So many responses with a status must have differed from each other. */
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -328,7 +328,7 @@
         owner.responseTimes().onResponse(owner.nowMicros(), owner.nowMicros() - sentAtMicros);
         boolean isRepeated = copies.isRepeated(fingerprint.value());
         boolean isProof = isNamed(completed) || ledger.isProof(isRepeated);
-        copies.onResponse(decoder.status(), fingerprint.value(), completed.isProbe());
+        copies.onResponse(decoder.status(), fingerprint.value(), !completed.isProbe() && !completed.isBatch());
         record(completed, isNamed(completed), isRepeated);
         if (completed.isRetryableRejection()) {
             copies.onRejection(decoder.status());
--- a/src/test/java/loftflow/upstream/http/CopyDetectorTest.java
+++ b/src/test/java/loftflow/upstream/http/CopyDetectorTest.java
@@ -12,7 +12,7 @@
 
     private void receive(int status, long... fingerprints) {
         for (long fingerprint : fingerprints) {
-            copies.onResponse(status, fingerprint, false);
+            copies.onResponse(status, fingerprint, true);
         }
     }
 
@@ -41,19 +41,29 @@
     @Test
     void equalResponsesOnTwoConnectionsAreNoCopies() {
         receive(200, 1, 2, 3, 4);
-        new CopyDetector(variety).onResponse(200, 4, false);
+        new CopyDetector(variety).onResponse(200, 4, true);
         assertFalse(copies.isCopy(200, 2));
     }
 
     @Test
-    void equalResponsesToProbesDoNotMakeACopyBelieved() {
+    void equalResponsesToOtherCallsDoNotMakeACopyBelieved() {
         receive(200, 1, 2, 3, 4);
-        copies.onResponse(200, 9, true);
-        new CopyDetector(variety).onResponse(200, 9, true);
+        copies.onResponse(200, 9, false);
+        new CopyDetector(variety).onResponse(200, 9, false);
         assertTrue(copies.isCopy(200, 2));
         assertTrue(copies.isCopy(200, 9));
     }
 
+    /** Responses to batches differ as they name messages; a host may answer all single messages alike. */
+    @Test
+    void distinctResponsesToBatchesDoNotMakeAResponseToAMessageACopy() {
+        for (long fingerprint = 1; fingerprint <= 5; fingerprint++) {
+            copies.onResponse(200, fingerprint, false);
+        }
+        receive(200, 9);
+        assertFalse(copies.isCopy(200, 9));
+    }
+
     @Test
     void rejectionMayRepeatWhereTheHostSendsOneAlone() {
         receive(503, 1);
