A rejection that may be a copy waits for the slowest response of its host, not for the usual one

Cause: a copied rejection ended the first call's wait after the host's usual time, 500 ms to 0.8 s; its own answer came after 0.895 s. Evidence: rejectionThatMayBeACopyProvesNothingBeforeTheSlowestResponseOfTheHost on the code before: "expected ERROR but was REJECTED".

--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -393,7 +393,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (isResponseComplete && heldCall != null && !decoder.hasLeftover()) {
             isResponseComplete = false;
-            timer.start(owner.responseTimes().usualBoundMicros(), TimeUnit.MICROSECONDS, this::onHoldEnded);
+            timer.start(owner.responseTimes().boundMicros(), TimeUnit.MICROSECONDS, this::onHoldEnded);
         } else if (isResponseComplete) {
             isResponseComplete = false;
             reuseOrClose();
--- a/src/test/java/loftflow/upstream/http/SingleConnectionCopyTest.java
+++ b/src/test/java/loftflow/upstream/http/SingleConnectionCopyTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import loftflow.fake.ScriptedPeer;
 import loftflow.policy.api.AttemptOutcome;
+import loftflow.server.RelayProcess;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -14,6 +15,9 @@
 /** Tests responses that are sent a second time on the only connection that the client may open. */
 @Timeout(60)
 class SingleConnectionCopyTest extends ResponseCopyTestBase {
+    /** So many that the slow response before them hardly counts for the usual response time. */
+    private static final int QUICK_RESPONSES = 40;
+
     @Override
     int maxConnections() {
         return 1;
@@ -26,6 +30,30 @@
         assertEquals(new Result(AttemptOutcome.ERROR, false), resultOfCallEndedByCopy(firstStatus, nextStatus));
     }
 
+    /** The message was executed twice: a copied rejection was believed before its own, slow response could come. */
+    @Test
+    void rejectionThatMayBeACopyProvesNothingBeforeTheSlowestResponseOfTheHost() {
+        host.answer(request -> {
+            RelayProcess.blockThread(1_200);
+            return ScriptedPeer.status(200);
+        });
+        sendAndAwait(1);
+        host.answer(request -> ScriptedPeer.answer(200, request.id()));
+        for (int i = 0; i < QUICK_RESPONSES; i++) {
+            sendAndAwait(1);
+        }
+        host.answer(request -> ScriptedPeer.status(503));
+        sendAndAwait(1);
+        host.answer(request -> {
+            writeCopyLater(ScriptedPeer.status(503));
+            RelayProcess.blockThread(900);
+            return ScriptedPeer.status(200);
+        });
+        assertEquals(
+                new Result(AttemptOutcome.ERROR, false),
+                results.get(sendAndAwait(1).get(0)));
+    }
+
     /** Without another response, the rejection was the one of its own call. */
     @Test
     void rejectionBehindARejectionIsReportedOnceNoOtherResponseFollows() {
