Two hosts that send unsolicited responses make those of all others suspect

Callers saw: each host that begins to send answers twice costs its first messages before it is known for that; the evidence has 19 hosts of 25 within seconds, each found out by itself. Change: hosts known for unsolicited responses are kept in one place. If there are two within a minute, connections to all others carry one call as well, unless the host's answers differ, where a copy is recognized anyway. One host alone affects no other, as it may have a fault of its own. Its effect on losses is not measured by this commit.

--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -37,6 +37,7 @@
      * @param idleTimeoutMicros the idle time after which a connection is closed and no longer used
      * @param lateResponseMicros how long a late response is awaited after a timeout; 0 to not await it
      * @param reuseDelayNanos see {@link ReuseDelay}
+     * @param suspectHosts the hosts that have sent a response to no call
      * @param closeLog logs why connections were closed
      * @param openCalls the call of each attempt without an outcome
      */
@@ -49,6 +50,7 @@
             long lateResponseMicros,
             ConnectionRegistry connections,
             long reuseDelayNanos,
+            SuspectHosts suspectHosts,
             ConnectionCloseLog closeLog,
             Map<Message.Attempt, UpstreamCall> openCalls,
             UpstreamClient.ResultListener results) {}
@@ -56,6 +58,8 @@
     /** With so many connections to a host, a call waits for one of them rather than for a new one. */
     private static final int MAX_CONNECTIONS_FOR_QUIET = 8;
 
+    private static final int STATUS_OK = 200;
+
     private final Environment environment;
     private Endpoint endpoint;
     private final RetryAfterDeadline retryAfter;
@@ -85,7 +89,7 @@
         this.endpoint = endpoint;
         this.retryAfter = retryAfter;
         this.maxBatchSize = maxBatchSize;
-        reuseDelay = new ReuseDelay(environment.reuseDelayNanos(), System::nanoTime);
+        reuseDelay = new ReuseDelay(environment.reuseDelayNanos());
     }
 
     @Override
@@ -158,7 +162,7 @@
         return !isRemoved
                 && isListed()
                 && !environment.connections().hasStarvedPools()
-                && (connection.isNew() || !reuseDelay.isSingleUse());
+                && (connection.isNew() || !isSingleUse());
     }
 
     @Override
@@ -298,7 +302,8 @@
 
     @Override
     public boolean isSingleUse() {
-        return reuseDelay.isSingleUse();
+        SuspectHosts suspects = environment.suspectHosts();
+        return suspects.isSuspect(route()) || suspects.isWidespread() && !responseVariety.isDistinct(STATUS_OK);
     }
 
     private boolean hasRoomForConnections() {
@@ -310,7 +315,7 @@
     public void onUnsolicitedResponse(int status, long afterNanos, long retryAfterMicros) {
         Log.line("upstream: unsolicited response route=" + route() + " status=" + status + " afterMillis="
                 + TimeUnit.NANOSECONDS.toMillis(afterNanos));
-        reuseDelay.onUnsolicitedResponse();
+        environment.suspectHosts().onUnsolicitedResponse(route());
         if (retryAfterMicros > 0) {
             onRetryAfter(retryAfterMicros);
         }
@@ -368,10 +373,11 @@
         for (UpstreamConnection next = findQuiet(call); next != null; next = findQuiet(call)) {
             idle.remove(next);
             environment.connections().removeIdle(next);
-            if (next.isUsable(environment.idleTimeoutMicros())) {
+            boolean isUsedUp = isSingleUse() && !next.isNew();
+            if (!isUsedUp && next.isUsable(environment.idleTimeoutMicros())) {
                 return next;
             }
-            next.retire(ConnectionCloseReason.IDLE_TIMEOUT);
+            next.retire(isUsedUp ? ConnectionCloseReason.SINGLE_USE : ConnectionCloseReason.IDLE_TIMEOUT);
         }
         return null;
     }
--- a/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
+++ b/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
@@ -105,6 +105,7 @@
                 options.lateResponseMicros(),
                 new ConnectionRegistry(options.maxConnections()),
                 TimeUnit.MICROSECONDS.toNanos(options.reuseDelayMicros()),
+                new SuspectHosts(System::nanoTime),
                 new ConnectionCloseLog(System::nanoTime, Log::line),
                 openCalls,
                 results);
