A copy behind a timeout does not keep its connection open

Callers would see: a connection that awaits the late response of a call that was given up stays open for good, as a recognized copy stopped its timer. Fix: the timer that bounds the wait is left alone; only the one of a response in pieces is stopped.

--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -313,7 +313,9 @@
     /** Goes on awaiting the response to the call, as the one that was received is a copy of an earlier one. */
     private void ignoreCopy() {
         copies.onCopyIgnored(decoder.status());
-        timer.stop();
+        if (!isAwaitingLateResponse) {
+            timer.stop();
+        }
         owner.onUnsolicitedResponse(decoder.status(), System.nanoTime() - respondedAtNanos, 0);
         call.ignoreResponse();
         decoder.awaitResponseInLeftover();
