A read that fills its buffer makes no later request old

Callers would see: a request rejected as read late (503), because an earlier one on its connection, seconds before, had just filled the read buffer: the bound on the age of unread bytes was kept until the next read that did not. Fix: bytes that a read has left are read in the next iteration of the event loop; once all sockets have been read again, the bound is dropped. bytesThatALimitedReadMayHaveLeft... holds both; it does not compile on the code before.

--- a/src/main/java/loftflow/listener/connection/ArrivalTimeBound.java
+++ b/src/main/java/loftflow/listener/connection/ArrivalTimeBound.java
@@ -11,6 +11,11 @@
     /** The earliest arrival time of bytes while reading is paused; {@link Long#MAX_VALUE} while it is not. */
     private long pausedSinceMicros = Long.MAX_VALUE;
 
+    /** The earliest arrival time of bytes that the last read may have left; {@link Long#MAX_VALUE} if it left none. */
+    private long leftoverSinceMicros = Long.MAX_VALUE;
+    /** When the last read may have left bytes. */
+    private long leftoverAtMicros;
+
     /** Creates the bound for a connection that is accepted at the given time on the engine's clock. */
     public ArrivalTimeBound(Acceptor acceptor, long nowMicros) {
         this.acceptor = acceptor;
@@ -20,7 +25,12 @@
 
     /** Returns the earliest time at which bytes that are read now can have arrived, in microseconds. */
     public long earliestArrivalMicros() {
-        long sinceMicros = Math.min(pausedSinceMicros, acceptor.earliestByteArrivalMicros());
+        long unreadSinceMicros = acceptor.earliestByteArrivalMicros();
+        if (leftoverAtMicros < unreadSinceMicros) {
+            // All sockets have been read since then, so nothing was left.
+            leftoverSinceMicros = Long.MAX_VALUE;
+        }
+        long sinceMicros = Math.min(Math.min(pausedSinceMicros, leftoverSinceMicros), unreadSinceMicros);
         // The first bytes may have arrived while the connection was still in the backlog.
         return sinceMicros <= openedAtMicros ? Math.min(sinceMicros, earliestConnectionArrivalMicros) : sinceMicros;
     }
@@ -30,8 +40,15 @@
         pausedSinceMicros = Math.min(pausedSinceMicros, acceptor.earliestByteArrivalMicros());
     }
 
+    /** Records that a read took as much as it may, so that bytes may be left for the next event-loop iteration. */
+    public void onReadLimited(long nowMicros) {
+        leftoverSinceMicros = Math.min(leftoverSinceMicros, acceptor.earliestByteArrivalMicros());
+        leftoverAtMicros = nowMicros;
+    }
+
     /** Records that all pending bytes have been read. */
     public void onReadCaughtUp() {
+        leftoverSinceMicros = Long.MAX_VALUE;
         pausedSinceMicros = Long.MAX_VALUE;
     }
 }
--- a/src/main/java/loftflow/listener/http/HttpClientConnection.java
+++ b/src/main/java/loftflow/listener/http/HttpClientConnection.java
@@ -181,7 +181,7 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (hasUnreadBytes) {
-                arrivalTimeBound.onReadPaused();
+                arrivalTimeBound.onReadLimited(clock.micros());
             } else if (ctx.channel().config().isAutoRead()) {
                 arrivalTimeBound.onReadCaughtUp();
             }
--- a/src/test/java/loftflow/listener/connection/ArrivalTimeBoundTest.java
+++ b/src/test/java/loftflow/listener/connection/ArrivalTimeBoundTest.java
@@ -64,4 +64,23 @@
         arrivalTime.onReadCaughtUp();
         assertEquals(nowMicros - 10_000, arrivalTime.earliestArrivalMicros());
     }
+
+    /** Guards against a request that counts as old because an earlier one has just filled the read buffer. */
+    @Test
+    void bytesThatALimitedReadMayHaveLeftAreReadInTheNextIteration() {
+        eventLoopLag.start();
+        ArrivalTimeBound arrivalTime = new ArrivalTimeBound(acceptor, nowMicros);
+        for (int i = 0; i < 10; i++) {
+            runIteration(10_000);
+        }
+        long arrivedSince = arrivalTime.earliestArrivalMicros();
+        arrivalTime.onReadLimited(nowMicros);
+        runIteration(200_000);
+        arrivalTime.onReadLimited(nowMicros);
+        runIteration(200_000);
+        assertEquals(arrivedSince, arrivalTime.earliestArrivalMicros(), "left by two reads");
+        runIteration(200_000);
+        runIteration(10_000);
+        assertEquals(nowMicros - 10_000, arrivalTime.earliestArrivalMicros(), "all sockets have been read meanwhile");
+    }
 }
