A response is believed only once nothing follows it

Seen by callers: a settlement ran twice. A host ran it and answered with a spoilt response: "HTTP/1.1 503", Content-Length 9 and 21 bytes of body.

Cause: UpstreamConnection.onResponseComplete let a response take effect as soon as its framing said that it had ended. The bytes behind it were looked at afterwards, for the reuse of the connection alone. The rejection counted as proof that the call had not run, and the message was sent again. The same path dropped a message on such a 410 (nothing more is owed), of any class.

Change: ResponseConfirmation decides in one place when a complete response takes effect. The bytes of one read are judged together: with bytes behind it, a response proves no rejection and no completion by 410; 200 for one message stands by its first line, and "done" in a whole array of states. What comes later corrects the rejection while the message has not been sent again, and opens a message closed by 410 again. At the timeout of its call a matching response takes effect as before.

Why it works: whatever length is given, the bytes beyond it are the evidence, and no outcome leaves the connection before those that are there are read.

--- /dev/null
+++ b/src/main/java/loftflow/upstream/http/CallConnection.java
@@ -0,0 +1,22 @@
+package loftflow.upstream.http;
+
+/** The connection on which a call is sent. */
+interface CallConnection {
+    /** Closes the connection because nobody awaits the response of the current call any more. */
+    void abandon();
+
+    /** Stays open only for the late response of the current call. */
+    void awaitLateResponse();
+
+    /**
+     * Reads bytes that the kernel has received but the event loop has not read. A matching response that is held takes
+     * effect, as its call can't wait for longer.
+     */
+    void readAtTimeout();
+
+    /** Returns whether an earlier response on the connection named the message as rejected. */
+    boolean hasRejected(String messageId);
+
+    /** Reports that the response named the message as rejected. */
+    void onRejected(String messageId);
+}
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -23,24 +23,6 @@
  * each of its attempts. Must be used on the event loop.
  */
 final class UpstreamCall {
-    /** The connection on which a call is sent. */
-    interface Connection {
-        /** Closes the connection because nobody awaits the response of the current call any more. */
-        void abandon();
-
-        /** Stays open only for the late response of the current call. */
-        void awaitLateResponse();
-
-        /** Reads bytes that the kernel has received but the event loop has not read. */
-        void readPending();
-
-        /** Returns whether an earlier response on the connection named the message as rejected. */
-        boolean hasRejected(String messageId);
-
-        /** Reports that the response named the message as rejected. */
-        void onRejected(String messageId);
-    }
-
     private static final long MICROS_PER_MILLI = 1000;
 
     /**
@@ -73,7 +55,7 @@
     private final boolean mayRepeat;
 
     private final Future<?> probeTimeout;
-    private Connection connection;
+    private CallConnection connection;
     private boolean isSent;
     private boolean isProbeCompleted;
     private CallResponse response = new CallResponse();
@@ -82,6 +64,8 @@
 
     /** The attempts that the status of the response ended as delivered or as not executed without naming them. */
     private List<Message.Attempt> attemptsEndedByStatus = List.of();
+    /** The attempts that the response ended as not executed, by its status or by naming them. */
+    private final List<Message.Attempt> rejectedAttempts = new ArrayList<>();
     /** The ids of all messages that were sent. */
     private Set<String> sentIds = Set.of();
 
@@ -200,7 +184,7 @@
     }
 
     /** Binds the call to the connection on which it is sent. */
-    void onConnectionAssigned(Connection assigned) {
+    void onConnectionAssigned(CallConnection assigned) {
         connection = assigned;
     }
 
@@ -340,7 +324,7 @@
         } else if (isBatch && isPastDeadline()) {
             end(AttemptOutcome.TIMEOUT);
         } else if (isBatch && response.isOk()) {
-            endEachByReportedState();
+            endEachByReportedState(true);
             // Messages that the response does not mention may have been executed.
             end(AttemptOutcome.ERROR);
         } else {
@@ -354,9 +338,30 @@
         if (!pendingAttempts.isEmpty() && isCertain) {
             attemptsEndedByStatus = List.copyOf(pendingAttempts.keySet());
         }
+        if (outcome.isProvenNotExecuted()) {
+            rejectedAttempts.addAll(pendingAttempts.keySet());
+        }
         endAll(outcome, isMessageCompleted);
     }
 
+    /**
+     * Ends the call, or corrects its rejections, because bytes follow its complete response: its length may not fit.
+     * What it reports as delivered stands, by its first line or by the states in a body that is whole.
+     */
+    void onSurplusBytes() {
+        Log.line("upstream: surplus bytes route=" + owner.route() + " status=" + response.status() + " attempts="
+                + pendingAttempts.size());
+        response.discardReport();
+        if (isBatch && response.isOk() && !isPastDeadline()) {
+            endEachByReportedState(false);
+        }
+        onStatusLine(response.status());
+        end(AttemptOutcome.ERROR);
+        List<Message.Attempt> disproved = List.copyOf(rejectedAttempts);
+        rejectedAttempts.clear();
+        disproved.forEach(owner::onOutcomeDisproved);
+    }
+
     /**
      * Corrects the outcome that was taken from a response, or ends the call if it has none yet: another response may be
      * its own. The call may have been executed.
@@ -366,6 +371,7 @@
         end(AttemptOutcome.ERROR);
         List<Message.Attempt> disproved = attemptsEndedByStatus;
         attemptsEndedByStatus = List.of();
+        rejectedAttempts.removeAll(disproved);
         disproved.forEach(owner::onOutcomeDisproved);
     }
 
@@ -382,17 +388,20 @@
         return owner.nowMicros() >= deadlineMicros;
     }
 
-    private void endEachByReportedState() {
+    /** Ends each attempt by its state; a state proves no rejection if the response is not known to be whole. */
+    private void endEachByReportedState(boolean isWhole) {
         for (Message.Attempt attempt : new ArrayList<>(pendingAttempts.keySet())) {
             String messageId = attempt.message().content().messageId();
             String state = response.state(messageId);
             OutcomeTable.Outcome outcome = OutcomeTable.ofMessageState(state);
-            if (outcome.isProvenNotExecuted() && !mayRepeat && connection.hasRejected(messageId)) {
+            boolean mayProve = isWhole && (mayRepeat || !connection.hasRejected(messageId));
+            if (outcome.isProvenNotExecuted() && !mayProve) {
                 endAttempt(attempt, AttemptOutcome.ERROR, false);
                 continue;
             }
             if (outcome.isProvenNotExecuted()) {
                 connection.onRejected(messageId);
+                rejectedAttempts.add(attempt);
             }
             endAttempt(attempt, outcome.attemptOutcome(), outcome.isMessageCompleted());
         }
@@ -453,10 +462,10 @@
         }
     }
 
-    /** Reads and applies a response that the kernel received while the event loop was busy. */
+    /** Reads and applies a response that the kernel received while the event loop was busy, or that is held. */
     private void readPending() {
         if (connection != null) {
-            connection.readPending();
+            connection.readAtTimeout();
         }
     }
 
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -21,7 +21,7 @@
  * by no other bytes. A connection that is not reused any more is retired: it is still read while an outcome that was
  * taken from one of its responses can be contradicted, see {@link ResponseLedger}.
  */
-final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements UpstreamCall.Connection {
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements CallConnection {
     /** The longest time from the first byte of a response to its last. Hosts write a whole response at once. */
     private static final long MAX_RESPONSE_MICROS = 500_000;
 
@@ -34,8 +34,8 @@
     private ChannelHandlerContext context;
     /** The call that awaits its complete response; null if there is none. */
     private UpstreamCall call;
-    /** The call whose complete response takes effect unless another one follows in time; null if there is none. */
-    private UpstreamCall heldCall;
+
+    private final ResponseConfirmation confirmation = new ResponseConfirmation();
 
     private int callCount;
     private long sentAtMicros;
@@ -85,6 +85,7 @@
     void send(UpstreamCall next) {
         timer.stop();
         call = next;
+        confirmation.onSent();
         callCount++;
         sentAtMicros = owner.nowMicros();
         HostResponseTimes times = owner.responseTimes();
@@ -144,11 +145,18 @@
                 && System.nanoTime() - idleSinceNanos < TimeUnit.MICROSECONDS.toNanos(idleTimeoutMicros);
     }
 
-    @Override
-    public void readPending() {
+    private void readPending() {
         UnreadBytes.read(context.channel());
     }
 
+    @Override
+    public void readAtTimeout() {
+        readPending();
+        if (confirmation.isMatched()) {
+            onHoldEnded();
+        }
+    }
+
     /** Returns whether a rejection may not prove that its call was not executed, as an earlier one was equal. */
     boolean mayRepeatRejection() {
         return copies.mayRepeatRejection();
@@ -181,14 +189,14 @@
         }
         retireReason = retireReason == null ? reason : retireReason;
         owner.onRetired(this, true);
-        if (heldCall == null) {
+        if (!confirmation.isPending()) {
             startCheckTimer();
         }
     }
 
     /** Returns whether a response may still come that contradicts an outcome. */
     boolean isNeeded() {
-        return heldCall != null || nextCheckMicros() > 0;
+        return confirmation.isPending() || nextCheckMicros() > 0;
     }
 
     private long nextCheckMicros() {
@@ -259,8 +267,7 @@
      */
     private void onUnsolicited(HttpObject message) {
         if (message.decoderResult().isFailure() || decoder.isMalformed()) {
-            hasStrayBytes = true;
-            close(ConnectionCloseReason.MALFORMED_RESPONSE);
+            closeOnSurplusBytes();
         } else if (message instanceof HttpResponse response
                 && response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
             onUnsolicitedResponse(response);
@@ -276,7 +283,7 @@
                 status, System.nanoTime() - respondedAtNanos, CallResponse.retryAfterMicros(response));
         List<UpstreamCall> contradicted = ledger.onSurplus(status);
         contradicted.forEach(UpstreamCall::onOutcomeContradicted);
-        releaseHeldCall();
+        confirmation.onSurplusResponse(status);
         retire(ConnectionCloseReason.UNSOLICITED_RESPONSE);
     }
 
@@ -339,11 +346,7 @@
             owner.onUnsolicitedResponse(decoder.status(), 0, 0);
         }
         isOutOfStep |= completed.isUnnamedInBatchResponse();
-        if (!isProof && isReusable && completed.mustProveRejection() && completed.isRejection()) {
-            heldCall = completed;
-        } else {
-            completed.onResponseComplete();
-        }
+        confirmation.onResponseComplete(completed, decoder.status(), isProof);
         decoder.awaitResponse();
     }
 
@@ -357,23 +360,15 @@
         return completed.isNamedInResponse() || !isReusable && ledger.isInStep();
     }
 
-    /** Lets a held response take effect: the one that would contradict it has not come in time. */
+    /** Lets a held response take effect: nothing that would contradict it has come in time. */
     private void onHoldEnded() {
         readPending();
-        if (heldCall != null && context.channel().isActive()) {
-            releaseHeldCall();
+        if (confirmation.isPending() && context.channel().isActive()) {
+            confirmation.confirm();
             reuseOrClose();
         }
     }
 
-    private void releaseHeldCall() {
-        UpstreamCall released = heldCall;
-        heldCall = null;
-        if (released != null) {
-            released.onResponseComplete();
-        }
-    }
-
     private void failAsMalformed() {
         fail(malformed -> malformed.onMalformedResponse(decoder.status()), ConnectionCloseReason.MALFORMED_RESPONSE);
     }
@@ -393,15 +388,11 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (isResponseComplete && heldCall != null && !decoder.hasLeftover()) {
-            isResponseComplete = false;
-            timer.start(owner.responseTimes().boundMicros(), TimeUnit.MICROSECONDS, this::onHoldEnded);
+        if (call == null && decoder.hasLeftover()) {
+            closeOnSurplusBytes();
         } else if (isResponseComplete) {
             isResponseComplete = false;
-            reuseOrClose();
-        } else if (call == null && decoder.hasLeftover()) {
-            hasStrayBytes = true;
-            close(ConnectionCloseReason.MALFORMED_RESPONSE);
+            confirmOrHold();
         } else if (call != null && decoder.status() == ResponseHeadScanner.STATUS_MALFORMED) {
             failAsMalformed();
         } else if (call != null && decoder.hasBegun()) {
@@ -414,15 +405,28 @@
         }
     }
 
+    private void closeOnSurplusBytes() {
+        hasStrayBytes = true;
+        confirmation.onSurplusBytes();
+        close(ConnectionCloseReason.MALFORMED_RESPONSE);
+    }
+
+    /** Lets the response that ended the latest read take effect, at once or after the time in which more may follow. */
+    private void confirmOrHold() {
+        if (!confirmation.mustHold()) {
+            confirmation.confirm();
+            reuseOrClose();
+            return;
+        }
+        long holdNanos = confirmation.isMatched()
+                ? owner.fullReuseDelayNanos()
+                : TimeUnit.MICROSECONDS.toNanos(owner.responseTimes().boundMicros());
+        timer.start(holdNanos, TimeUnit.NANOSECONDS, this::onHoldEnded);
+    }
+
     private void reuseOrClose() {
         if (retireReason != null) {
             retire(retireReason);
-            return;
-        }
-        // Leftover bytes arrived with the response but are not part of it.
-        if (decoder.hasLeftover()) {
-            hasStrayBytes = true;
-            close(ConnectionCloseReason.MALFORMED_RESPONSE);
         } else if (!isReusable || !context.channel().isActive()) {
             close(ConnectionCloseReason.NOT_PERSISTENT);
         } else if (isOutOfStep) {
@@ -465,10 +469,7 @@
         owner.onRetired(this, false);
         List<UpstreamCall> unconfirmed = findUnconfirmed();
         unconfirmed.forEach(UpstreamCall::onOutcomeContradicted);
-        if (heldCall != null) {
-            heldCall.onOutcomeContradicted();
-            heldCall = null;
-        }
+        confirmation.onEnd(closeReason == ConnectionCloseReason.CLOSED_BY_HOST);
         owner.onConnectionEnded(retireReason, closeReason, callCount, unconfirmed.size());
     }
 
