A probe ends with its call, not by way of an endpoint that may be gone

Seen by callers: after a hung endpoint was replaced while a health check was out to it, its partner never got a call again. Every message was answered 202, sent to no host and bounced.

Cause: the circuit of a destination kept a flag for the probe in flight. The end of a health check cleared it by way of the endpoint's name, and a route that was not listed any more was forgotten at once, as a check did not count among its calls. The flag stayed set for good.

Change: a circuit refers to the call or check that probes it. Only the end of that call ends the probe, and a probe to an endpoint that is not listed holds nothing back. A route is kept until its checks have ended, so that an endpoint that is listed again under its name keeps its own; an end without a check in flight is ignored, but for its Retry-After.

Why it works: the state belongs to the call that set it, and the list, not the call, decides whether the destination waits for it.

Ruled out by reading: slots and group counters (a call holds its route and group, removed or not), waits and ramps (end by time), starved pools (asked again at the next close of any connection), queued calls and probes of a removed pool or broker connection (ended at the removal, checks in flight by their timeout of 1.5 s).

--- a/src/main/java/loftflow/policy/CallEvaluator.java
+++ b/src/main/java/loftflow/policy/CallEvaluator.java
@@ -56,8 +56,8 @@
             rateLimiter.onLimitReported(group, report.limitPerSecond());
         }
         if (call.isProbe) {
-            route.circuit.probeInFlight = false;
-            group.circuit.probeInFlight = false;
+            route.circuit.endProbe(call);
+            group.circuit.endProbe(call);
         }
         if (outcome == AttemptOutcome.OK || outcome == AttemptOutcome.ERROR || outcome == AttemptOutcome.REJECTED) {
             route.lastAnswerAtMicros = context.now();
--- a/src/main/java/loftflow/policy/CallSender.java
+++ b/src/main/java/loftflow/policy/CallSender.java
@@ -35,8 +35,8 @@
         this.concurrency = concurrency;
     }
 
-    /** Sends a message; a probe carries no further messages. */
-    void send(PendingMessage message, Route route, boolean isProbe) {
+    /** Sends a message and returns the call that carries it; a probe carries no further messages. */
+    Call send(PendingMessage message, Route route, boolean isProbe) {
         Call call = new Call(route, context.now(), isProbe);
         concurrency.onSent(call);
         route.group.sentCalls.increment(context.now());
@@ -46,6 +46,7 @@
         if (!isProbe && route.maxBatchSize > 1) {
             fillBatch(message.destination, call);
         }
+        return call;
     }
 
     private void fillBatch(Destination destination, Call call) {
--- a/src/main/java/loftflow/policy/Circuit.java
+++ b/src/main/java/loftflow/policy/Circuit.java
@@ -41,7 +41,22 @@
      */
     boolean awaitsAddressCheck;
 
-    boolean probeInFlight;
+    /** The call or health check that tests whether the circuit may close; null if there is none. */
+    private Call probe;
+
+    void startProbe(Call started) {
+        probe = started;
+    }
+
+    /** Has no effect unless the call is the one that tests the circuit. */
+    void endProbe(Call ended) {
+        probe = probe == ended ? null : probe;
+    }
+
+    /** Returns whether a probe is in flight that keeps others back; one to a route that is not listed does not. */
+    boolean hasProbeInFlight() {
+        return probe != null && probe.route.listed;
+    }
 
     boolean isClosed() {
         return state == State.CLOSED;
--- a/src/main/java/loftflow/policy/CircuitBreaker.java
+++ b/src/main/java/loftflow/policy/CircuitBreaker.java
@@ -154,7 +154,7 @@
         if (circuit.state == Circuit.State.OPEN && context.now() >= circuit.probeNotBeforeMicros) {
             circuit.state = Circuit.State.HALF_OPEN;
         }
-        return circuit.state == Circuit.State.HALF_OPEN && !circuit.probeInFlight;
+        return circuit.state == Circuit.State.HALF_OPEN && !circuit.hasProbeInFlight();
     }
 
     /**
--- a/src/main/java/loftflow/policy/EndpointRegistry.java
+++ b/src/main/java/loftflow/policy/EndpointRegistry.java
@@ -13,8 +13,8 @@
 
 /**
  * Holds the routes, limit groups and destinations that discovery has listed. A route that is no longer listed accepts
- * no new messages; it is removed once no call to it is in flight and no Retry-After applies. Messages keep their
- * references to removed routes.
+ * no new messages; it is removed once neither a call nor a health check to it is in flight and no Retry-After applies.
+ * Messages keep their references to removed routes.
  */
 final class EndpointRegistry {
     private final RoundContext context;
@@ -95,10 +95,11 @@
         return route;
     }
 
-    /** Removes a route if it is not listed, no call to it is in flight and no Retry-After applies. */
+    /** Removes a route if it is not listed, no call or health check is in flight and no Retry-After applies. */
     void removeIfUnused(Route route) {
         LimitGroup group = route.group;
-        if (route.listed || !route.callsInFlight.isEmpty() || context.now() < group.retryNotBeforeMicros) {
+        boolean isInUse = !route.callsInFlight.isEmpty() || !route.healthChecksInFlight.isEmpty();
+        if (route.listed || isInUse || context.now() < group.retryNotBeforeMicros) {
             return;
         }
         routes.remove(route.name);
--- a/src/main/java/loftflow/policy/HalfOpenProbe.java
+++ b/src/main/java/loftflow/policy/HalfOpenProbe.java
@@ -82,16 +82,22 @@
         if (message == null) {
             return;
         }
-        circuit.probeInFlight = true;
         boolean messageMayProbe = !route.addressUnverified && isRepeatableAnywhere(message);
         if (!messageMayProbe && context.settings().limits().probes()) {
-            route.group.sentCalls.increment(context.now());
-            context.actions().probe(route.name);
+            circuit.startProbe(checkHealth(route));
         } else {
-            sender.send(message, route, true);
+            circuit.startProbe(sender.send(message, route, true));
         }
     }
 
+    private Call checkHealth(Route route) {
+        Call check = new Call(route, context.now(), true);
+        route.healthChecksInFlight.add(check);
+        route.group.sentCalls.increment(context.now());
+        context.actions().probe(route.name);
+        return check;
+    }
+
     /**
      * Returns the message with the lowest cost of failure among those that may be sent to the route and have enough
      * time left for a probe's timeout; null if there is none.
--- a/src/main/java/loftflow/policy/OutcomeProcessor.java
+++ b/src/main/java/loftflow/policy/OutcomeProcessor.java
@@ -108,15 +108,20 @@
         return timedOutEarly ? AttemptOutcome.NOT_SENT : event.outcome();
     }
 
-    /** Handles the end of a health check, which counts like a probing call. */
+    /** Handles the end of a health check, which counts like a probing call; ignores one that has already ended. */
     void onProbeCompleted(ProbeCompleted event) {
         Route route = endpoints.route(event.route());
-        if (route != null) {
-            applyRetryAfter(route.group, event.retryAfterMicros());
-            Call probe = new Call(route, context.now() - event.elapsedMicros(), true);
-            evaluator.evaluate(
-                    probe, event.outcome(), event.retryAfterMicros(), event.elapsedMicros(), event.limitReport());
+        if (route == null) {
+            return;
+        }
+        applyRetryAfter(route.group, event.retryAfterMicros());
+        Call check = route.healthChecksInFlight.poll();
+        if (check == null) {
+            return;
         }
+        evaluator.evaluate(
+                check, event.outcome(), event.retryAfterMicros(), event.elapsedMicros(), event.limitReport());
+        endpoints.removeIfUnused(route);
     }
 
     /** Handles a Retry-After that arrived outside the outcome of an attempt or health check. */
--- a/src/main/java/loftflow/policy/Route.java
+++ b/src/main/java/loftflow/policy/Route.java
@@ -32,6 +32,8 @@
     long lastAnswerAtMicros;
     /** Calls without an outcome, oldest first. */
     final ArrayDeque<Call> callsInFlight = new ArrayDeque<>();
+    /** Health checks without an outcome, oldest first; they are not among the calls in flight. */
+    final ArrayDeque<Call> healthChecksInFlight = new ArrayDeque<>();
 
     Route(
             EndpointEntry entry,
