A response of the agent acknowledges nothing if bytes follow it

The platform would miss a notice that is owed: a 204, or a 400 for a single notice, whose length does not fit counted as read, or as a reason to drop the notice, and it was forgotten.

Cause: AgentConnection reported a response as soon as its framing said that it had ended, before the bytes behind it were looked at.

Change: a response is reported at the end of the read that completes it, and counts as none if bytes follow. A list still counts: its JSON shows that it is whole. A repeated notice does no harm (PROTOCOL, Notices).

Not covered: bytes that another read brings. Only waiting could tell, and each batch of notices would wait that long, of the 300 ms that there are.

--- a/src/main/java/loftflow/discovery/AgentConnection.java
+++ b/src/main/java/loftflow/discovery/AgentConnection.java
@@ -307,8 +307,12 @@
         }
     }
 
+    private record Response(int status, String body, boolean isKeepAlive) {}
+
     private final class ResponseReader extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final StrictResponseDecoder decoder;
+        /** The response to the request in progress until the read that completes it has ended; null if there is none. */
+        private Response received;
 
         ResponseReader(StrictResponseDecoder decoder) {
             this.decoder = decoder;
@@ -320,26 +324,69 @@
                 return;
             }
             if (isMalformed(response)) {
-                close();
-                completeRequest(NO_RESPONSE, "");
+                onSurplusBytes();
                 return;
             }
             decoder.awaitResponse();
-            boolean isUnsolicited = pendingHandler == null || unwrittenRequest != null;
-            // After a response without a request, later responses cannot be matched to requests.
-            if (isUnsolicited || !HttpUtil.isKeepAlive(response)) {
-                ctx.close();
-                channel = null;
-            }
+            boolean isUnsolicited = pendingHandler == null || unwrittenRequest != null || received != null;
             if (isUnsolicited) {
-                Log.line("agent: unsolicited response status="
-                        + response.status().code());
+                onUnsolicited(ctx, response);
+            } else {
+                received = new Response(
+                        response.status().code(),
+                        response.content().toString(StandardCharsets.UTF_8),
+                        HttpUtil.isKeepAlive(response));
+            }
+        }
+
+        /** After a response without a request, later responses cannot be matched to requests. */
+        private void onUnsolicited(ChannelHandlerContext ctx, FullHttpResponse response) {
+            Log.line("agent: unsolicited response status=" + response.status().code());
+            ctx.close();
+            channel = null;
+            if (received != null) {
+                complete(received);
+            }
+        }
+
+        /**
+         * Handles bytes that are no response. Those behind a response may be its own, so that its length did not fit;
+         * only a body that is parsed shows that it is whole.
+         */
+        private void onSurplusBytes() {
+            Response first = received;
+            received = null;
+            close();
+            boolean isBodyParsed = reuse == Reuse.ALWAYS;
+            if (first != null && isBodyParsed) {
+                complete(first);
+            } else {
+                completeRequest(NO_RESPONSE, "");
+            }
+        }
+
+        private void complete(Response response) {
+            received = null;
+            completeRequest(response.status(), response.body());
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (received == null) {
+                return;
+            }
+            if (decoder.hasLeftover()) {
+                onSurplusBytes();
                 return;
             }
+            if (!received.isKeepAlive()) {
+                ctx.close();
+                channel = null;
+            }
             if (mustReplace()) {
                 openSuccessor();
             }
-            completeRequest(response.status().code(), response.content().toString(StandardCharsets.UTF_8));
+            complete(received);
         }
 
         /** Returns whether the response is a 1xx response that is followed by the final one. */
--- a/src/main/java/loftflow/http/StrictResponseDecoder.java
+++ b/src/main/java/loftflow/http/StrictResponseDecoder.java
@@ -35,6 +35,11 @@
         return hasMalformedLine || framingFieldCount > 1;
     }
 
+    /** Returns whether received bytes remain that are not part of any decoded response. */
+    public boolean hasLeftover() {
+        return actualReadableBytes() > 0;
+    }
+
     /** Returns whether the body of a response has no transfer coding or is chunked; all other codings are unknown. */
     public static boolean isTransferCodingKnown(HttpResponse response) {
         String coding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
--- a/src/main/java/loftflow/upstream/http/ResponseDecoder.java
+++ b/src/main/java/loftflow/upstream/http/ResponseDecoder.java
@@ -43,11 +43,6 @@
         return super.isMalformed() || headScanner.isMalformed();
     }
 
-    /** Returns whether received bytes remain that are not part of any decoded response. */
-    boolean hasLeftover() {
-        return actualReadableBytes() > 0;
-    }
-
     /**
      * Returns whether the end of a response can be determined. It cannot for an unknown transfer coding, for a protocol
      * switch, and for a body with message states that is delimited only by the end of the connection, which counts as a
--- a/src/test/java/loftflow/completion/HttpCompletionNotifierTest.java
+++ b/src/test/java/loftflow/completion/HttpCompletionNotifierTest.java
@@ -31,6 +31,8 @@
 import loftflow.server.RelayProcess;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Notices to a platform that is unreachable, slow or rejects a notice as malformed. */
 class HttpCompletionNotifierTest {
@@ -96,6 +98,28 @@
         }
     }
 
+    /** A notice was taken as read, or dropped, on a response whose length did not fit. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 204 X\r\n\r\nunread",
+                "HTTP/1.1 204 X\r\n\r\nunread\r\n\r\n",
+                "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nunread",
+                "HTTP/1.1 400 X\r\nContent-Length: 2\r\n\r\nunread",
+                "HTTP/1.1 400 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nunread",
+            })
+    void responseFollowedByOtherBytesAcknowledgesNothing(String response) throws IOException {
+        try (ScriptedPeer platform = ScriptedPeer.always(response)) {
+            List<String> acknowledged = new CopyOnWriteArrayList<>();
+            HttpCompletionNotifier notifier = notifier(addressOf(platform), acknowledged);
+            loop.execute(() -> notifier.notifyCompletion(completed(1)));
+            await(() -> platform.count("POST") > 2);
+            assertEquals(List.of(), acknowledged);
+            platform.answer(request -> "HTTP/1.1 204 X\r\n\r\n");
+            await(() -> acknowledged.equals(List.of("m1")));
+        }
+    }
+
     private static String acknowledgeTwice(ScriptedPeer platform) {
         Socket connection = platform.connections.get(platform.connections.size() - 1);
         for (int i = 0; i < 2; i++) {
