A slow discovery is read: a late list counts

Cause: a whole list was waited for 0.4 s only. Once one was due, the connection was closed at each timeout and the list asked for again, so no answer was ever read and no watch was opened any more.

Change: after 0.4 s the request is repeated on another connection, at the same pace as before, and the overdue response is awaited for 2 s beside it. It counts unless something newer has been applied. A longer timeout would have made a relay slower where discovery is silent and returns.

--- a/src/main/java/loftflow/discovery/AgentConnection.java
+++ b/src/main/java/loftflow/discovery/AgentConnection.java
@@ -252,16 +252,28 @@
     public void moveTo(InetSocketAddress newAddress) {
         address = newAddress;
         close();
+    }
+
+    /** Closes the connection for good; a request in progress ends without a response. */
+    public void close() {
+        disconnect();
         completeRequest(NO_RESPONSE, "");
     }
 
-    /** Closes the connection, unless its socket could not be created: closing such a channel throws. */
-    private void close() {
+    /** Closes the socket, unless it could not be created: closing such a channel throws. */
+    private void disconnect() {
         closeIfOpen(channel);
         channel = null;
         successor = null;
     }
 
+    /** Reads a response that has arrived and has not been read, and reports it. */
+    public void readPending() {
+        if (channel != null) {
+            UnreadBytes.read(channel);
+        }
+    }
+
     private static void closeIfOpen(Channel closed) {
         if (closed != null && closed.isOpen()) {
             closed.close();
@@ -282,11 +294,10 @@
      */
     private void onTimeout() {
         ScheduledFuture<?> expired = timeout;
-        UnreadBytes.read(channel);
+        readPending();
         // The handler of a response that was just read may have sent the next request, with a timeout of its own.
         if (pendingHandler != null && timeout == expired) {
             close();
-            completeRequest(NO_RESPONSE, "");
         }
     }
 
@@ -311,7 +322,7 @@
 
     private final class ResponseReader extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final StrictResponseDecoder decoder;
-        /** The response to the request in progress until the read that completes it has ended; null if there is none. */
+        /** The response to the request in progress until the read that completes it has ended; null if none. */
         private Response received;
 
         ResponseReader(StrictResponseDecoder decoder) {
@@ -356,7 +367,7 @@
         private void onSurplusBytes() {
             Response first = received;
             received = null;
-            close();
+            disconnect();
             boolean isBodyParsed = reuse == Reuse.ALWAYS;
             if (first != null && isBodyParsed) {
                 complete(first);
--- a/src/main/java/loftflow/discovery/EndpointWatcher.java
+++ b/src/main/java/loftflow/discovery/EndpointWatcher.java
@@ -6,7 +6,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import loftflow.engine.Endpoint;
 import loftflow.engine.EndpointListListener;
@@ -17,16 +19,19 @@
 
 /**
  * Requests the full list of endpoints from discovery, then watches it for changes. The full list is requested again at
- * regular intervals, since a faulty watch may omit changes, and soon after a response that leaves a gap. Must be used
- * on the event loop.
+ * regular intervals, since a faulty watch may omit changes, and soon after a response that leaves a gap. A request
+ * whose response is overdue is repeated on another connection; a late response still counts. Must be used on the event
+ * loop.
  */
 public final class EndpointWatcher {
     /**
      * The time after which discovery responds to a watch request; far below the 6 s in which a change must be known.
      */
     private static final long WATCH_MILLIS = 1000;
-    /** The timeout of a response that discovery sends without waiting for changes. */
+    /** The time after which a response is overdue that discovery sends without waiting for changes. */
     public static final long RESPONSE_TIMEOUT_MILLIS = 400;
+    /** How long an overdue response is awaited beside the next requests. */
+    private static final long MAX_OVERDUE_MILLIS = 2000;
     /**
      * The maximum retry delay while discovery does not respond, if all relays of a fleet may share the agent. It allows
      * two requests within the 6 s in which a change must be known, so that one lost response is tolerated.
@@ -48,8 +53,30 @@
     private static final long NO_REVISION = -1;
     private static final int STATUS_OK = 200;
 
+    private static final class WatchRequest {
+        final AgentConnection connection;
+        /** The revision after which changes were requested; {@link #NO_REVISION} for the full list. */
+        final long afterRevision;
+
+        Future<?> overdueTimer;
+
+        WatchRequest(AgentConnection connection, long afterRevision) {
+            this.connection = connection;
+            this.afterRevision = afterRevision;
+        }
+
+        boolean isForFullList() {
+            return afterRevision == NO_REVISION;
+        }
+    }
+
     private final EventLoop loop;
-    private final AgentConnection connection;
+    private AgentConnection connection;
+    /** The request whose response decides about the next one; null while the next one is scheduled. */
+    private WatchRequest current;
+    /** The requests whose responses are overdue. */
+    private final Set<WatchRequest> overdue = new HashSet<>();
+
     private final EndpointListListener listener;
     private final Runnable onUnresponsive;
     private final Backoff backoff;
@@ -110,6 +137,7 @@
     public void moveTo(InetSocketAddress newAddress) {
         revision = NO_REVISION;
         address = newAddress;
+        Set.copyOf(overdue).forEach(request -> request.connection.close());
         connection.moveTo(newAddress);
     }
 
@@ -122,29 +150,72 @@
         boolean isFullListDue = System.nanoTime() - fullListDueNanos >= 0;
         if (revision < 0 || isFullListRequested || isFullListDue) {
             isFullListRequested = false;
-            connection.request(
-                    HttpMethod.GET,
-                    DiscoveryProtocol.LIST_PATH,
-                    "",
-                    RESPONSE_TIMEOUT_MILLIS,
-                    (status, body) -> onResponse(status, body, true));
+            send(new WatchRequest(connection, NO_REVISION), DiscoveryProtocol.LIST_PATH, RESPONSE_TIMEOUT_MILLIS);
         } else {
-            connection.request(
-                    HttpMethod.GET,
+            send(
+                    new WatchRequest(connection, revision),
                     EndpointListCodec.watchPath(revision, WATCH_MILLIS),
-                    "",
-                    WATCH_MILLIS + RESPONSE_TIMEOUT_MILLIS,
-                    (status, body) -> onResponse(status, body, false));
+                    WATCH_MILLIS + RESPONSE_TIMEOUT_MILLIS);
         }
     }
 
-    private void onResponse(int status, String body, boolean isFullExpected) {
-        boolean isAccepted = status == STATUS_OK && applyResponse(body, isFullExpected);
+    private void send(WatchRequest request, String path, long overdueMillis) {
+        current = request;
+        request.overdueTimer = loop.schedule(() -> onOverdue(request), overdueMillis, TimeUnit.MILLISECONDS);
+        request.connection.request(
+                HttpMethod.GET,
+                path,
+                "",
+                overdueMillis + MAX_OVERDUE_MILLIS,
+                (status, body) -> onResponse(request, status, body));
+    }
+
+    /** Repeats a request on another connection, and goes on awaiting its response, unless that is in the socket. */
+    private void onOverdue(WatchRequest request) {
+        request.connection.readPending();
+        if (request != current) {
+            return;
+        }
+        overdue.add(request);
+        connection = new AgentConnection(loop, address);
+        scheduleRequest(backoff.nextDelayMillis());
+    }
+
+    private void scheduleRequest(long delayMillis) {
+        current = null;
+        loop.schedule(this::sendRequest, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void onResponse(WatchRequest request, int status, String body) {
+        request.overdueTimer.cancel(false);
+        if (overdue.remove(request)) {
+            request.connection.close();
+            applyOverdueResponse(request, status, body);
+            return;
+        }
+        boolean isAccepted = status == STATUS_OK && applyResponse(body, request.isForFullList());
         if (isAccepted) {
             backoff.reset();
         }
-        long delayMillis = isAccepted ? REQUEST_DELAY_MILLIS : backoff.nextDelayMillis();
-        loop.schedule(this::sendRequest, delayMillis, TimeUnit.MILLISECONDS);
+        scheduleRequest(isAccepted ? REQUEST_DELAY_MILLIS : backoff.nextDelayMillis());
+    }
+
+    /** Applies an overdue response unless a newer one has been applied. */
+    private void applyOverdueResponse(WatchRequest request, int status, String body) {
+        boolean isSuperseded = !request.isForFullList() && request.afterRevision != revision;
+        if (status == STATUS_OK && !isSuperseded && isNewerOrEqual(body)) {
+            applyResponse(body, request.isForFullList());
+        }
+    }
+
+    private boolean isNewerOrEqual(String body) {
+        try {
+            return EndpointListCodec.parse(body, address.toString(), knownEndpoints)
+                            .revision()
+                    >= revision;
+        } catch (IOException | RuntimeException e) {
+            return false;
+        }
     }
 
     /**
--- a/src/test/java/loftflow/discovery/EndpointWatcherTest.java
+++ b/src/test/java/loftflow/discovery/EndpointWatcherTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import loftflow.engine.Endpoint;
 import loftflow.engine.EndpointListListener;
@@ -107,6 +108,27 @@
         assertTrue(millis <= 6_000, "first list " + millis + " ms after the recovery");
     }
 
+    /** A drain was never known while each response of discovery took longer than the timeout of a full list. */
+    @Test
+    void changeIsKnownInTimeWhileDiscoveryRespondsSlowly() throws IOException {
+        AtomicInteger revision = new AtomicInteger(1);
+        watch(request -> {
+            RelayProcess.blockThread(700);
+            return list(revision.get(), true, entry("h1", revision.get() == 1 ? "in_service" : "terminating"));
+        });
+        awaitWithin(6_000, () -> known.get("h1") == Availability.LISTED);
+        RelayProcess.blockThread(2 * EndpointWatcher.FULL_LIST_INTERVAL_MILLIS);
+        revision.set(2);
+        awaitWithin(6_000, () -> known.get("h1") == Availability.DRAINING);
+    }
+
+    private static void awaitWithin(long millis, BooleanSupplier condition) {
+        long startNanos = System.nanoTime();
+        await(condition);
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertTrue(elapsedMillis <= millis, "elapsed: " + elapsedMillis + " ms");
+    }
+
     private static String entry(String route, String state) {
         return "{\"uid\":\"" + route + "\",\"endpoint\":\"127.0.0.1:1\",\"az\":\"a\",\"model\":\"one\",\"pod_group\":7,"
                 + "\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
