A drain outlives the relay that was told of it

Cause: nothing of the list is in the folder that lasts.

At a start those routes are draining, until discovery lists them as in service.

Why it works: a name stands for one machine, so an older list can't make a withdrawn one usable again; only a newer list can.

With a warm start, which stores lists by itself, nothing changes.

--- a/src/main/java/loftflow/recordfile/package-info.java
+++ b/src/main/java/loftflow/recordfile/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Append-only files of records with length and checksum, which survive the process.
+ * Files of records with length and checksum, which survive the process.
  *
  * <p>May use: nothing of the relay.
  */
--- a/src/main/java/loftflow/server/RelayServer.java
+++ b/src/main/java/loftflow/server/RelayServer.java
@@ -15,6 +15,7 @@
 import loftflow.engine.Clock;
 import loftflow.engine.CompletionNotifier;
 import loftflow.engine.DeliveryEngine;
+import loftflow.engine.Endpoint;
 import loftflow.engine.EventLoopLag;
 import loftflow.engine.Timers;
 import loftflow.engine.UpstreamClient;
@@ -22,6 +23,7 @@
 import loftflow.listener.Listener;
 import loftflow.listener.http.HttpListener;
 import loftflow.log.Log;
+import loftflow.membership.WithdrawnEndpoints;
 import loftflow.policy.DefaultDeliveryPolicy;
 import loftflow.upstream.http.HttpUpstreamClient;
 
@@ -50,6 +52,9 @@
     /** Null if there is no dead-letter store. */
     private final DeadLetterModule deadLetters;
     /** Null if the configuration contains the full endpoint list. */
+    /** Null without discovery, and with a warm start, which stores lists itself. */
+    private final WithdrawnEndpoints withdrawnEndpoints;
+
     private final EndpointWatcher endpointWatcher;
     /** Null if AMQP is off. */
     private final AmqpModule amqp;
@@ -85,6 +90,9 @@
                 config.deadLetters() == null ? null : new DeadLetterModule(eventLoop, timers, clock, engine, config);
         UpstreamClient httpUpstreams = createHttpUpstreamClient();
         CompletionNotifier notifier = httpCompletionNotifier != null ? httpCompletionNotifier : createCompletionLog();
+        withdrawnEndpoints = config.discoveryAddress() == null || warmStart != null
+                ? null
+                : new WithdrawnEndpoints(config.stateDirectory(), engine, this::scheduleStoreRetry);
         endpointWatcher = config.discoveryAddress() == null ? null : createEndpointWatcher();
         eventLoopLag = new EventLoopLag(timers, clock, RelayServer::logStall);
         amqp = config.amqp() == null
@@ -152,7 +160,7 @@
         return new EndpointWatcher(
                 eventLoop,
                 config.discoveryAddress(),
-                warmStart == null ? engine : warmStart,
+                warmStart == null ? withdrawnEndpoints : warmStart,
                 onDiscoveryUnresponsive,
                 backoff);
     }
@@ -214,7 +222,10 @@
             if (relayClock.isDowntimeUnknown()) {
                 engine.treatKeyWindowsAsExpired();
             }
-            engine.start(config.knownListKind(), config.knownListVersion(), config.knownEndpoints());
+            List<Endpoint> known = withdrawnEndpoints == null
+                    ? config.knownEndpoints()
+                    : withdrawnEndpoints.startWith(config.knownEndpoints());
+            engine.start(config.knownListKind(), config.knownListVersion(), known);
         }
     }
 
--- a/src/test/java/loftflow/ArchitectureTest.java
+++ b/src/test/java/loftflow/ArchitectureTest.java
@@ -122,7 +122,8 @@
                 "config.tool | loftflow.protocol loftflow.policy.api loftflow.engine loftflow.json loftflow.config..",
                 "server | loftflow.policy loftflow.policy.api loftflow.server loftflow.config loftflow.engine loftflow.listener.. loftflow.upstream.. "
                         + "loftflow.discovery loftflow.completion loftflow.journal loftflow.log loftflow.deadletter.. loftflow.admin "
-                        + "loftflow.amqp.. loftflow.deduplication loftflow.warmstart.. loftflow.clock",
+                        + "loftflow.amqp.. loftflow.deduplication loftflow.warmstart.. loftflow.clock loftflow.membership",
+                "membership | loftflow.policy.api loftflow.membership loftflow.engine loftflow.recordfile loftflow.log",
                 "deadletter | loftflow.policy.api loftflow.engine loftflow.deadletter loftflow.log",
                 "deadletter.store | loftflow.policy.api loftflow.engine loftflow.deadletter.. loftflow.log",
                 "admin | loftflow.policy.api loftflow.admin loftflow.deadletter loftflow.engine loftflow.log",
--- a/src/test/java/loftflow/upstream/http/LateContradictionTest.java
+++ b/src/test/java/loftflow/upstream/http/LateContradictionTest.java
@@ -22,6 +22,9 @@
     /** Longer than the reuse delay, so that the next call is sent before the response. */
     private static final long RESPONSE_BEHIND_NEXT_CALL_MILLIS = 400;
 
+    /** Longer than any response is expected to take. */
+    private static final long SILENT_CALL_TIMEOUT_MICROS = 2 * SECOND_MICROS;
+
     private void deliverFirst() {
         host.answer(request -> ScriptedPeer.status(200));
         sendAndAwait(1);
@@ -120,6 +123,25 @@
         await(() -> disproved.contains("m1"));
     }
 
+    /** The message is lost: a host answers twice and hangs, so that neither its call nor the next one is answered. */
+    @Tag("known-red")
+    @Test
+    void silenceOfTheNextCallDisprovesTheDelivery() {
+        deliverFirst();
+        host.answer(request -> {
+            if (request.id().equals("m1")) {
+                writeCopyLater(ScriptedPeer.status(200));
+            }
+            return ScriptedPeer.SILENCE;
+        });
+        assertEquals(DELIVERED, results.get(sendAndAwait(1).get(0)));
+        RelayProcess.blockThread(COPY_TO_RESPONSE_MILLIS);
+        send(1, SILENT_CALL_TIMEOUT_MICROS, clock.micros() + 30 * SECOND_MICROS);
+        await(() -> disproved.contains("m1"));
+        assertEquals(Set.of("m1"), disproved);
+        assertEquals(1, host.connections.size());
+    }
+
     /** The message was lost: only the last response was compared, so a rejection behind an error passed for its own. */
     @Test
     void rejectionThatAnEarlierCallReceivedIsNoProof() {
