Statuses that PROTOCOL does not call "never" prove no rejection

A 404 or 413 to a call with one message, and a 404 to a batch, counted as "has not run", so a message that must not be repeated was sent again.

Cause: OutcomeTable listed them beside 400 and 504. PROTOCOL gives 429, 503, 504 and 410 for a call, and 400 and 413 for several messages in one ("neither has run"); 404 it gives for probes alone.

400 to one message stays as it is: PROTOCOL says that the host turns away what no client handed in.

--- a/src/main/java/loftflow/upstream/http/OutcomeTable.java
+++ b/src/main/java/loftflow/upstream/http/OutcomeTable.java
@@ -37,6 +37,8 @@
     /** The attempt may have run. */
     private static final Outcome ERROR = new Outcome(AttemptOutcome.ERROR, false);
 
+    private static final int STATUS_TOO_MANY_MESSAGES = 413;
+
     private OutcomeTable() {}
 
     /**
@@ -50,7 +52,7 @@
             case 410 -> EXPIRED;
             case 429 -> REJECTED;
             case 503 -> isConcurrencyLimited ? NOT_SENT : REJECTED;
-            case 400, 404, 413, 504 -> NOT_SENT;
+            case 400, 504 -> NOT_SENT;
             default -> ERROR;
         };
     }
@@ -60,6 +62,9 @@
      * completes a message of a batch, so a status that completes a single message is mapped to an error.
      */
     static Outcome ofBatchStatus(int status, boolean isConcurrencyLimited) {
+        if (status == STATUS_TOO_MANY_MESSAGES) {
+            return NOT_SENT;
+        }
         Outcome outcome = ofStatus(status, isConcurrencyLimited);
         return outcome.isMessageCompleted() ? ERROR : outcome;
     }
