BatchResponseOrderTest writes while the event loop waits, not against the clock

Trace: the failing line is the test's own write; the host's side was closed, since the call's 200 ms had passed before the test's thread came to write. A fault of the test, not of the relay.

It now blocks the event loop up to 300 ms before a timeout of 2 s, as the cases beside it do, and writes the same bytes meanwhile: they are read before the timer runs, however late the threads are. What is asserted is unchanged.

--- a/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
+++ b/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
@@ -25,6 +25,8 @@
     private static final long LONG_MICROS = 30 * SECOND_MICROS;
     /** Longer than a call takes to reach the host, even on a busy machine. */
     private static final long SHORT_MILLIS = 2_000;
+    /** Shorter than the maximum duration of a response. */
+    private static final long MILLIS_BEFORE_TIMEOUT = 300;
 
     /** Sends m0 and m1 to a host that does not respond, and waits until it has received the call. */
     private void sendAndAwaitRequest(long timeoutMicros, long timeToDeadlineMicros) {
@@ -72,8 +74,9 @@
     /** At the timeout, all bytes of the response except the last have arrived. */
     @Test
     void incompleteResponseAtTheTimeoutEndsAsTimeout() {
-        sendAndAwaitRequest(200 * MILLI_MICROS, LONG_MICROS);
-        write(ALL_DELIVERED.substring(0, ALL_DELIVERED.length() - 1));
+        sendAndAwaitRequest(SHORT_MILLIS * MILLI_MICROS, LONG_MICROS);
+        writeAfterBlocking(
+                SHORT_MILLIS - MILLIS_BEFORE_TIMEOUT, ALL_DELIVERED.substring(0, ALL_DELIVERED.length() - 1));
         assertBothEndedAs(AttemptOutcome.TIMEOUT);
         await(() -> host.connections.get(0).isClosed());
         assertConnectionIsNotReused();
