--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -418,11 +418,10 @@
             reuseOrClose();
             return;
         }
-        // Only the rest of the same response can disprove one that matches its call.
-        long holdMicros = confirmation.isMatched()
-                ? MAX_RESPONSE_MICROS
-                : owner.responseTimes().boundMicros();
-        timer.start(holdMicros, TimeUnit.MICROSECONDS, this::onHoldEnded);
+        long holdNanos = confirmation.isMatched()
+                ? owner.fullReuseDelayNanos()
+                : TimeUnit.MICROSECONDS.toNanos(owner.responseTimes().boundMicros());
+        timer.start(holdNanos, TimeUnit.NANOSECONDS, this::onHoldEnded);
     }
 
     private void reuseOrClose() {
