A batch answer read after one message's deadline no longer sends the others again

Each batch was put together behind a restart, of messages with very different time left, while the process was held up for 0.2 to 0.5 s.

Cause: the earliest deadline of a batch bounded every attempt's timeout, and an answer that was read behind it ended all attempts as TIMEOUT before its states were read. One message's deadline decided for all, and the end that the host had reported was dropped. A message that had timed out or was cancelled alone was not looked up in the answer to the rest of its batch either.

Why this works: each attempt ends by its own timeout and deadline. A reported delivery always ends its message. So it is neither sent again nor lost, whichever of the two the host meant. States that prove nothing then end as TIMEOUT, as before. An early timeout of one message no longer stands for the outcome of its call at the route while others of the call are out.

PendingAttempts is split off UpstreamCall.

--- a/src/main/java/loftflow/engine/AttemptDispatcher.java
+++ b/src/main/java/loftflow/engine/AttemptDispatcher.java
@@ -144,8 +144,10 @@
     private void applyOutcome(Message.Attempt attempt, boolean messageClosed) {
         Message message = attempt.message();
         boolean isDelivered = attempt.outcome() == AttemptOutcome.OK;
-        if (isDelivered && context.nowMicros() > message.content().deadlineMicros()) {
-            // To the client, a delivery after the deadline counts as no delivery.
+        boolean isCounted =
+                messageClosed && context.nowMicros() <= message.content().deadlineMicros();
+        if (isDelivered && !isCounted) {
+            // To the client, a delivery that may not be counted is none, but the message must not be sent again.
             context.journal().recordOutcome(attempt);
             lifecycle.fail(message.number());
         } else if (messageClosed && message.isRedrive() && message.isOpen()) {
@@ -179,8 +181,18 @@
         }
     }
 
+    private void endLate(Message.Attempt attempt, boolean isCounted) {
+        Message message = attempt.message();
+        if (isCounted) {
+            message.setClosingAttempt(attempt);
+            lifecycle.finish(message, true);
+        } else {
+            lifecycle.fail(message.number());
+        }
+    }
+
     /** Implements {@link UpstreamClient.ResultListener#onLateDelivery}. */
-    void onLateDelivery(Message.Attempt attempt) {
+    void onLateDelivery(Message.Attempt attempt, boolean isCounted) {
         Message message = attempt.message();
         attempt.outcome(AttemptOutcome.OK);
         if (!messages.contains(message)) {
@@ -195,8 +207,7 @@
         } else if (!message.isDone() && context.nowMicros() <= message.content().deadlineMicros()) {
             // The message has been delivered, so the policy must not start another attempt.
             events.add(new MessageWithdrawn(message.number()));
-            message.setClosingAttempt(attempt);
-            lifecycle.finish(message, true);
+            endLate(attempt, isCounted);
         }
     }
 }
--- a/src/main/java/loftflow/engine/DeliveryEngine.java
+++ b/src/main/java/loftflow/engine/DeliveryEngine.java
@@ -238,8 +238,8 @@
     }
 
     @Override
-    public void onLateDelivery(Message.Attempt attempt) {
-        dispatcher.onLateDelivery(attempt);
+    public void onLateDelivery(Message.Attempt attempt, boolean isCounted) {
+        dispatcher.onLateDelivery(attempt, isCounted);
     }
 
     @Override
--- a/src/main/java/loftflow/engine/UpstreamClient.java
+++ b/src/main/java/loftflow/engine/UpstreamClient.java
@@ -15,9 +15,10 @@
     /** Receives the results of attempts and probes, on the event loop. */
     interface ResultListener {
         /**
-         * Called when an attempt ended.
+         * Called when an attempt ended. A message whose attempt ended as {@link AttemptOutcome#OK} is never sent again.
          *
-         * @param messageClosed whether the upstream needs no further attempt of the message
+         * @param messageClosed whether the upstream needs no further attempt of the message; false with {@link
+         *     AttemptOutcome#OK} if the delivery was reported so late that the upstream may not count it
          * @param retryAfterMicros the time for which the upstream asked to receive nothing, in microseconds; 0 if none
          */
         void onAttemptCompleted(
@@ -33,8 +34,12 @@
          */
         void onRetryAfter(String route, long retryAfterMicros);
 
-        /** Called when an upstream reported a message as delivered after its attempt had timed out. */
-        void onLateDelivery(Message.Attempt attempt);
+        /**
+         * Called when an upstream reported a message as delivered after its attempt had timed out or was cancelled.
+         *
+         * @param isCounted false if the report came so late that the upstream may not count the delivery
+         */
+        void onLateDelivery(Message.Attempt attempt, boolean isCounted);
 
         /**
          * Called when a later response contradicts the one that ended an attempt, so that the attempt may or may not
--- a/src/main/java/loftflow/policy/OutcomeProcessor.java
+++ b/src/main/java/loftflow/policy/OutcomeProcessor.java
@@ -87,11 +87,13 @@
         }
         // The answer to any message of a call may carry the Retry-After.
         applyRetryAfter(call.route.group, event.retryAfterMicros());
-        if (!call.isEvaluated) {
+        boolean timedOutEarly = isEarlyTimeout(call, event);
+        boolean isDecidedByOthers = timedOutEarly && call.pendingOutcomes > 0;
+        if (!call.isEvaluated && !isDecidedByOthers) {
             call.isEvaluated = true;
             evaluator.evaluate(
                     call,
-                    outcomeForRoute(call, event),
+                    timedOutEarly ? AttemptOutcome.NOT_SENT : event.outcome(),
                     event.retryAfterMicros(),
                     event.elapsedMicros(),
                     event.limitReport());
@@ -99,13 +101,12 @@
     }
 
     /**
-     * Returns the outcome that counts for the route. A message sent shortly before its deadline times out early, which
-     * indicates nothing about the route.
+     * Returns whether a message that was sent shortly before its deadline has timed out, which indicates nothing about
+     * the route.
      */
-    private AttemptOutcome outcomeForRoute(Call call, AttemptCompleted event) {
-        boolean timedOutEarly = event.outcome() == AttemptOutcome.TIMEOUT
+    private boolean isEarlyTimeout(Call call, AttemptCompleted event) {
+        return event.outcome() == AttemptOutcome.TIMEOUT
                 && event.elapsedMicros() < timeouts.probeTimeoutMicros(call.route);
-        return timedOutEarly ? AttemptOutcome.NOT_SENT : event.outcome();
     }
 
     /** Handles the end of a health check, which counts like a probing call; ignores one that has already ended. */
--- a/src/main/java/loftflow/upstream/amqp/BrokerClient.java
+++ b/src/main/java/loftflow/upstream/amqp/BrokerClient.java
@@ -152,7 +152,7 @@
 
         @Override
         public void onLateDelivery(Message.Attempt attempt) {
-            results.onLateDelivery(attempt);
+            results.onLateDelivery(attempt, true);
         }
 
         @Override
--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -195,8 +195,8 @@
     }
 
     @Override
-    public void onLateDelivery(Message.Attempt attempt) {
-        environment.results().onLateDelivery(attempt);
+    public void onLateDelivery(Message.Attempt attempt, boolean isCounted) {
+        environment.results().onLateDelivery(attempt, isCounted);
     }
 
     @Override
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -7,11 +7,8 @@
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 import loftflow.engine.Message;
 import loftflow.engine.UpstreamClient;
 import loftflow.log.Log;
@@ -25,35 +22,16 @@
 final class UpstreamCall {
     private static final long MICROS_PER_MILLI = 1000;
 
-    /**
-     * An attempt without an outcome.
-     *
-     * @param timeoutAtMicros the time at which the relay stops waiting for the response
-     * @param latestArrivalMicros the latest time at which the host may receive the attempt
-     */
-    private record PendingAttempt(
-            Message.Attempt attempt, long timeoutAtMicros, long latestArrivalMicros, Future<?> timeout) {}
-
     private final UpstreamCallOwner owner;
     private final long startedAtMicros;
-    /**
-     * The earliest deadline of the call's messages, which applies to the whole call. A host drops the call at that
-     * time, so trusting a batch response that reports delivery afterwards could lose messages with a later deadline. As
-     * a consequence, all messages of a slow batch time out together with the one that has the least time left.
-     */
-    private final long deadlineMicros;
-    /** The latest deadline of the call's messages. */
-    private final long latestDeadlineMicros;
-
-    private final int sizeBytes;
     /** The path of a probe; null for a call that carries messages. */
     private final String probePath;
 
-    private final Map<Message.Attempt, PendingAttempt> pendingAttempts = new LinkedHashMap<>();
-    private final boolean isBatch;
-    /** Whether repeating any of the call's attempts is harmless. */
-    private final boolean mayRepeat;
+    private final PendingAttempts pendingAttempts;
+    /** The attempts that were sent and ended before the response, as they timed out or were cancelled. */
+    private final List<Message.Attempt> abandonedAttempts = new ArrayList<>();
 
+    private final boolean isBatch;
     private final Future<?> probeTimeout;
     private CallConnection connection;
     private boolean isSent;
@@ -76,38 +54,20 @@
         probePath = null;
         probeTimeout = null;
         isBatch = outboundAttempts.size() > 1;
-        mayRepeat = outboundAttempts.stream().allMatch(UpstreamClient.OutboundAttempt::mayRepeat);
-        deadlineMicros = outboundAttempts.stream()
-                .mapToLong(outbound -> outbound.attempt().message().content().deadlineMicros())
-                .min()
-                .orElse(startedAtMicros);
-        latestDeadlineMicros = outboundAttempts.stream()
-                .mapToLong(outbound -> outbound.attempt().message().content().deadlineMicros())
-                .max()
-                .orElse(startedAtMicros);
-        sizeBytes = outboundAttempts.stream()
-                .mapToInt(outbound -> outbound.attempt().message().content().body().length)
-                .sum();
-        for (UpstreamClient.OutboundAttempt outbound : outboundAttempts) {
-            Message.Attempt attempt = outbound.attempt();
-            long timeoutMicros = Math.min(outbound.timeoutMicros(), deadlineMicros - startedAtMicros);
-            Future<?> timeout = owner.schedule(timeoutMicros, () -> abandon(attempt, AttemptOutcome.TIMEOUT));
-            long timeoutAtMicros = startedAtMicros + timeoutMicros;
-            pendingAttempts.put(
-                    attempt, new PendingAttempt(attempt, timeoutAtMicros, outbound.latestArrivalMicros(), timeout));
-        }
+        pendingAttempts = new PendingAttempts(
+                outboundAttempts,
+                startedAtMicros,
+                (attempt, timeoutMicros) ->
+                        owner.schedule(timeoutMicros, () -> abandon(attempt, AttemptOutcome.TIMEOUT)));
     }
 
     /** Creates a probe, and starts its timeout. */
     UpstreamCall(UpstreamCallOwner owner, String probePath, long timeoutMicros) {
         this.owner = owner;
         startedAtMicros = owner.nowMicros();
-        deadlineMicros = startedAtMicros + timeoutMicros;
-        latestDeadlineMicros = deadlineMicros;
-        sizeBytes = 0;
+        pendingAttempts = new PendingAttempts(startedAtMicros + timeoutMicros);
         this.probePath = probePath;
         isBatch = false;
-        mayRepeat = true;
         probeTimeout = owner.schedule(timeoutMicros, this::onProbeTimeout);
     }
 
@@ -137,40 +97,34 @@
      * have discarded the idempotency key.
      */
     void endAttemptsPastLatestArrival(long arrivalMicros) {
-        List.copyOf(pendingAttempts.values()).stream()
-                .filter(pending -> arrivalMicros >= pending.latestArrivalMicros())
-                .forEach(pending -> endAttempt(pending.attempt(), AttemptOutcome.NOT_SENT, false));
+        pendingAttempts
+                .pastLatestArrival(arrivalMicros)
+                .forEach(attempt -> endAttempt(attempt, AttemptOutcome.NOT_SENT, false));
     }
 
     /** Returns the earliest of the latest arrivals of its attempts; a probe has no bound. */
     long latestArrivalMicros() {
-        return pendingAttempts.values().stream()
-                .mapToLong(PendingAttempt::latestArrivalMicros)
-                .min()
-                .orElse(Long.MAX_VALUE);
+        return pendingAttempts.latestArrivalMicros();
     }
 
     /** Returns the latest deadline of its messages, or the end of a probe's timeout. */
     long latestDeadlineMicros() {
-        return latestDeadlineMicros;
+        return pendingAttempts.latestDeadlineMicros();
     }
 
     /** Returns the total size of the messages' bodies. */
     int sizeBytes() {
-        return sizeBytes;
+        return pendingAttempts.sizeBytes();
     }
 
     /** Returns until when its response is awaited. */
     long latestTimeoutMicros() {
-        return pendingAttempts.values().stream()
-                .mapToLong(PendingAttempt::timeoutAtMicros)
-                .max()
-                .orElse(deadlineMicros);
+        return pendingAttempts.latestTimeoutMicros();
     }
 
     /** Returns whether a rejection has to be proven, because another attempt does harm if this one was executed. */
     boolean mustProveRejection() {
-        return !mayRepeat && !isCompleted();
+        return !pendingAttempts.mayRepeat() && !isCompleted();
     }
 
     /** Returns whether every attempt of this call, or its probe, has an outcome. */
@@ -197,19 +151,16 @@
         if (isProbe()) {
             return RequestFactory.createProbe(owner.authority(), probePath);
         }
-        sentIds = pendingAttempts.keySet().stream()
-                .map(attempt -> attempt.message().content().messageId())
-                .collect(Collectors.toUnmodifiableSet());
-        FullHttpRequest request = isBatch
-                ? RequestFactory.createBatch(owner.authority(), pendingAttempts.keySet())
-                : createSingleRequest();
+        sentIds = pendingAttempts.messageIds();
+        FullHttpRequest request =
+                isBatch ? RequestFactory.createBatch(owner.authority(), pendingAttempts.list()) : createSingleRequest();
         long leftMillis = Math.max(0, latestTimeoutMicros() - owner.nowMicros()) / MICROS_PER_MILLI;
         request.headers().set(HostProtocol.TIMEOUT_MILLIS_HEADER, leftMillis);
         return request;
     }
 
     private FullHttpRequest createSingleRequest() {
-        Message.Attempt attempt = pendingAttempts.keySet().iterator().next();
+        Message.Attempt attempt = pendingAttempts.list().get(0);
         return RequestFactory.createSingle(owner.authority(), attempt.message().content());
     }
 
@@ -241,7 +192,7 @@
                 Message.Attempt delivered = lateAttempt;
                 lateAttempt = null;
                 attemptsEndedByStatus = List.of(delivered);
-                owner.onLateDelivery(delivered);
+                owner.onLateDelivery(delivered, true);
             }
         }
     }
@@ -321,12 +272,12 @@
             onStatusLine(response.status());
         } else if (isProbe()) {
             onProbeResponse();
-        } else if (isBatch && isPastDeadline()) {
-            end(AttemptOutcome.TIMEOUT);
         } else if (isBatch && response.isOk()) {
             endEachByReportedState(true);
             // Messages that the response does not mention may have been executed.
             end(AttemptOutcome.ERROR);
+        } else if (isBatch && isPastEarliestDeadline()) {
+            end(AttemptOutcome.TIMEOUT);
         } else {
             OutcomeTable.Outcome outcome = outcomeOfStatus();
             endAllByStatus(outcome.attemptOutcome(), outcome.isMessageCompleted());
@@ -336,10 +287,10 @@
     private void endAllByStatus(AttemptOutcome outcome, boolean isMessageCompleted) {
         boolean isCertain = outcome == AttemptOutcome.OK || outcome.isProvenNotExecuted();
         if (!pendingAttempts.isEmpty() && isCertain) {
-            attemptsEndedByStatus = List.copyOf(pendingAttempts.keySet());
+            attemptsEndedByStatus = pendingAttempts.list();
         }
         if (outcome.isProvenNotExecuted()) {
-            rejectedAttempts.addAll(pendingAttempts.keySet());
+            rejectedAttempts.addAll(pendingAttempts.list());
         }
         endAll(outcome, isMessageCompleted);
     }
@@ -352,7 +303,7 @@
         Log.line("upstream: surplus bytes route=" + owner.route() + " status=" + response.status() + " attempts="
                 + pendingAttempts.size());
         response.discardReport();
-        if (isBatch && response.isOk() && !isPastDeadline()) {
+        if (isBatch && response.isOk()) {
             endEachByReportedState(false);
         }
         onStatusLine(response.status());
@@ -381,30 +332,52 @@
     }
 
     /**
-     * Returns whether the deadline of the call has passed. Its timers may not have run yet, because the event loop
-     * reads sockets before it runs the timers that are due in the same iteration.
+     * Returns whether the deadline of any message has passed. Its timer may not have run yet, because the event loop
+     * reads sockets before it runs the timers that are due in the same iteration. A host may drop a whole batch at that
+     * time and report its messages as delivered all the same, so a later report ends them but proves no delivery.
      */
-    private boolean isPastDeadline() {
-        return owner.nowMicros() >= deadlineMicros;
+    private boolean isPastEarliestDeadline() {
+        return owner.nowMicros() >= pendingAttempts.earliestDeadlineMicros();
     }
 
     /** Ends each attempt by its state; a state proves no rejection if the response is not known to be whole. */
     private void endEachByReportedState(boolean isWhole) {
-        for (Message.Attempt attempt : new ArrayList<>(pendingAttempts.keySet())) {
-            String messageId = attempt.message().content().messageId();
-            String state = response.state(messageId);
-            OutcomeTable.Outcome outcome = OutcomeTable.ofMessageState(state);
-            boolean mayProve = isWhole && (mayRepeat || !connection.hasRejected(messageId));
-            if (outcome.isProvenNotExecuted() && !mayProve) {
-                endAttempt(attempt, AttemptOutcome.ERROR, false);
-                continue;
+        boolean isLate = isPastEarliestDeadline();
+        for (Message.Attempt attempt : pendingAttempts.list()) {
+            OutcomeTable.Outcome outcome = reportedOutcome(attempt);
+            if (outcome.attemptOutcome() == AttemptOutcome.OK) {
+                endAttempt(attempt, AttemptOutcome.OK, !isLate);
+            } else if (isLate && !outcome.isMessageCompleted()) {
+                endAttempt(attempt, AttemptOutcome.TIMEOUT, false);
+            } else {
+                endByReportedState(attempt, outcome, isWhole);
             }
-            if (outcome.isProvenNotExecuted()) {
-                connection.onRejected(messageId);
-                rejectedAttempts.add(attempt);
+        }
+        for (Message.Attempt attempt : abandonedAttempts) {
+            if (reportedOutcome(attempt).attemptOutcome() == AttemptOutcome.OK) {
+                owner.onLateDelivery(attempt, !isLate);
             }
-            endAttempt(attempt, outcome.attemptOutcome(), outcome.isMessageCompleted());
         }
+        abandonedAttempts.clear();
+    }
+
+    private OutcomeTable.Outcome reportedOutcome(Message.Attempt attempt) {
+        return OutcomeTable.ofMessageState(
+                response.state(attempt.message().content().messageId()));
+    }
+
+    private void endByReportedState(Message.Attempt attempt, OutcomeTable.Outcome outcome, boolean isWhole) {
+        String messageId = attempt.message().content().messageId();
+        boolean mayProve = isWhole && (pendingAttempts.mayRepeat() || !connection.hasRejected(messageId));
+        if (outcome.isProvenNotExecuted() && !mayProve) {
+            endAttempt(attempt, AttemptOutcome.ERROR, false);
+            return;
+        }
+        if (outcome.isProvenNotExecuted()) {
+            connection.onRejected(messageId);
+            rejectedAttempts.add(attempt);
+        }
+        endAttempt(attempt, outcome.attemptOutcome(), outcome.isMessageCompleted());
     }
 
     /** Ends a call whose connection was lost before the response was complete. */
@@ -422,15 +395,13 @@
         if (isProbe()) {
             endProbe(outcome);
         }
-        for (Message.Attempt attempt : new ArrayList<>(pendingAttempts.keySet())) {
+        for (Message.Attempt attempt : pendingAttempts.list()) {
             endAttempt(attempt, outcome, isMessageCompleted);
         }
     }
 
     private void endAttempt(Message.Attempt attempt, AttemptOutcome outcome, boolean isMessageCompleted) {
-        PendingAttempt pending = pendingAttempts.remove(attempt);
-        if (pending != null) {
-            pending.timeout().cancel(false);
+        if (pendingAttempts.remove(attempt)) {
             owner.onAttemptCompleted(
                     attempt, outcome, isMessageCompleted, response.retryAfterMicros(), response.report());
         }
@@ -451,15 +422,23 @@
      */
     void abandon(Message.Attempt attempt, AttemptOutcome outcome) {
         readPending();
-        if (!pendingAttempts.containsKey(attempt)) {
+        if (!pendingAttempts.contains(attempt)) {
             return;
         }
         if (pendingAttempts.size() == 1) {
             abandonCall(outcome);
         } else {
-            // Once the call has a connection, the message is sent with the rest of the batch and may be executed.
-            endAttempt(attempt, connection == null ? AttemptOutcome.CONNECT_FAILED : outcome, false);
+            endAttempt(attempt, outcomeOfAbandoned(attempt, outcome), false);
+        }
+    }
+
+    private AttemptOutcome outcomeOfAbandoned(Message.Attempt attempt, AttemptOutcome outcome) {
+        if (connection == null) {
+            return AttemptOutcome.CONNECT_FAILED;
         }
+        // The message is sent with the rest of the batch and may be executed.
+        abandonedAttempts.add(attempt);
+        return outcome;
     }
 
     /** Reads and applies a response that the kernel received while the event loop was busy, or that is held. */
@@ -480,8 +459,7 @@
                 && pendingAttempts.size() == 1
                 && !isBatch
                 && owner.canAwaitLateResponse();
-        Message.Attempt timedOut =
-                awaitsLateResponse ? pendingAttempts.keySet().iterator().next() : null;
+        Message.Attempt timedOut = awaitsLateResponse ? pendingAttempts.list().get(0) : null;
         end(isSent ? outcome : AttemptOutcome.CONNECT_FAILED);
         owner.closeIdle();
         if (awaitsLateResponse) {
--- a/src/main/java/loftflow/upstream/http/UpstreamCallOwner.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCallOwner.java
@@ -48,8 +48,12 @@
     /** Reports that a later response contradicts the one that ended an attempt. */
     void onOutcomeDisproved(Message.Attempt attempt);
 
-    /** Reports that a late response proved the delivery of an attempt that had timed out. */
-    void onLateDelivery(Message.Attempt attempt);
+    /**
+     * Reports that a response named an attempt as delivered that had timed out or was cancelled before.
+     *
+     * @param isCounted false if the host may not count the delivery
+     */
+    void onLateDelivery(Message.Attempt attempt, boolean isCounted);
 
     /** Returns whether a connection may stay open to await the late response of a call. */
     boolean canAwaitLateResponse();
--- /dev/null
+++ b/src/test/java/loftflow/server/EndedMessageTest.java
@@ -0,0 +1,112 @@
+package loftflow.server;
+
+import static loftflow.fake.ScriptedPeer.answer;
+import static loftflow.fake.ScriptedPeer.status;
+import static loftflow.server.RelayProcess.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import loftflow.fake.ScriptedPeer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tests that a message is not sent any more once the relay has ended it or has received the report of its end. */
+@Timeout(60)
+class EndedMessageTest extends RelayTestBase {
+    private static final Pattern MESSAGE_ID = Pattern.compile("\"id\":\"([^\"]+)\"");
+    private static final int SHORT_BUDGET_MILLIS = 4_000;
+    /** The back-off that makes the messages wait for each other, so that they share a call. */
+    private static final String REJECTED = status(503, "X-Come-Back-Ms: 500");
+    /** Longer than the relay waits before it sends a message again. */
+    private static final long RETRY_MILLIS = 3_000;
+
+    @BeforeEach
+    void prepare() throws IOException {
+        prepare(RelayProcess.discoveryWithoutList(), ScriptedPeer.always(status(200)));
+        relay.withKnownEndpoint("m1", 8, "many", host);
+    }
+
+    private static List<String> idsIn(ScriptedPeer.Request call) {
+        return MESSAGE_ID
+                .matcher(call.body())
+                .results()
+                .map(MatchResult::group)
+                .map(field -> field.substring(6, field.length() - 1))
+                .toList();
+    }
+
+    private static String allDelivered(ScriptedPeer.Request call) {
+        return answer(
+                200,
+                idsIn(call).stream()
+                        .map(id -> "{\"id\":\"" + id + "\",\"state\":\"done\"}")
+                        .collect(Collectors.joining(",", "[", "]")));
+    }
+
+    /** Submits a message with little time and two with much, which the host receives in one call. */
+    private void submitToOneCall() throws IOException {
+        relay.start().submitUntilAccepted("short", "keyed", 8, SHORT_BUDGET_MILLIS, "x");
+        await(() -> host.requests.size() == 1);
+        relay.submitUntilAccepted("long1", "keyed", 8);
+        relay.submitUntilAccepted("long2", "safe", 8);
+    }
+
+    /** The messages with time left were sent again, as the deadline of the other one had passed when the relay read. */
+    @Test
+    void batchThatIsDeliveredWhileTheRelayIsSuspendedPastOneDeadlineIsNotSentAgain() throws Exception {
+        host.answer(request -> {
+            if (host.requests.size() == 1) {
+                return REJECTED;
+            }
+            if (!request.line().contains("many")) {
+                return status(200);
+            }
+            try {
+                relay.pause();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return allDelivered(request);
+        });
+        submitToOneCall();
+        await(() -> host.requests.size() == 2);
+        assertEquals(List.of("short", "long1", "long2"), idsIn(host.requests.get(1)));
+        TimeUnit.MILLISECONDS.sleep(SHORT_BUDGET_MILLIS);
+        relay.resume();
+        await(() -> relay.openJournalMessages().isEmpty());
+        TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+        assertEquals(2, host.requests.size(), () -> "calls " + host.requests);
+        for (String id : List.of("short", "long1", "long2")) {
+            assertTrue(relay.hasNotified(id, "dead"), id);
+        }
+    }
+
+    /** The messages with time left were given up and sent again when the deadline of the other one came. */
+    @Test
+    void batchThatIsDeliveredAfterTheDeadlineOfOneMessageIsNotSentAgain() throws Exception {
+        host.answer(request -> {
+            if (host.requests.size() == 1) {
+                return REJECTED;
+            }
+            if (request.line().contains("many")) {
+                await(() -> relay.hasNotified("short", "dead"));
+                return allDelivered(request);
+            }
+            return status(200);
+        });
+        submitToOneCall();
+        await(() -> host.requests.size() == 2);
+        assertEquals(List.of("short", "long1", "long2"), idsIn(host.requests.get(1)));
+        await(() -> relay.hasNotified("long1", "dead") && relay.hasNotified("long2", "dead"));
+        TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+        assertEquals(2, host.requests.size(), () -> "calls " + host.requests);
+    }
+}
