A message whose delivery is disproved is reported as failed and not sent again

The next response on the connection, or the rest of their own, was spoilt and the host's responses are equal.

Cause: a closed message was opened again and went on like one that a restart had resumed. The evidence against its delivery is strong enough to owe its client a notice, but not to take back an end: a spoilt response is no copy, and nothing on a connection of equal responses tells the two apart.

Change: such a message is recorded again with its attempts and ended as failed at once; no policy event brings it back. The attempt that had closed it keeps its outcome in that record, for a process that reads it before the completion is recorded.

Why this works: it is neither lost (a notice goes out, which does no harm if it was delivered) nor sent after its end. Its price: a message that a copy had ended is no longer retried within its time.

--- a/src/main/java/loftflow/engine/AttemptDispatcher.java
+++ b/src/main/java/loftflow/engine/AttemptDispatcher.java
@@ -166,18 +166,18 @@
 
     /**
      * Implements {@link UpstreamClient.ResultListener#onOutcomeDisproved}. An open message continues with an attempt
-     * that may have been executed; a message that the attempt had closed without a notice is opened again.
+     * that may have been executed; a message that the attempt had closed without a notice is reported as failed.
      */
     void onOutcomeDisproved(Message.Attempt attempt) {
         Message message = attempt.message();
         context.log("engine: outcome disproved message=" + message.content().messageId() + " attempt="
                 + attempt.number() + " route=" + attempt.route() + " outcome=" + attempt.outcome());
-        attempt.outcome(AttemptOutcome.ERROR);
         if (messages.contains(message) && message.isOpen()) {
+            attempt.outcome(AttemptOutcome.ERROR);
             context.journal().recordOutcome(attempt);
             events.add(new AttemptOutcomeDisproved(message.number(), attempt.number()));
         } else if (message.isDone() && message.completion() == null && message.closingAttempt() == attempt) {
-            admission.reopen(message);
+            admission.reportAsFailed(attempt);
         }
     }
 
--- a/src/main/java/loftflow/engine/MessageAdmission.java
+++ b/src/main/java/loftflow/engine/MessageAdmission.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.MessageResumed;
 import loftflow.policy.api.MessageWithdrawn;
 import loftflow.policy.api.PastAttempt;
@@ -122,24 +123,23 @@
     }
 
     /**
-     * Opens a closed message again, because its delivery is no longer proven. It continues like a message that was
-     * resumed after a restart, except in an ordered class, where later messages may have been sent meanwhile: there it
-     * fails.
+     * Reports a closed message as failed, because its delivery is no longer proven. It is not sent again: an end that
+     * was learned stays, and the evidence against it may be wrong.
+     *
+     * @param closingAttempt the attempt that had closed the message
      */
-    void reopen(Message closed) {
-        List<PastAttempt> pastAttempts = closed.attempts().stream()
-                .map(attempt -> new PastAttempt(attempt.route(), attempt.sentAtMicros(), attempt.outcome()))
-                .toList();
+    void reportAsFailed(Message.Attempt closingAttempt) {
+        Message closed = closingAttempt.message();
         Message message = new Message(nextSequenceNumber, closed.content());
-        addAttempts(message, pastAttempts);
+        for (Message.Attempt attempt : closed.attempts()) {
+            Message.Attempt copy = message.addAttempt(attempt.route(), attempt.sentAtMicros());
+            // A process that resumes the message before its completion is recorded must not send it either.
+            copy.outcome(attempt == closingAttempt ? AttemptOutcome.OK : attempt.outcome());
+        }
         // It is owed even if it can't be recorded now.
         context.journal().recordReopened(message);
         register(message);
-        if (requestClasses.isOrdered(message)) {
-            lifecycle.fail(message.number());
-        } else {
-            events.add(new MessageResumed(message.toAcceptedEvent(), pastAttempts));
-        }
+        lifecycle.fail(message.number());
     }
 
     /** Implements {@link MessageAcceptor#withdraw}. */
