A message that ends while its call waits for a connection is not sent

What callers would see: a message is delivered, withdrawn or given up while another attempt of it waits for a connection to a host that takes up to a second and a half for that, and then goes out after its end.

Cause: an ended message was looked for when a round handed its attempts over, and there by "done" alone, so one whose completion was decided but not acknowledged passed.

Tests, on the code before: both cases of RaceConditionsTest.messageThatEndsWhileItsCallWaitsForAConnectionIsNotSent ("expected: NOT_SENT but was: OK", "ERROR") and BrokerClientTest.messageThatEndsWhileItsPublishWaitsForTheConnectionIsNotSent fail; now green.

--- a/src/main/java/loftflow/engine/AttemptDispatcher.java
+++ b/src/main/java/loftflow/engine/AttemptDispatcher.java
@@ -91,11 +91,11 @@
     private void sendBatch(String route, List<UpstreamClient.OutboundAttempt> batch) {
         List<UpstreamClient.OutboundAttempt> sendable = new ArrayList<>(batch.size());
         for (UpstreamClient.OutboundAttempt outbound : batch) {
-            // The message is already done if its client disconnected before the 202 response was written.
-            if (outbound.attempt().message().isDone()) {
-                completeAsNotSent(outbound.attempt());
-            } else {
+            // A message has ended if its client disconnected before the 202 response was written.
+            if (outbound.attempt().message().isOpen()) {
                 sendable.add(outbound);
+            } else {
+                completeAsNotSent(outbound.attempt());
             }
         }
         if (!sendable.isEmpty()) {
--- a/src/main/java/loftflow/engine/Message.java
+++ b/src/main/java/loftflow/engine/Message.java
@@ -240,8 +240,11 @@
         completion = decidedCompletion;
     }
 
-    /** Returns whether the relay still has to deliver it: its completion is not decided, and it is not done. */
-    boolean isOpen() {
+    /**
+     * Returns whether the relay still has to deliver it: its completion is not decided, and it is not done. No attempt
+     * of a message that is not open may be sent any more.
+     */
+    public boolean isOpen() {
         return completion == null && !isDone;
     }
 
--- a/src/main/java/loftflow/engine/UnrecordedAttempts.java
+++ b/src/main/java/loftflow/engine/UnrecordedAttempts.java
@@ -70,7 +70,8 @@
         UpstreamClient.OutboundAttempt outbound = next.outbound();
         long deadlineMicros = outbound.attempt().message().content().deadlineMicros();
         long untilMicros = Math.min(next.untilMicros(), Math.min(deadlineMicros, outbound.latestArrivalMicros()));
-        if (context.isQuiescing() || outbound.attempt().message().isDone() || context.nowMicros() >= untilMicros) {
+        boolean isOpen = outbound.attempt().message().isOpen();
+        if (context.isQuiescing() || !isOpen || context.nowMicros() >= untilMicros) {
             onGivenUp.accept(outbound.attempt());
         } else if (context.journal().recordAttempt(outbound.attempt())) {
             onRecorded.accept(outbound);
--- a/src/main/java/loftflow/upstream/amqp/BrokerConnection.java
+++ b/src/main/java/loftflow/upstream/amqp/BrokerConnection.java
@@ -266,7 +266,9 @@
             Message.Attempt attempt = unpublished.keySet().iterator().next();
             PendingAttempt pending = unpublished.remove(attempt);
             // After its latest arrival the destination may have forgotten the idempotency key.
-            if (owner.nowMicros() >= pending.outbound().latestArrivalMicros()) {
+            boolean isPastLatestArrival =
+                    owner.nowMicros() >= pending.outbound().latestArrivalMicros();
+            if (isPastLatestArrival || !attempt.message().isOpen()) {
                 end(attempt, pending, AttemptOutcome.NOT_SENT, 0);
                 continue;
             }
--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -352,8 +352,12 @@
         }
     }
 
-    /** Sends a call on a connection, unless a back-off or the latest arrival of its attempts now forbids it. */
+    /**
+     * Sends a call on a connection, without the attempts that the end of their message or their latest arrival now
+     * forbids, and not at all within a back-off.
+     */
     private void begin(UpstreamConnection connection, UpstreamCall call) {
+        call.endAttemptsOfEndedMessages();
         // The destination may have requested a back-off while the call waited for its connection.
         if (retryAfter.isInForce(nowMicros())) {
             call.end(AttemptOutcome.NOT_SENT);
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -102,6 +102,13 @@
                 .forEach(attempt -> endAttempt(attempt, AttemptOutcome.NOT_SENT, false));
     }
 
+    /** Ends the attempts whose messages have ended while the call waited for its connection as not sent. */
+    void endAttemptsOfEndedMessages() {
+        pendingAttempts.list().stream()
+                .filter(attempt -> !attempt.message().isOpen())
+                .forEach(attempt -> endAttempt(attempt, AttemptOutcome.NOT_SENT, false));
+    }
+
     /** Returns the earliest of the latest arrivals of its attempts; a probe has no bound. */
     long latestArrivalMicros() {
         return pendingAttempts.latestArrivalMicros();
--- a/src/test/java/loftflow/upstream/amqp/BrokerClientTest.java
+++ b/src/test/java/loftflow/upstream/amqp/BrokerClientTest.java
@@ -150,6 +150,30 @@
                 broker.postings().stream().map(FakeBroker.Posting::id).toList());
     }
 
+    /** A message that ended while its publish waited for the connection was published all the same. */
+    @Test
+    void messageThatEndsWhileItsPublishWaitsForTheConnectionIsNotSent() throws Exception {
+        loop.submit(() -> {
+                    long now = Clock.system().micros();
+                    Message message = new Message(
+                            1,
+                            new Message.Content(
+                                    "ended", "unsafe", null, null, now + 30 * SECOND_MICROS, 7, new byte[1]));
+                    client.send(
+                            ROUTE,
+                            List.of(new UpstreamClient.OutboundAttempt(
+                                    message.addAttempt(ROUTE, now), 9 * SECOND_MICROS, Long.MAX_VALUE)));
+                    message.complete(new Message.Completion(Message.Completion.Kind.FAILED, 0));
+                })
+                .sync();
+        send("next");
+        assertEquals(AttemptOutcome.OK, outcomeOf("next"));
+        assertEquals(new Completion(AttemptOutcome.NOT_SENT, false, 0), completionOf("ended"));
+        assertEquals(
+                List.of("next"),
+                broker.postings().stream().map(FakeBroker.Posting::id).toList());
+    }
+
     private void send(long timeoutMicros, int bodyBytes, String... ids) {
         sendWithLatestArrival(Long.MAX_VALUE, timeoutMicros, bodyBytes, ids);
     }
--- a/src/test/java/loftflow/upstream/http/RaceConditionsTest.java
+++ b/src/test/java/loftflow/upstream/http/RaceConditionsTest.java
@@ -132,6 +132,23 @@
         assertEquals(expected, outcomes.get(id));
     }
 
+    /** A message that ended while its call waited for a connection was sent all the same. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void messageThatEndsWhileItsCallWaitsForAConnectionIsNotSent(int messagesOfTheCall) {
+        onLoop(() -> {
+            List<UpstreamClient.OutboundAttempt> attempts =
+                    createAttempts(messagesOfTheCall, 30 * SECOND_MICROS, Long.MAX_VALUE, 5);
+            client.send("r", attempts);
+            attempts.get(0).attempt().message().complete(new Message.Completion(Message.Completion.Kind.FAILED, 0));
+        });
+        await(() -> outcomes.size() == messagesOfTheCall);
+        assertEquals(AttemptOutcome.NOT_SENT, outcomes.get("m0"));
+        sendAndAwait("m" + messagesOfTheCall, AttemptOutcome.OK);
+        assertTrue(host.requests.stream().noneMatch(call -> call.body().contains("\"m0\"")));
+        assertTrue(host.requests.stream().noneMatch(call -> "m0".equals(call.id())));
+    }
+
     /**
      * One message of a batch is abandoned while the call is partly written. It is still sent with the other message and
      * executed, so its outcome must not exclude execution.
