AcceptanceResponseTest takes bytes for read only once they are acknowledged

Trace (the relay's socket and channel while the test waited): the test saw no unread bytes and an idle listener, wrote the next 400 requests, and the relay, whose client reads nothing, rightly stopped reading with two writes' responses pending (91 to 97 KB, over the 64 KiB at which it stops) and 2,464 bytes unread. The test waited for these until the relay closed the connection after 10 s. Bytes that arrive while the relay is in a call on its socket wait in the kernel's backlog: they are neither unread nor acknowledged.

Change: the test also waits until the client's kernel has its acknowledgement. Nothing of what it asserts changes.

--- a/src/test/java/loftflow/server/AcceptanceResponseTest.java
+++ b/src/test/java/loftflow/server/AcceptanceResponseTest.java
@@ -307,9 +307,11 @@
     private Socket sendBehindUnreadResponses() throws Exception {
         Socket client = connectAndUse();
         KernelSocketState relaySocket = KernelSocketState.ofPeer(client);
+        KernelSocketState clientSocket = KernelSocketState.of(client);
         while (loop.submit(listener::isIdle).get()) {
             write(client, READY_REQUEST.repeat(READY_REQUESTS_PER_WRITE));
-            while (relaySocket.hasUnread()) {
+            // Bytes that arrive while the relay uses its socket are unread only once they are acknowledged.
+            while (clientSocket.hasUnacknowledged() || relaySocket.hasUnread()) {
                 Thread.onSpinWait();
             }
         }
--- a/src/test/java/loftflow/server/KernelSocketState.java
+++ b/src/test/java/loftflow/server/KernelSocketState.java
@@ -31,6 +31,16 @@
         return new KernelSocketState(socket.getPort(), socket.getLocalPort());
     }
 
+    /** Returns the state of a socket itself. */
+    public static KernelSocketState of(Socket socket) {
+        return new KernelSocketState(socket.getLocalPort(), socket.getPort());
+    }
+
+    /** Returns true if the peer's kernel has not acknowledged all bytes that were written. */
+    public boolean hasUnacknowledged() {
+        return row().map(row -> Long.parseLong(row[4].split(":")[0], 16)).orElse(0L) > 0;
+    }
+
     /** Waits until at least one byte has arrived and is unread. */
     public void awaitUnread() {
         awaitUnread(1);
