A message whose delivery is recorded but not its end is not sent after a kill

What callers would see: a message that was delivered late is called again after a restart.

Cause: a late delivery, and one behind the deadline of its batch, are recorded as the outcome of their attempt and then as the end of their message, in two records. A kill between them leaves an open message with a delivered attempt, which JournalRecovery handed to the policy like any other.

Change: an open message with a delivered attempt ends as failed at the start, by a notice, which does no harm if it was delivered. Redriven dead letters had this already.

--- a/src/main/java/loftflow/engine/JournalRecovery.java
+++ b/src/main/java/loftflow/engine/JournalRecovery.java
@@ -62,6 +62,9 @@
         } else if (!requestClasses.contains(message)) {
             reopen(message);
             endMessageOfUnknownClass(message);
+        } else if (message.isDelivered()) {
+            reopen(message);
+            endDelivered(message);
         } else {
             reopen(message);
             events.add(new MessageResumed(message.toAcceptedEvent(), pastAttempts(message)));
@@ -75,6 +78,19 @@
         lifecycle.notifyCompletion(message);
     }
 
+    /**
+     * Ends a message whose delivery is recorded but not its end. It must not be sent again; whether a notice is owed is
+     * not known, and one for a delivered message does no harm.
+     */
+    private void endDelivered(Message message) {
+        context.log("engine: resumed message was delivered message="
+                + message.content().messageId());
+        if (requestClasses.isOrdered(message)) {
+            events.add(new CompletionPending(message.toAcceptedEvent()));
+        }
+        lifecycle.fail(message.number());
+    }
+
     private void reopen(Message message) {
         messages.incrementOpenCount();
         lifecycle.startOverdueTimer(message);
--- a/src/test/java/loftflow/server/EndedMessageTest.java
+++ b/src/test/java/loftflow/server/EndedMessageTest.java
@@ -13,15 +13,23 @@
 import java.util.regex.MatchResult;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import loftflow.engine.Clock;
+import loftflow.engine.Message;
 import loftflow.fake.ScriptedPeer;
+import loftflow.journal.Journal;
+import loftflow.policy.api.AttemptOutcome;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that a message is not sent any more once the relay has ended it or has received the report of its end. */
 @Timeout(60)
 class EndedMessageTest extends RelayTestBase {
     private static final Pattern MESSAGE_ID = Pattern.compile("\"id\":\"([^\"]+)\"");
+    private static final long BUDGET_MICROS = 20_000_000;
+    private static final long DISK_BYTES = 3 << 20;
     private static final int SHORT_BUDGET_MILLIS = 4_000;
     /** The back-off that makes the messages wait for each other, so that they share a call. */
     private static final String REJECTED = status(503, "X-Come-Back-Ms: 500");
@@ -51,6 +59,29 @@
                         .collect(Collectors.joining(",", "[", "]")));
     }
 
+    /** The message was sent again, as a kill came between the record of its delivery and that of its end. */
+    @ParameterizedTest
+    @ValueSource(strings = {"safe", "keyed", "ordered"})
+    void deliveryThatIsRecordedWithoutTheEndIsNotSentAgainAfterAKill(String requestClass) throws Exception {
+        long nowMicros = Clock.system().micros();
+        try (Journal journal = new Journal(relay.stateDirectory(), DISK_BYTES)) {
+            Message message = new Message(
+                    1,
+                    new Message.Content(
+                            "d1", requestClass, "acme", "key-d1", nowMicros + BUDGET_MICROS, 7, new byte[1]));
+            assertTrue(journal.recordAccepted(message));
+            Message.Attempt attempt = message.addAttempt("h1", nowMicros);
+            assertTrue(journal.recordAttempt(attempt));
+            attempt.outcome(AttemptOutcome.OK);
+            journal.recordOutcome(attempt);
+        }
+        relay.start();
+        await(() ->
+                relay.hasNotified("d1", "dead") && relay.openJournalMessages().isEmpty());
+        TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+        assertEquals(List.of(), host.requests);
+    }
+
     /** Submits a message with little time and two with much, which the host receives in one call. */
     private void submitToOneCall() throws IOException {
         relay.start().submitUntilAccepted("short", "keyed", 8, SHORT_BUDGET_MILLIS, "x");
