A message that is nearly out of time shares no call

Waiting messages fill a call in the order in which they wait, behind a restart the oldest first, so nearly each such call had one that was about to expire.

Cause: CallSender.fillBatch asked whether a message may be sent to the route, not whether its answer can come in its time, and the client merged the calls of one round to a route into as few as fit, whatever the policy had put together.

--- a/src/main/java/loftflow/engine/AttemptDispatcher.java
+++ b/src/main/java/loftflow/engine/AttemptDispatcher.java
@@ -53,8 +53,9 @@
      * @param timeoutMicros the attempt's time-out, in microseconds; 0 if only the message's deadline bounds the attempt
      * @param sendWithinMicros if the attempt is not sent within this many microseconds, it ends as not sent; 0 for no
      *     bound
+     * @param mayShareCall whether other attempts of the round may travel in the same call
      */
-    void start(long number, String route, long timeoutMicros, long sendWithinMicros) {
+    void start(long number, String route, long timeoutMicros, long sendWithinMicros, boolean mayShareCall) {
         Message message = messages.find(number);
         if (message == null || message.completion() != null) {
             return;
@@ -72,7 +73,8 @@
                 attempt,
                 timeoutMicros > 0 ? Math.min(timeoutMicros, remainingMicros) : remainingMicros,
                 sendWithinMicros > 0 ? nowMicros + sendWithinMicros : Long.MAX_VALUE,
-                requestClasses.mayRepeatAtAnyTime(message));
+                requestClasses.mayRepeatAtAnyTime(message),
+                mayShareCall);
         // An attempt missing from the journal would be unknown after a restart.
         if (context.journal().recordAttempt(attempt) || outbound.mayRepeat()) {
             pendingByRoute.computeIfAbsent(route, newRoute -> new ArrayList<>()).add(outbound);
--- a/src/main/java/loftflow/engine/PolicyActionExecutor.java
+++ b/src/main/java/loftflow/engine/PolicyActionExecutor.java
@@ -25,8 +25,9 @@
     }
 
     @Override
-    public void send(long messageNumber, String route, long timeoutMicros, long sendWithinMicros) {
-        dispatcher.start(messageNumber, route, timeoutMicros, sendWithinMicros);
+    public void send(
+            long messageNumber, String route, long timeoutMicros, long sendWithinMicros, boolean mayShareCall) {
+        dispatcher.start(messageNumber, route, timeoutMicros, sendWithinMicros, mayShareCall);
     }
 
     @Override
--- a/src/main/java/loftflow/engine/UpstreamClient.java
+++ b/src/main/java/loftflow/engine/UpstreamClient.java
@@ -69,18 +69,24 @@
      *     attempt that can't arrive by then, because it waits for a connection or is the first on a new one, ends as
      *     not sent; {@link Long#MAX_VALUE} for no bound
      * @param mayRepeat whether another attempt is harmless even if this one was executed
+     * @param mayShareCall whether other attempts may travel in the same call
      */
-    record OutboundAttempt(Message.Attempt attempt, long timeoutMicros, long latestArrivalMicros, boolean mayRepeat) {
-        /** Creates an attempt that must not be repeated once it may have been executed. */
+    record OutboundAttempt(
+            Message.Attempt attempt,
+            long timeoutMicros,
+            long latestArrivalMicros,
+            boolean mayRepeat,
+            boolean mayShareCall) {
+        /** Creates an attempt that must not be repeated once it may have been executed, and that may share a call. */
         public OutboundAttempt(Message.Attempt attempt, long timeoutMicros, long latestArrivalMicros) {
-            this(attempt, timeoutMicros, latestArrivalMicros, false);
+            this(attempt, timeoutMicros, latestArrivalMicros, false, true);
         }
     }
 
     /** Called when an endpoint list was received; from then on, draining and removed endpoints get no new attempts. */
     void onEndpointList(EndpointListKind kind, List<Endpoint> endpoints);
 
-    /** Sends the attempts of one round to one route, in as few calls as the protocol allows. */
+    /** Sends the attempts of one round to one route, in as few calls as the protocol and the attempts allow. */
     void send(String route, List<OutboundAttempt> attempts);
 
     /** Cancels an attempt; has no effect if it has ended. */
--- a/src/main/java/loftflow/experiment/emulator/EmulatedRelay.java
+++ b/src/main/java/loftflow/experiment/emulator/EmulatedRelay.java
@@ -142,8 +142,14 @@
                 Runnable onTimeout = () -> completeAttempt(attempt, AttemptOutcome.TIMEOUT, 0, LimitReport.NONE);
                 attemptTimers.put(attempt, schedule(outbound.timeoutMicros(), onTimeout));
             }
-            environment.sendCalls(
-                    this, route, outgoing.stream().map(OutboundAttempt::attempt).toList());
+            List<Message.Attempt> sharing = outgoing.stream()
+                    .filter(OutboundAttempt::mayShareCall)
+                    .map(OutboundAttempt::attempt)
+                    .toList();
+            environment.sendCalls(this, route, sharing);
+            outgoing.stream()
+                    .filter(outbound -> !outbound.mayShareCall())
+                    .forEach(outbound -> environment.sendCalls(this, route, List.of(outbound.attempt())));
         }
 
         /** Reports the outcome of an attempt to the engine; without effect if it has ended already. */
--- a/src/main/java/loftflow/policy/CallSender.java
+++ b/src/main/java/loftflow/policy/CallSender.java
@@ -35,15 +35,19 @@
         this.concurrency = concurrency;
     }
 
-    /** Sends a message and returns the call that carries it; a probe carries no further messages. */
+    /**
+     * Sends a message and returns the call that carries it. A probe carries no further messages, nor does the call of a
+     * message that may not share one.
+     */
     Call send(PendingMessage message, Route route, boolean isProbe) {
         Call call = new Call(route, context.now(), isProbe);
         concurrency.onSent(call);
         route.group.sentCalls.increment(context.now());
         permits.onSent(route.group);
         rateLimiter.onSent(route.group);
-        addAttempt(message, call);
-        if (!isProbe && route.maxBatchSize > 1) {
+        boolean mayShare = !isProbe && timeouts.mayShareCall(message, route);
+        addAttempt(message, call, mayShare);
+        if (mayShare && route.maxBatchSize > 1) {
             fillBatch(message.destination, call);
         }
         return call;
@@ -53,13 +57,14 @@
         for (PendingMessage message : List.copyOf(destination.waitingMessages)) {
             if (call.pendingOutcomes < call.route.maxBatchSize
                     && keyOrder.isNextInOrder(message)
+                    && timeouts.mayShareCall(message, call.route)
                     && retryPolicy.isAllowed(message, call.route)) {
-                addAttempt(message, call);
+                addAttempt(message, call, true);
             }
         }
     }
 
-    private void addAttempt(PendingMessage message, Call call) {
+    private void addAttempt(PendingMessage message, Call call, boolean mayShareCall) {
         // A repeat must not wait for a connection beyond its key window, as the destination would then execute it
         // again.
         long sendTimeoutMicros = retryPolicy.keyWindowLeftMicros(message);
@@ -68,6 +73,12 @@
         message.attemptsInFlight++;
         call.pendingOutcomes++;
         call.messages.add(message);
-        context.actions().send(message.id, call.route.name, timeouts.timeoutMicros(message, call), sendTimeoutMicros);
+        context.actions()
+                .send(
+                        message.id,
+                        call.route.name,
+                        timeouts.timeoutMicros(message, call),
+                        sendTimeoutMicros,
+                        mayShareCall);
     }
 }
--- a/src/main/java/loftflow/simulator/SimulatorCommandWriter.java
+++ b/src/main/java/loftflow/simulator/SimulatorCommandWriter.java
@@ -11,7 +11,7 @@
     private static final double MICROS_PER_SECOND = 1e6;
 
     @Override
-    public void send(long id, String route, long timeoutMicros, long leaveWithinMicros) {
+    public void send(long id, String route, long timeoutMicros, long leaveWithinMicros, boolean mayShareCall) {
         write(SimulatorProtocol.SEND, id, route, timeoutMicros / MICROS_PER_SECOND);
     }
 
--- a/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
+++ b/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
@@ -185,6 +185,10 @@
         List<OutboundAttempt> batch = new ArrayList<>();
         int batchBytes = 0;
         for (OutboundAttempt next : outgoing) {
+            if (!next.mayShareCall()) {
+                startCall(pool, List.of(next));
+                continue;
+            }
             int sizeBytes = BatchCodec.encodedSizeBytes(next.attempt().message());
             boolean isFull =
                     batch.size() >= pool.maxBatchSize() || batchBytes + sizeBytes > HostProtocol.MAX_BODY_BYTES;
@@ -196,7 +200,9 @@
             batch.add(next);
             batchBytes += sizeBytes;
         }
-        startCall(pool, batch);
+        if (!batch.isEmpty()) {
+            startCall(pool, batch);
+        }
     }
 
     private void startCall(HostConnectionPool pool, List<OutboundAttempt> batch) {
--- a/src/test/java/loftflow/policy/FleetRecoverySimulation.java
+++ b/src/test/java/loftflow/policy/FleetRecoverySimulation.java
@@ -228,7 +228,7 @@
         }
 
         @Override
-        public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros) {
+        public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros, boolean mayShareCall) {
             int attempt = attempts.get(relay).merge(id, 1, Integer::sum) - 1;
             AttemptOutcome result = handleCall();
             long elapsed = result == AttemptOutcome.OK ? RESPONSE_MICROS : REJECTION_MICROS;
--- a/src/test/java/loftflow/policy/PolicyHarness.java
+++ b/src/test/java/loftflow/policy/PolicyHarness.java
@@ -32,7 +32,14 @@
     static final long MILLISECOND = 1_000;
     static final long SECOND = 1_000_000;
 
-    record Sent(long atMicros, long id, int attempt, String route, long timeoutMicros, long sendTimeoutMicros) {}
+    record Sent(
+            long atMicros,
+            long id,
+            int attempt,
+            String route,
+            long timeoutMicros,
+            long sendTimeoutMicros,
+            boolean mayShareCall) {}
 
     final List<Sent> sent = new ArrayList<>();
     final List<Sent> unanswered = new ArrayList<>();
@@ -199,9 +206,9 @@
     }
 
     @Override
-    public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros) {
-        Sent attempt =
-                new Sent(now, id, attempts.merge(id, 1, Integer::sum) - 1, route, timeoutMicros, sendTimeoutMicros);
+    public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros, boolean mayShareCall) {
+        int attemptNumber = attempts.merge(id, 1, Integer::sum) - 1;
+        Sent attempt = new Sent(now, id, attemptNumber, route, timeoutMicros, sendTimeoutMicros, mayShareCall);
         sent.add(attempt);
         unanswered.add(attempt);
     }
--- a/src/test/java/loftflow/policy/RandomEventsTest.java
+++ b/src/test/java/loftflow/policy/RandomEventsTest.java
@@ -221,7 +221,7 @@
         }
 
         @Override
-        public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros) {
+        public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros, boolean mayShareCall) {
             TrackedMessage message = messages.get(id);
             EndpointEntry entry = entries.get(route);
             assertFalse(message.closed, "sent after its final answer");
--- a/src/test/java/loftflow/simulator/SimulatorHostTest.java
+++ b/src/test/java/loftflow/simulator/SimulatorHostTest.java
@@ -111,7 +111,7 @@
     void actionsAreWrittenInOrder() throws IOException {
         StringWriter out = new StringWriter();
         new SimulatorHost(settings -> (now, events, actions) -> {
-                    actions.send(8, "h", 80_000, 0);
+                    actions.send(8, "h", 80_000, 0, true);
                     actions.sendToPeer(-1, new byte[] {10});
                     actions.fail(8);
                 })
--- a/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
+++ b/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Stream;
+import loftflow.engine.Message;
 import loftflow.engine.UpstreamClient;
 import loftflow.fake.ScriptedPeer;
 import loftflow.policy.api.AttemptOutcome;
@@ -81,6 +82,32 @@
         assertEquals(DELIVERED_TOO_LATE, results.get("m1"));
     }
 
+    /** Attempts of a round that the policy had put into calls of their own were sent in one. */
+    @Test
+    void attemptThatMayNotShareACallTravelsAlone() {
+        host.answer(BatchResponseOrderTest::reportDelivered);
+        long deadlineMicros = clock.micros() + LONG_MICROS;
+        List<UpstreamClient.OutboundAttempt> attempts = Stream.generate(
+                        () -> createAttempt(LONG_MICROS, deadlineMicros))
+                .limit(3)
+                .toList();
+        Message.Attempt alone = attempts.get(1).attempt();
+        onLoop(() -> client.send(
+                "r",
+                List.of(
+                        attempts.get(0),
+                        new UpstreamClient.OutboundAttempt(alone, LONG_MICROS, Long.MAX_VALUE, false, false),
+                        attempts.get(2))));
+        await(() -> results.size() == 3);
+        assertEquals(2, host.requests.size());
+        assertTrue(host.requests.stream().anyMatch(call -> "m1".equals(call.id())));
+        assertTrue(host.requests.stream().noneMatch(call -> call.body().contains("\"m1\"")));
+    }
+
+    private static String reportDelivered(ScriptedPeer.Request call) {
+        return ScriptedPeer.answer(200, "[{\"id\":\"m0\",\"state\":\"done\"},{\"id\":\"m2\",\"state\":\"done\"}]");
+    }
+
     /** A message with time left was sent again, as the deadline of another one had passed when the relay read. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
