Soak: no message is sent after the relay has learned of its end or has ended it

A message's end is the first response that reported its delivery, if the relay awaited it and was not ended right behind it, or the first completion that the agent read; a receipt more than 150 ms behind it, and beyond the time that the harness or the relay waited for CPU, is a finding.

Shown to fail: two histories of SoakChecksTest, and a mutant that takes a delivered state of a batch for a timeout (SoakMutantTest, detected).

--- a/src/test/java/loftflow/soak/SoakChecks.java
+++ b/src/test/java/loftflow/soak/SoakChecks.java
@@ -22,6 +22,11 @@
     /** Requests that arrive within 100 ms of a Retry-After may have been in transit when it was sent. */
     private static final long RETRY_AFTER_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100 + 50);
 
+    /** A relay may need so long to read the report of an end, and requests in transit so long to arrive. */
+    private static final long END_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100 + 50);
+    /** A relay may have given up a call whose response takes longer, so that it learns nothing from it. */
+    private static final long MAX_AWAITED_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
     private final SoakHistory history;
     private final List<String> findings = new ArrayList<>();
     private final Map<String, List<SoakHistory.Receipt>> receiptsById;
@@ -39,6 +44,7 @@
         checks.checkAnswers();
         checks.checkCompletions();
         checks.checkRepetitions();
+        checks.checkSendsAfterTheEnd();
         checks.checkOrder();
         checks.checkWithdrawnEndpoints();
         checks.checkRetryAfters();
@@ -178,6 +184,54 @@
         }
     }
 
+    /** Checks that no message is sent after its delivery was reported to the relay or its completion by the relay. */
+    private void checkSendsAfterTheEnd() {
+        for (SoakHistory.Submission submission : history.submissions) {
+            if (isTimedOutInService(submission)) {
+                continue;
+            }
+            List<SoakHistory.Receipt> receipts = receiptsOf(submission.id());
+            long deliveredAt = receipts.stream()
+                    .filter(SoakChecks::isAwaited)
+                    .mapToLong(SoakHistory.Receipt::deliveredAtNanos)
+                    .filter(atNanos -> !endedUnread(atNanos))
+                    .min()
+                    .orElse(SoakHistory.NEVER);
+            long completedAt = completionsOf(submission.id()).stream()
+                    .mapToLong(SoakHistory.Completion::atNanos)
+                    .min()
+                    .orElse(SoakHistory.NEVER);
+            long endedAt = Math.min(deliveredAt, completedAt);
+            receipts.stream()
+                    .filter(receipt -> isAfterEnd(receipt, endedAt))
+                    .forEach(receipt -> addFinding(
+                            "sent after its end",
+                            receipt + " "
+                                    + TimeUnit.NANOSECONDS.toMillis(receipt.firstByteNanos() - endedAt)
+                                    + " ms after it, all " + receipts));
+        }
+    }
+
+    private static boolean isAwaited(SoakHistory.Receipt receipt) {
+        return receipt.deliveredAtNanos() != SoakHistory.NEVER
+                && receipt.deliveredAtNanos() - receipt.firstByteNanos() < MAX_AWAITED_NANOS;
+    }
+
+    /** Returns whether a process ended so soon after a report that it may not have read it. */
+    private boolean endedUnread(long reportedAtNanos) {
+        return history.restarts.stream()
+                .anyMatch(restart -> restart.endedNanos() >= reportedAtNanos
+                        && restart.endedNanos() - reportedAtNanos
+                                < END_GRACE_NANOS + history.stalls.waitedNanos(reportedAtNanos, restart.endedNanos()));
+    }
+
+    private boolean isAfterEnd(SoakHistory.Receipt receipt, long endedAtNanos) {
+        return endedAtNanos != SoakHistory.NEVER
+                && receipt.firstByteNanos() > endedAtNanos
+                && receipt.firstByteNanos() - endedAtNanos
+                        > END_GRACE_NANOS + history.stalls.waitedNanos(endedAtNanos, receipt.firstByteNanos());
+    }
+
     /** Checks that messages with the same ordering key reach upstreams in the order in which they were accepted. */
     private void checkOrder() {
         Map<String, List<SoakHistory.Submission>> byKey = history.submissions.stream()
--- a/src/test/java/loftflow/soak/SoakChecksTest.java
+++ b/src/test/java/loftflow/soak/SoakChecksTest.java
@@ -84,6 +84,17 @@
                             submission("m30", MessageClass.NON_IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
                     history.receipts.add(receipt("m30", "a", 30.1, false));
                 }),
+                new Fault("sent after its end", history -> {
+                    history.submissions.add(submission("m30", MessageClass.IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
+                    history.receipts.add(receipt("m30", "a", 30.1, true));
+                    history.receipts.add(receipt("m30", "b", 30.3, true));
+                }),
+                new Fault("sent after its end", history -> {
+                    history.submissions.add(submission("m30", MessageClass.IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
+                    history.receipts.add(receipt("m30", "a", 30.1, false));
+                    history.completions.add(new SoakHistory.Completion("m30", "dead", 31 * SECOND));
+                    history.receipts.add(receipt("m30", "b", 31.2, false));
+                }),
                 new Fault("late", history -> {
                     history.submissions.add(
                             submission("m30", MessageClass.NON_IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
--- a/src/test/java/loftflow/soak/SoakMutantTest.java
+++ b/src/test/java/loftflow/soak/SoakMutantTest.java
@@ -69,6 +69,11 @@
                     "        onStatusLine(code);\n        end(AttemptOutcome.ERROR);",
                     "        endAll(AttemptOutcome.OK, true);",
                     "lost"),
+            new Mutant(
+                    "upstream/http/UpstreamCall",
+                    "                endAttempt(attempt, AttemptOutcome.OK, !isLate);",
+                    "                endAttempt(attempt, AttemptOutcome.TIMEOUT, false);",
+                    "sent after its end"),
             new Mutant(
                     "discovery/EndpointWatcher",
                     "            boolean leavesGap = leavesGap(list, isFullExpected);",
