A batch answer that arrives slowly, or is read late, is not taken for malformed

Cause: an answer was given up as malformed half a second after its first bytes, however it went on, and without a last look at the socket. Where the relay was held up between reading and its timers, the rest of the answer lay unread.

Evidence: BatchResponseOrderTest.restThatIsUnreadWhenTheResponseSeemsStalledDelivers (the rest arrives while the event loop is busy) and .responseThatArrivesSlowlyDelivers (four parts within 0.9 s) end as ERROR and "Socket is closed" on the code before.

Why this works: an answer is given up once nothing more of it has come for half a second, and the socket is read before. How long a slow answer is awaited is bounded by the timeouts of its messages.

--- a/src/main/java/loftflow/upstream/http/ResponseDecoder.java
+++ b/src/main/java/loftflow/upstream/http/ResponseDecoder.java
@@ -14,6 +14,7 @@
  */
 final class ResponseDecoder extends StrictResponseDecoder {
     private final ResponseHeadScanner headScanner = new ResponseHeadScanner();
+    private boolean hasReceived;
 
     @Override
     public void awaitResponse() {
@@ -37,6 +38,13 @@
         return headScanner.hasBegun();
     }
 
+    /** Returns whether bytes have been received since the last call of this method. */
+    boolean takeReceived() {
+        boolean received = hasReceived;
+        hasReceived = false;
+        return received;
+    }
+
     /** {@inheritDoc} A malformed response does not prove the delivery of a batch. */
     @Override
     public boolean isMalformed() {
@@ -60,6 +68,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+        hasReceived = true;
         headScanner.scan((ByteBuf) bytes);
         super.channelRead(ctx, bytes);
     }
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -21,9 +21,10 @@
  * by no other bytes. A connection that is not reused any more is retired: it is still read while an outcome that was
  * taken from one of its responses can be contradicted, see {@link ResponseLedger}.
  */
-final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements CallConnection {
-    /** The longest time from the first byte of a response to its last. Hosts write a whole response at once. */
-    private static final long MAX_RESPONSE_MICROS = 500_000;
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject>
+        implements CallConnection, RetirementCheck.Connection {
+    /** A response that has begun is given up if nothing more of it arrives for so long. */
+    private static final long MAX_RESPONSE_PAUSE_MICROS = 500_000;
 
     private final UpstreamConnectionOwner owner;
     private final ResponseDecoder decoder = new ResponseDecoder();
@@ -59,11 +60,13 @@
     private long idleSinceNanos = System.nanoTime();
 
     private final ConnectionTimer timer;
+    private final RetirementCheck retirementCheck;
 
     UpstreamConnection(UpstreamConnectionOwner owner) {
         this.owner = owner;
         copies = new CopyDetector(owner.responseVariety());
         timer = new ConnectionTimer((nanos, task) -> owner.schedule(TimeUnit.NANOSECONDS.toMicros(nanos), task));
+        retirementCheck = new RetirementCheck(owner, ledger, timer, this);
     }
 
     /** Returns the handlers of the channel's pipeline, in order. */
@@ -145,7 +148,8 @@
                 && System.nanoTime() - idleSinceNanos < TimeUnit.MICROSECONDS.toNanos(idleTimeoutMicros);
     }
 
-    private void readPending() {
+    @Override
+    public void readPending() {
         UnreadBytes.read(context.channel());
     }
 
@@ -190,34 +194,18 @@
         retireReason = retireReason == null ? reason : retireReason;
         owner.onRetired(this, true);
         if (!confirmation.isPending()) {
-            startCheckTimer();
+            retirementCheck.start();
         }
     }
 
     /** Returns whether a response may still come that contradicts an outcome. */
     boolean isNeeded() {
-        return confirmation.isPending() || nextCheckMicros() > 0;
-    }
-
-    private long nextCheckMicros() {
-        return ledger.nextCheckMicros(owner.nowMicros(), owner.isSingleUse());
+        return confirmation.isPending() || retirementCheck.isNeeded();
     }
 
-    private void startCheckTimer() {
-        timer.start(nextCheckMicros() - owner.nowMicros(), TimeUnit.MICROSECONDS, this::check);
-    }
-
-    /** Closes a retired connection that is not needed any more. */
-    private void check() {
-        readPending();
-        if (owner.isSingleUse()) {
-            ledger.onDeadlines(owner.nowMicros()).forEach(UpstreamCall::onOutcomeContradicted);
-        }
-        if (nextCheckMicros() > 0) {
-            startCheckTimer();
-        } else {
-            close(retireReason);
-        }
+    @Override
+    public void closeRetired() {
+        close(retireReason);
     }
 
     @Override
@@ -253,10 +241,8 @@
             failAsMalformed();
             return;
         }
-        if (message instanceof HttpResponse response && !readHead(response)) {
-            return;
-        }
-        if (message instanceof HttpContent content && !isInformational) {
+        boolean isRefused = message instanceof HttpResponse response && !readHead(response);
+        if (!isRefused && message instanceof HttpContent content && !isInformational) {
             readContent(content);
         }
     }
@@ -396,15 +382,29 @@
         } else if (call != null && decoder.status() == ResponseHeadScanner.STATUS_MALFORMED) {
             failAsMalformed();
         } else if (call != null && decoder.hasBegun()) {
-            if (!timer.isRunning()) {
-                timer.start(MAX_RESPONSE_MICROS, TimeUnit.MICROSECONDS, this::failAsMalformed);
-            }
+            awaitRest();
             if (!copies.canRecognize(decoder.status())) {
                 call.onStatusLine(decoder.status());
             }
         }
     }
 
+    /** Restarts the timer of a response that has begun if more of it has arrived. */
+    private void awaitRest() {
+        if (decoder.takeReceived() && !isAwaitingLateResponse) {
+            timer.start(MAX_RESPONSE_PAUSE_MICROS, TimeUnit.MICROSECONDS, this::onResponseStalled);
+        }
+    }
+
+    /** Gives up a response, unless more of it has arrived that the event loop has not read. */
+    private void onResponseStalled() {
+        UpstreamCall stalled = call;
+        readPending();
+        if (call != null && call == stalled && !timer.isRunning()) {
+            failAsMalformed();
+        }
+    }
+
     private void closeOnSurplusBytes() {
         hasStrayBytes = true;
         confirmation.onSurplusBytes();
--- a/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
+++ b/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import loftflow.engine.Message;
 import loftflow.engine.UpstreamClient;
@@ -32,6 +33,12 @@
     /** Shorter than the maximum duration of a response. */
     private static final long MILLIS_BEFORE_TIMEOUT = 300;
 
+    private static final int SLOW_PARTS = 4;
+    /** Shorter than the time after which a response counts as stalled, which three of them exceed. */
+    private static final long SLOW_PART_MILLIS = 300;
+    /** Longer than the time after which a response counts as stalled. */
+    private static final long MILLIS_PAST_STALL = 700;
+
     private Set<String> expectedLate = Set.of();
 
     /** Sends m0 and m1 to a host that does not respond, and waits until it has received the call. */
@@ -44,11 +51,16 @@
     private void writeAfterBlocking(long blockedMillis, String bytes) {
         onLoop(() -> {
             RelayProcess.blockThread(blockedMillis);
-            write(bytes);
-            KernelSocketState.ofPeer(latestConnection()).awaitUnread(bytes.length());
+            writeUnread(bytes);
         });
     }
 
+    /** Writes bytes and waits until the relay can read them. */
+    private void writeUnread(String bytes) {
+        write(bytes);
+        KernelSocketState.ofPeer(latestConnection()).awaitUnread(bytes.length());
+    }
+
     @Override
     Set<String> expectedLateDeliveries() {
         return expectedLate;
@@ -191,6 +203,37 @@
         assertExecutionUncertain();
     }
 
+    /** A whole response was taken for a malformed one, as its last byte came half a second behind its first. */
+    @Test
+    void responseThatArrivesSlowlyDelivers() {
+        sendAndAwaitRequest(LONG_MICROS, LONG_MICROS);
+        int partBytes = ALL_DELIVERED.length() / SLOW_PARTS;
+        for (int part = 0; part < SLOW_PARTS; part++) {
+            boolean isLast = part == SLOW_PARTS - 1;
+            int end = isLast ? ALL_DELIVERED.length() : (part + 1) * partBytes;
+            write(ALL_DELIVERED.substring(part * partBytes, end));
+            RelayProcess.blockThread(isLast ? 0 : SLOW_PART_MILLIS);
+        }
+        assertBothEndedAs(AttemptOutcome.OK);
+    }
+
+    /** A whole response was taken for a malformed one, as the event loop ran the timer before it read the rest. */
+    @Test
+    void restThatIsUnreadWhenTheResponseSeemsStalledDelivers() {
+        sendAndAwaitRequest(LONG_MICROS, LONG_MICROS);
+        int split = ALL_DELIVERED.length() / 2;
+        write(ALL_DELIVERED.substring(0, split));
+        KernelSocketState host = KernelSocketState.of(latestConnection());
+        KernelSocketState relay = KernelSocketState.ofPeer(latestConnection());
+        await(() -> !host.hasUnacknowledged() && !relay.hasUnread());
+        loop.execute(() -> {
+            // Both timers are due when the event loop runs them. It polls the sockets before, without the rest.
+            loop.schedule(() -> writeUnread(ALL_DELIVERED.substring(split)), 0, TimeUnit.MILLISECONDS);
+            RelayProcess.blockThread(MILLIS_PAST_STALL);
+        });
+        assertBothEndedAs(AttemptOutcome.OK);
+    }
+
     /** A cancelled attempt keeps its outcome, and its message is reported as delivered. */
     @Test
     void deliveryOfACancelledMessageIsReported() {
