Soak: a report to a process that has ended ends no message

Trace (restarts printed, copiesOfResponses..., both rows): the process had ended at 798.79344, the report that counted as the end came at 798.79376 and later, and the message was sent by the next process. The endpoint wrote to a process that no longer lived; the check looked only at processes that ended behind the report.

SoakChecksTest.reportToAProcessThatHasEndedEndsNoMessage holds the case and two beside it that stay findings.

--- a/src/test/java/loftflow/soak/SoakChecksTest.java
+++ b/src/test/java/loftflow/soak/SoakChecksTest.java
@@ -141,6 +141,28 @@
         assertFalse(checks.isTimedOutInService(accepted));
     }
 
+    /** Guards against a finding for a response that the process which had sent the call did not live to read. */
+    @Test
+    void reportToAProcessThatHasEndedEndsNoMessage() {
+        SoakHistory history = correctHistory();
+        history.submissions.add(submission("m30", MessageClass.IDEMPOTENT, SoakHistory.Answer.ACCEPTED));
+        history.receipts.add(receipt("m30", "a", 30.1, true));
+        history.receipts.add(receipt("m30", "b", 31.9, true));
+        history.restarts.add(restartThatEndedAt(30.1));
+        assertEquals(List.of(), SoakChecks.check(history));
+        history.restarts.clear();
+        history.restarts.add(restartThatEndedAt(30.5));
+        assertFalse(SoakChecks.check(history).isEmpty(), "the process lived on for 0.4 s");
+        history.restarts.clear();
+        history.restarts.add(restartThatEndedAt(30.05));
+        assertFalse(SoakChecks.check(history).isEmpty(), "the call was sent by the next process");
+    }
+
+    private static SoakHistory.Restart restartThatEndedAt(double seconds) {
+        long endedNanos = (long) (seconds * SECOND);
+        return new SoakHistory.Restart(endedNanos, endedNanos, endedNanos + SECOND, 137, true);
+    }
+
     @Test
     void deliveryWithoutCompletionIsRecognized() {
         SoakHistory history = correctHistory();
