A second response to an earlier batch does not replace the one of the next batch

What callers would see: a batch is answered 'done', and its messages go to another host all the same.

Cause: a batch answer that names messages of another call alone can't be the call's own, but it ended the call as one that may have run. The connection was read on, and the call's own answer then came to no call: its states were not read, and the policy sent the messages again.

Why this works: the response is logged as unsolicited and ignored, as an equal one was before, and the call awaits its own until the timeouts of its messages.

--- a/src/main/java/loftflow/upstream/http/PendingAttempts.java
+++ b/src/main/java/loftflow/upstream/http/PendingAttempts.java
@@ -89,14 +89,6 @@
         return mayRepeat;
     }
 
-    /** Returns the earliest of the latest arrivals; {@link Long#MAX_VALUE} without attempts. */
-    long latestArrivalMicros() {
-        return pending.values().stream()
-                .mapToLong(PendingAttempt::latestArrivalMicros)
-                .min()
-                .orElse(Long.MAX_VALUE);
-    }
-
     /** Returns until when the response is awaited; without attempts, the latest deadline of the call. */
     long latestTimeoutMicros() {
         return pending.values().stream()
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -109,24 +109,9 @@
                 .forEach(attempt -> endAttempt(attempt, AttemptOutcome.NOT_SENT, false));
     }
 
-    /** Returns the earliest of the latest arrivals of its attempts; a probe has no bound. */
-    long latestArrivalMicros() {
-        return pendingAttempts.latestArrivalMicros();
-    }
-
-    /** Returns the latest deadline of its messages, or the end of a probe's timeout. */
-    long latestDeadlineMicros() {
-        return pendingAttempts.latestDeadlineMicros();
-    }
-
-    /** Returns the total size of the messages' bodies. */
-    int sizeBytes() {
-        return pendingAttempts.sizeBytes();
-    }
-
-    /** Returns until when its response is awaited. */
-    long latestTimeoutMicros() {
-        return pendingAttempts.latestTimeoutMicros();
+    /** Returns the attempts without an outcome, and the time limits of all its attempts. */
+    PendingAttempts pendingAttempts() {
+        return pendingAttempts;
     }
 
     /** Returns whether a rejection has to be proven, because another attempt does harm if this one was executed. */
@@ -161,7 +146,7 @@
         sentIds = pendingAttempts.messageIds();
         FullHttpRequest request =
                 isBatch ? RequestFactory.createBatch(owner.authority(), pendingAttempts.list()) : createSingleRequest();
-        long leftMillis = Math.max(0, latestTimeoutMicros() - owner.nowMicros()) / MICROS_PER_MILLI;
+        long leftMillis = Math.max(0, pendingAttempts.latestTimeoutMicros() - owner.nowMicros()) / MICROS_PER_MILLI;
         request.headers().set(HostProtocol.TIMEOUT_MILLIS_HEADER, leftMillis);
         return request;
     }
@@ -222,7 +207,10 @@
         return response.appendBody(chunk);
     }
 
-    /** Forgets a complete response that is not the one to this call, and awaits another one. */
+    /**
+     * Forgets a complete response that names other messages, or equals an earlier one on the connection, and awaits
+     * another one.
+     */
     void ignoreResponse() {
         response = new CallResponse();
     }
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -29,6 +29,7 @@
     private final UpstreamConnectionOwner owner;
     private final ResponseDecoder decoder = new ResponseDecoder();
     private final ResponseLedger<UpstreamCall> ledger = new ResponseLedger<>();
+    private final OutcomeDoubts doubts = new OutcomeDoubts(ledger);
     private final RejectedMessageIds rejectedIds = new RejectedMessageIds();
     private final ResponseFingerprint fingerprint = new ResponseFingerprint();
     private final CopyDetector copies;
@@ -43,10 +44,6 @@
     private boolean isReusable;
     private boolean isInformational;
     private boolean isResponseComplete;
-    /** Whether bytes were received that belong to no call and to no complete response. */
-    private boolean hasStrayBytes;
-    /** Whether a batch received a response that names none of its messages, so that its own may be outstanding. */
-    private boolean isOutOfStep;
     /** True if the call has timed out and the connection only awaits its late response. */
     private boolean isAwaitingLateResponse;
     /** Why it carries no more calls; null while it may. */
@@ -92,7 +89,8 @@
         callCount++;
         sentAtMicros = owner.nowMicros();
         HostResponseTimes times = owner.responseTimes();
-        long latestDueMicros = Math.min(next.latestTimeoutMicros(), sentAtMicros + times.boundMicros());
+        long latestDueMicros =
+                Math.min(next.pendingAttempts().latestTimeoutMicros(), sentAtMicros + times.boundMicros());
         ledger.onSent(sentAtMicros, sentAtMicros + times.usualBoundMicros(), latestDueMicros);
         isReusable = false;
         decoder.awaitResponse();
@@ -295,17 +293,25 @@
         if (!call.onBody(content.content())) {
             failAsMalformed();
         } else if (content instanceof LastHttpContent) {
-            if (!call.isProbe() && copies.isCopy(decoder.status(), fingerprint.value())) {
-                ignoreCopy();
-            } else {
-                onResponseComplete();
-            }
+            onLastContent();
+        }
+    }
+
+    private void onLastContent() {
+        call.readStates();
+        boolean isCopy = !call.isProbe() && copies.isCopy(decoder.status(), fingerprint.value());
+        if (!isCopy && !call.isResponseOfAnotherCall()) {
+            onResponseComplete();
+            return;
+        }
+        if (isCopy) {
+            copies.onCopyIgnored(decoder.status());
         }
+        ignoreCopy();
     }
 
     /** Goes on awaiting the response to the call, as the one that was received is a copy of an earlier one. */
     private void ignoreCopy() {
-        copies.onCopyIgnored(decoder.status());
         if (!isAwaitingLateResponse) {
             timer.stop();
         }
@@ -319,7 +325,6 @@
         call = null;
         respondedAtNanos = System.nanoTime();
         isResponseComplete = true;
-        completed.readStates();
         owner.responseTimes().onResponse(owner.nowMicros(), owner.nowMicros() - sentAtMicros);
         boolean isRepeated = copies.isRepeated(fingerprint.value());
         boolean isProof = isNamed(completed) || ledger.isProof(isRepeated);
@@ -328,17 +333,15 @@
         if (completed.isRetryableRejection()) {
             copies.onRejection(decoder.status());
         }
-        if (completed.isResponseOfAnotherCall()) {
-            owner.onUnsolicitedResponse(decoder.status(), 0, 0);
-        }
-        isOutOfStep |= completed.isUnnamedInBatchResponse();
+        doubts.onResponse(completed);
         confirmation.onResponseComplete(completed, decoder.status(), isProof);
         decoder.awaitResponse();
     }
 
     private void record(UpstreamCall ended, boolean isNamed, boolean isRepeated) {
+        PendingAttempts limits = ended.pendingAttempts();
         ledger.onResponse(
-                ended, decoder.status(), isNamed, isRepeated, ended.latestDeadlineMicros(), ended.sizeBytes());
+                ended, decoder.status(), isNamed, isRepeated, limits.latestDeadlineMicros(), limits.sizeBytes());
     }
 
     /** Returns whether the response can only be the one to its call; one that announces the end has no copy before. */
@@ -406,7 +409,7 @@
     }
 
     private void closeOnSurplusBytes() {
-        hasStrayBytes = true;
+        doubts.onStrayBytes();
         confirmation.onSurplusBytes();
         close(ConnectionCloseReason.MALFORMED_RESPONSE);
     }
@@ -429,7 +432,7 @@
             retire(retireReason);
         } else if (!isReusable || !context.channel().isActive()) {
             close(ConnectionCloseReason.NOT_PERSISTENT);
-        } else if (isOutOfStep) {
+        } else if (doubts.isOutOfStep()) {
             retire(ConnectionCloseReason.UNSOLICITED_RESPONSE);
         } else if (isAwaitingLateResponse) {
             retire(ConnectionCloseReason.CALL_ABANDONED);
@@ -467,23 +470,13 @@
         closeReason = closeReason == null ? ConnectionCloseReason.CLOSED_BY_HOST : closeReason;
         retireReason = retireReason == null ? closeReason : retireReason;
         owner.onRetired(this, false);
-        List<UpstreamCall> unconfirmed = findUnconfirmed();
+        boolean wasEvicted = closeReason == ConnectionCloseReason.EVICTED;
+        List<UpstreamCall> unconfirmed = doubts.findUnconfirmed(owner.nowMicros(), owner.isSingleUse(), wasEvicted);
         unconfirmed.forEach(UpstreamCall::onOutcomeContradicted);
         confirmation.onEnd(closeReason == ConnectionCloseReason.CLOSED_BY_HOST);
         owner.onConnectionEnded(retireReason, closeReason, callCount, unconfirmed.size());
     }
 
-    /** Returns the calls whose own response may have been cut off; an eviction alone casts no doubt on the others. */
-    private List<UpstreamCall> findUnconfirmed() {
-        boolean isKnownToCopy = owner.isSingleUse();
-        boolean hasEvidence = hasStrayBytes || isOutOfStep || ledger.hasSurplus();
-        boolean wasEvicted = closeReason == ConnectionCloseReason.EVICTED;
-        if (wasEvicted && !isKnownToCopy && !hasEvidence) {
-            return List.of();
-        }
-        return ledger.onEnd(owner.nowMicros(), hasEvidence || isKnownToCopy && !wasEvicted);
-    }
-
     /**
      * Ends the call after a connection error. Unlike a regular close, a reset never delimits a response body. If a
      * response had begun, the call ends as malformed, since the host was reached; otherwise as a lost connection.
