A message whose delivery is reported behind a copied rejection is not sent again

What callers would see: a message that may be repeated is delivered and goes to another host all the same.

Cause: a second copy of an earlier 503 ends a call as rejected; its own 200 then comes to no call. It made the rejection doubtful, so the attempt counted as one that may have run, and the open message was sent again although its end may have been reported.

Why this works: a 200 to no call that makes a rejection doubtful ends the message by a notice, which does no harm if it was delivered. So it is neither sent again nor lost. Its price: a message that was really rejected, on a connection with a late copy of an older 200, is reported as failed.

RevocableOutcomes is split off UpstreamCall.

--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -40,10 +40,7 @@
     /** The timed-out attempt whose late response is awaited; null if there is none. */
     private Message.Attempt lateAttempt;
 
-    /** The attempts that the status of the response ended as delivered or as not executed without naming them. */
-    private List<Message.Attempt> attemptsEndedByStatus = List.of();
-    /** The attempts that the response ended as not executed, by its status or by naming them. */
-    private final List<Message.Attempt> rejectedAttempts = new ArrayList<>();
+    private final RevocableOutcomes revocable = new RevocableOutcomes();
     /** The ids of all messages that were sent. */
     private Set<String> sentIds = Set.of();
 
@@ -183,7 +180,7 @@
             if (lateAttempt != null) {
                 Message.Attempt delivered = lateAttempt;
                 lateAttempt = null;
-                attemptsEndedByStatus = List.of(delivered);
+                revocable.onEndedByStatus(List.of(delivered));
                 owner.onLateDelivery(delivered, true);
             }
         }
@@ -258,7 +255,7 @@
 
     /** Returns whether a status alone has ended attempts as delivered or as not executed. */
     boolean isEndedByStatus() {
-        return !attemptsEndedByStatus.isEmpty();
+        return revocable.isEndedByStatus();
     }
 
     /** Ends the call according to its complete response. */
@@ -282,10 +279,10 @@
     private void endAllByStatus(AttemptOutcome outcome, boolean isMessageCompleted) {
         boolean isCertain = outcome == AttemptOutcome.OK || outcome.isProvenNotExecuted();
         if (!pendingAttempts.isEmpty() && isCertain) {
-            attemptsEndedByStatus = pendingAttempts.list();
+            revocable.onEndedByStatus(pendingAttempts.list());
         }
         if (outcome.isProvenNotExecuted()) {
-            rejectedAttempts.addAll(pendingAttempts.list());
+            revocable.onRejected(pendingAttempts.list());
         }
         endAll(outcome, isMessageCompleted);
     }
@@ -303,9 +300,7 @@
         }
         onStatusLine(response.status());
         end(AttemptOutcome.ERROR);
-        List<Message.Attempt> disproved = List.copyOf(rejectedAttempts);
-        rejectedAttempts.clear();
-        disproved.forEach(owner::onOutcomeDisproved);
+        revocable.takeRejected().forEach(owner::onOutcomeDisproved);
     }
 
     /**
@@ -315,10 +310,18 @@
     void onOutcomeContradicted() {
         response.discardReport();
         end(AttemptOutcome.ERROR);
-        List<Message.Attempt> disproved = attemptsEndedByStatus;
-        attemptsEndedByStatus = List.of();
-        rejectedAttempts.removeAll(disproved);
-        disproved.forEach(owner::onOutcomeDisproved);
+        revocable.takeEndedByStatus().forEach(owner::onOutcomeDisproved);
+    }
+
+    /**
+     * Corrects the outcome as {@link #onOutcomeContradicted} does, because a response to no call was received. If that
+     * reports a delivery, it may be the one of a message that was reported as rejected, which must not be sent again.
+     */
+    void onContradictedBy(int status) {
+        if (status == HttpResponseStatus.OK.code()) {
+            revocable.takeRejected().forEach(attempt -> owner.onLateDelivery(attempt, false));
+        }
+        onOutcomeContradicted();
     }
 
     private void onProbeResponse() {
@@ -370,7 +373,7 @@
         }
         if (outcome.isProvenNotExecuted()) {
             connection.onRejected(messageId);
-            rejectedAttempts.add(attempt);
+            revocable.onRejected(List.of(attempt));
         }
         endAttempt(attempt, outcome.attemptOutcome(), outcome.isMessageCompleted());
     }
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -266,7 +266,7 @@
         owner.onUnsolicitedResponse(
                 status, System.nanoTime() - respondedAtNanos, CallResponse.retryAfterMicros(response));
         List<UpstreamCall> contradicted = ledger.onSurplus(status);
-        contradicted.forEach(UpstreamCall::onOutcomeContradicted);
+        contradicted.forEach(surplus -> surplus.onContradictedBy(status));
         confirmation.onSurplusResponse(status);
         retire(ConnectionCloseReason.UNSOLICITED_RESPONSE);
     }
--- a/src/test/java/loftflow/upstream/http/ResponseCopyTest.java
+++ b/src/test/java/loftflow/upstream/http/ResponseCopyTest.java
@@ -5,7 +5,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import loftflow.engine.Message;
+import loftflow.engine.UpstreamClient;
 import loftflow.fake.ScriptedPeer;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.server.RelayProcess;
@@ -22,6 +25,8 @@
 
     private static final long QUIET_MILLIS = 1_000;
 
+    private Set<String> expectedLate = Set.of();
+
     /** The rejected message was lost: the copy reported it as delivered. */
     @ParameterizedTest
     @ValueSource(longs = {20, 60})
@@ -64,6 +69,40 @@
         assertEquals(new Result(AttemptOutcome.REJECTED, false), resultOfCallBehindCopy(200, 503, 60));
     }
 
+    /** The message was sent again: a copied rejection had ended its call, and its own response came behind it. */
+    @Test
+    void successBehindACopiedRejectionReportsADeliveryWithoutProof() {
+        host.answer(request -> ScriptedPeer.status(503));
+        sendRepeatable();
+        await(() -> results.size() == 1);
+        host.answer(request -> {
+            writeCopyLater(ScriptedPeer.status(503));
+            RelayProcess.blockThread(COPY_TO_RESPONSE_MILLIS);
+            return ScriptedPeer.status(200);
+        });
+        RelayProcess.blockThread(COPY_MILLIS);
+        expectedLate = Set.of("m1");
+        sendRepeatable();
+        await(() -> lateDeliveries.containsKey("m1"));
+        assertEquals(1, host.connections.size());
+        assertEquals(new Result(AttemptOutcome.REJECTED, false), results.get("m1"));
+        assertEquals(Map.of("m1", false), lateDeliveries);
+        assertEquals(Set.of(), disproved);
+    }
+
+    private void sendRepeatable() {
+        long timeoutMicros = 30 * SECOND_MICROS;
+        Message.Attempt attempt =
+                createAttempt(timeoutMicros, clock.micros() + timeoutMicros).attempt();
+        onLoop(() -> client.send(
+                "r", List.of(new UpstreamClient.OutboundAttempt(attempt, timeoutMicros, Long.MAX_VALUE, true, true))));
+    }
+
+    @Override
+    Set<String> expectedLateDeliveries() {
+        return expectedLate;
+    }
+
     /** Two equal responses leave no doubt, whichever of them is the copy. */
     @Test
     void copyOfItsOwnResponseDisprovesNoOutcome() throws Exception {
