A message behind a response that equals an earlier one is not sent again

What callers would see: a message that its host answered 200 goes to a host again some 4 s later.

Cause: where four or more responses of a host have differed, one that equals an earlier one on its connection counted as a copy and was ignored. Load reports stay the same for 120 to 760 ms, so two messages may well be answered alike: the own response was dropped, the call timed out, and the message was sent again. The first line of a response that may become a copy was dropped at a timeout too.

Why this works: nothing tells the two apart, so such a call still awaits another response, and if none comes the message ends by a notice: it is neither sent again, if the response was its own, nor lost, if it was a copy. Its price: behind a copy and silence a message is not retried within its time.

--- a/src/main/java/loftflow/upstream/http/CallConnection.java
+++ b/src/main/java/loftflow/upstream/http/CallConnection.java
@@ -14,6 +14,9 @@
      */
     void readAtTimeout();
 
+    /** Returns the status of the response that is being received; 0 if its status line is not known. */
+    int receivedStatus();
+
     /** Returns whether an earlier response on the connection named the message as rejected. */
     boolean hasRejected(String messageId);
 
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -41,6 +41,8 @@
     private Message.Attempt lateAttempt;
 
     private final RevocableOutcomes revocable = new RevocableOutcomes();
+    /** Whether a response to a single message that may be its own was ignored, and reported it as delivered. */
+    private boolean hasIgnoredDelivery;
     /** The ids of all messages that were sent. */
     private Set<String> sentIds = Set.of();
 
@@ -192,7 +194,7 @@
                 + pendingAttempts.size());
         response.discardReport();
         onStatusLine(code);
-        end(AttemptOutcome.ERROR);
+        endWithoutResponse(AttemptOutcome.ERROR);
     }
 
     /**
@@ -209,6 +211,7 @@
      * another one.
      */
     void ignoreResponse() {
+        hasIgnoredDelivery |= !isBatch && response.isOk();
         response = new CallResponse();
     }
 
@@ -381,7 +384,20 @@
     /** Ends a call whose connection was lost before the response was complete. */
     void onConnectionLost() {
         owner.closeIdle();
-        end(isSent ? AttemptOutcome.RESET : AttemptOutcome.CONNECT_FAILED);
+        endWithoutResponse(isSent ? AttemptOutcome.RESET : AttemptOutcome.CONNECT_FAILED);
+    }
+
+    /**
+     * Ends a call that no complete response of its own has ended. A message that may have been reported as delivered
+     * all the same must not be sent again.
+     */
+    private void endWithoutResponse(AttemptOutcome outcome) {
+        endAll(hasUnprovenDelivery() ? AttemptOutcome.OK : outcome, false);
+    }
+
+    private boolean hasUnprovenDelivery() {
+        boolean hasBegun = isSent && connection.receivedStatus() == HttpResponseStatus.OK.code();
+        return !isProbe() && !isBatch && (hasIgnoredDelivery || hasBegun);
     }
 
     /** Ends every attempt that has no outcome yet, or the probe, with the given one. */
@@ -458,7 +474,7 @@
                 && !isBatch
                 && owner.canAwaitLateResponse();
         Message.Attempt timedOut = awaitsLateResponse ? pendingAttempts.list().get(0) : null;
-        end(isSent ? outcome : AttemptOutcome.CONNECT_FAILED);
+        endWithoutResponse(isSent ? outcome : AttemptOutcome.CONNECT_FAILED);
         owner.closeIdle();
         if (awaitsLateResponse) {
             lateAttempt = timedOut;
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -114,6 +114,11 @@
                 () -> close(ConnectionCloseReason.CALL_ABANDONED));
     }
 
+    @Override
+    public int receivedStatus() {
+        return Math.max(0, decoder.status());
+    }
+
     @Override
     public boolean hasRejected(String messageId) {
         return rejectedIds.contains(messageId);
--- a/src/test/java/loftflow/server/EndedMessageTest.java
+++ b/src/test/java/loftflow/server/EndedMessageTest.java
@@ -35,6 +35,10 @@
     private static final String REJECTED = status(503, "X-Come-Back-Ms: 500");
     /** Longer than the relay waits before it sends a message again. */
     private static final long RETRY_MILLIS = 3_000;
+    /** So many that the responses of the host count as different from each other. */
+    private static final int DISTINCT_RESPONSES = 6;
+    /** Longer than a connection is quiet before it carries its next call. */
+    private static final long REUSE_MILLIS = 200;
 
     @BeforeEach
     void prepare() throws IOException {
@@ -140,4 +144,24 @@
         TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
         assertEquals(2, host.requests.size(), () -> "calls " + host.requests);
     }
+
+    /** The message was sent again, as its response equalled an earlier one by chance and was taken for a copy. */
+    @Test
+    void deliveryReportedByAResponseThatEqualsAnEarlierOneIsNotSentAgain() throws Exception {
+        host.answer(request -> answer(200, "equal".equals(request.id()) ? "to m5" : "to " + request.id()));
+        relay.start();
+        for (int i = 0; i < DISTINCT_RESPONSES; i++) {
+            int calls = i + 1;
+            relay.submitUntilAccepted("m" + i, "safe", 8);
+            await(() -> host.requests.size() == calls);
+            TimeUnit.MILLISECONDS.sleep(REUSE_MILLIS);
+        }
+        relay.submitUntilAccepted("equal", "safe", 8);
+        await(() -> host.requests.size() == DISTINCT_RESPONSES + 1);
+        await(() -> relay.openJournalMessages().isEmpty());
+        TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+        assertEquals(1, host.connections.size());
+        assertEquals(DISTINCT_RESPONSES + 1, host.requests.size(), () -> "calls " + host.requests);
+        assertTrue(relay.hasNotified("equal", "dead"));
+    }
 }
