The id of a message that has ended is not sent again

A different message under the id of an open one was answered 202 and never sent.

Cause: an id was known only while its message was in the table, and a repeat was compared by its id alone.

Change: EndedMessages remembers the id of an accepted message for a minute behind its end, 16,384 at most; a restart forgets them. A request that repeats a delivered message of a class that may be repeated at any time is answered 202, as delivered once more; any other with the id of an ended message is answered 500, and so is one with another class, tenant, key, destination or body than an open one. Nothing is sent for them. A rejected or withdrawn request leaves its id free.

--- a/src/main/java/loftflow/engine/DeliveryEngine.java
+++ b/src/main/java/loftflow/engine/DeliveryEngine.java
@@ -54,8 +54,10 @@
         policy = policyFactory.apply(settings);
         requestClasses = new RequestClassRegistry(settings);
         events = new PolicyEventQueue(timers, roundPeriodMicros, this::runRound);
-        lifecycle = new MessageLifecycle(context, requestClasses, messages, events);
-        admission = new MessageAdmission(context, requestClasses, messages, destinations, events, lifecycle);
+        EndedMessages endedMessages = new EndedMessages();
+        lifecycle = new MessageLifecycle(context, requestClasses, messages, events, endedMessages);
+        admission =
+                new MessageAdmission(context, requestClasses, messages, destinations, events, lifecycle, endedMessages);
         dispatcher = new AttemptDispatcher(context, messages, events, lifecycle, admission, requestClasses);
         recovery = new JournalRecovery(context, requestClasses, messages, events, lifecycle);
         round = new DeliveryRound(
--- a/src/main/java/loftflow/engine/Message.java
+++ b/src/main/java/loftflow/engine/Message.java
@@ -1,8 +1,10 @@
 package loftflow.engine;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import java.util.Objects;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.MessageAccepted;
 import loftflow.protocol.CompletionProtocol;
@@ -68,6 +70,16 @@
                 byte[] body) {
             this(messageId, requestClass, tenant, key, deadlineMicros, destination, body, null);
         }
+
+        /** Returns whether a client that sends the other content repeats this message; its deadline may differ. */
+        boolean isSameMessage(Content other) {
+            return messageId.equals(other.messageId)
+                    && requestClass.equals(other.requestClass)
+                    && Objects.equals(tenant, other.tenant)
+                    && Objects.equals(key, other.key)
+                    && destination == other.destination
+                    && Arrays.equals(body, other.body);
+        }
     }
 
     /**
--- a/src/main/java/loftflow/engine/MessageAdmission.java
+++ b/src/main/java/loftflow/engine/MessageAdmission.java
@@ -25,6 +25,7 @@
     private final DestinationRegistry destinations;
     private final PolicyEventQueue events;
     private final MessageLifecycle lifecycle;
+    private final EndedMessages endedMessages;
     /** The messages accepted since the last round, whose clients are answered at the end of the next round. */
     private List<Message> unanswered = new ArrayList<>();
 
@@ -36,21 +37,28 @@
             MessageTable messages,
             DestinationRegistry destinations,
             PolicyEventQueue events,
-            MessageLifecycle lifecycle) {
+            MessageLifecycle lifecycle,
+            EndedMessages endedMessages) {
         this.context = context;
         this.requestClasses = requestClasses;
         this.messages = messages;
         this.destinations = destinations;
         this.events = events;
         this.lifecycle = lifecycle;
+        this.endedMessages = endedMessages;
         nextSequenceNumber = context.journal().nextSequenceNumber();
     }
 
     /** Implements {@link MessageAcceptor#accept}. */
     Message accept(Message.Content content, long unreadSinceMicros, Message.ClientReply clientReply) {
         Message duplicate = messages.findByMessageId(content.messageId());
+        Message message = new Message(nextSequenceNumber, content);
         if (duplicate != null) {
-            answerDuplicate(duplicate, clientReply);
+            answerDuplicate(duplicate, content, clientReply);
+            return null;
+        }
+        if (endedMessages.contains(content.messageId(), context.nowMicros())) {
+            answerRepeatOfEnded(message, clientReply);
             return null;
         }
         // A cached list may lack a destination that was added since, so the message is rejected rather than failed.
@@ -58,7 +66,6 @@
         // The client may have stopped waiting by now. The bound on the arrival time is conservative, so a client that
         // has only just connected is rejected too.
         boolean mayHaveTimedOut = context.nowMicros() - unreadSinceMicros > MAX_UNREAD_MICROS;
-        Message message = new Message(nextSequenceNumber, content);
         if (!destinations.isReady()
                 || context.isQuiescing()
                 || mayHaveTimedOut
@@ -86,10 +93,13 @@
 
     /**
      * Answers a client that repeats a request, usually because its connection was closed. The repeat is accepted only
-     * if the first request has been answered and its message is still open, which can't be withdrawn from then on.
+     * if it is the same message, the first request has been answered and its message is still open, which can't be
+     * withdrawn from then on.
      */
-    private static void answerDuplicate(Message duplicate, Message.ClientReply clientReply) {
-        if (!duplicate.isClientWaiting() && duplicate.isOpen()) {
+    private static void answerDuplicate(Message duplicate, Message.Content content, Message.ClientReply clientReply) {
+        if (!duplicate.isClientWaiting()
+                && duplicate.isOpen()
+                && duplicate.content().isSameMessage(content)) {
             duplicate.markRepeatAccepted();
             clientReply.accepted();
         } else {
@@ -97,6 +107,15 @@
         }
     }
 
+    /** Answers a client that repeats the id of an ended message, which is not sent again whatever the answer. */
+    private void answerRepeatOfEnded(Message repeat, Message.ClientReply clientReply) {
+        if (endedMessages.isDelivered(repeat.content()) && requestClasses.mayRepeatAtAnyTime(repeat)) {
+            clientReply.accepted();
+        } else {
+            clientReply.failed();
+        }
+    }
+
     /** Implements {@link DeliveryEngine#redrive}. */
     Message redrive(long deadLetterId, Message.Content content, List<PastAttempt> pastAttempts) {
         boolean isBusy = messages.openCount() > context.maxOpenMessages() * MAX_UTILIZATION_FOR_REDRIVE;
--- a/src/main/java/loftflow/engine/MessageLifecycle.java
+++ b/src/main/java/loftflow/engine/MessageLifecycle.java
@@ -24,16 +24,19 @@
     private final RequestClassRegistry requestClasses;
     private final MessageTable messages;
     private final PolicyEventQueue events;
+    private final EndedMessages endedMessages;
 
     MessageLifecycle(
             EngineContext context,
             RequestClassRegistry requestClasses,
             MessageTable messages,
-            PolicyEventQueue events) {
+            PolicyEventQueue events,
+            EndedMessages endedMessages) {
         this.context = context;
         this.requestClasses = requestClasses;
         this.messages = messages;
         this.events = events;
+        this.endedMessages = endedMessages;
     }
 
     /**
@@ -111,6 +114,7 @@
 
     private void notifyUndelivered(Message message, Message.Completion completion) {
         // A dead letter may be redriven, so its client must not send it again: its completion is always "failed".
+        endedMessages.add(message.content(), false, context.nowMicros());
         boolean isDeadLetter = context.deadLetterSink().accepts(message);
         boolean isRecorded = decideCompletion(message, isDeadLetter ? FAILED : completion);
         notifyOnceRecorded(message, isRecorded, () -> notifyCompletion(message));
@@ -146,6 +150,7 @@
      * reply, and closes it without a notice otherwise.
      */
     void finish(Message message, boolean isDelivered) {
+        endedMessages.add(message.content(), isDelivered, context.nowMicros());
         if (message.content().reply() == null) {
             closeWithoutNotice(message);
             return;
