Answers that have arrived are read before the process ends

What callers would see: a message is answered 200 shortly before a relay ends after SIGTERM, and the next process sends it again.

Evidence: by reading. RaceConditionsTest.unreadResponseIsReadBeforeTheProcessEnds shows that the client's new readPending() applies an answer that is in the kernel only; that GracefulShutdown calls it at the right place is held by no test of its own.

What remains: an answer that arrives between that read and the exit. Brokers' confirms are not read.

--- a/src/main/java/loftflow/engine/DeliveryEngine.java
+++ b/src/main/java/loftflow/engine/DeliveryEngine.java
@@ -167,6 +167,11 @@
         return !dispatcher.hasAttemptsInFlight() && !admission.hasUnansweredClients();
     }
 
+    /** Applies the responses of upstreams that have arrived, so that the end of the process takes them into account. */
+    public void readPendingResponses() {
+        context.upstreamClient().readPending();
+    }
+
     @Override
     public boolean isReady() {
         return destinations.isReady();
--- a/src/main/java/loftflow/engine/UpstreamClient.java
+++ b/src/main/java/loftflow/engine/UpstreamClient.java
@@ -97,4 +97,7 @@
 
     /** Closes idle connections to a route. */
     void closeIdleConnections(String route);
+
+    /** Reads and applies the responses that have arrived and that the event loop has not read. */
+    default void readPending() {}
 }
--- a/src/main/java/loftflow/server/GracefulShutdown.java
+++ b/src/main/java/loftflow/server/GracefulShutdown.java
@@ -77,6 +77,7 @@
     private void finishOrReschedule() {
         // Requests that have arrived since the sockets were last read still get a response, even if it is a rejection.
         listeners.forEach(Listener::readPending);
+        engine.readPendingResponses();
         if (canFinish()) {
             listeners.forEach(Listener::closeIdle);
         }
--- a/src/main/java/loftflow/server/RoutingUpstreamClient.java
+++ b/src/main/java/loftflow/server/RoutingUpstreamClient.java
@@ -53,4 +53,10 @@
     public void closeIdleConnections(String route) {
         clientFor(route).closeIdleConnections(route);
     }
+
+    @Override
+    public void readPending() {
+        httpClient.readPending();
+        brokerClient.readPending();
+    }
 }
--- a/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
+++ b/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
@@ -237,4 +237,9 @@
             call.abandon(attempt, AttemptOutcome.CANCELLED);
         }
     }
+
+    @Override
+    public void readPending() {
+        Set.copyOf(openCalls.values()).forEach(UpstreamCall::readPending);
+    }
 }
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -456,7 +456,7 @@
     }
 
     /** Reads and applies a response that the kernel received while the event loop was busy, or that is held. */
-    private void readPending() {
+    void readPending() {
         if (connection != null) {
             connection.readAtTimeout();
         }
--- a/src/test/java/loftflow/upstream/http/RaceConditionsTest.java
+++ b/src/test/java/loftflow/upstream/http/RaceConditionsTest.java
@@ -284,6 +284,22 @@
         assertEquals(status == 200 ? List.of() : List.of(60 * SECOND_MICROS), retryAfters);
     }
 
+    /** A delivered message was sent again by the next process, as this one ended with the response unread. */
+    @Test
+    void unreadResponseIsReadBeforeTheProcessEnds() {
+        host.answer(request -> {
+            awaitLatch(hostMayRespond);
+            return ScriptedPeer.status(200);
+        });
+        onLoop(() -> send(30 * SECOND_MICROS));
+        await(() -> host.requests.size() == 1);
+        onLoop(() -> {
+            releaseHost();
+            client.readPending();
+            assertEquals(Map.of("m0", AttemptOutcome.OK), outcomes);
+        });
+    }
+
     private void releaseHost() {
         hostMayRespond.countDown();
         KernelSocketState.ofPeer(host.connections.get(0)).awaitUnread();
