A rejection is not followed by another send where an earlier 200 may be the message's own

What callers would see: a message that may be repeated is delivered and goes to another host all the same.

Cause: a copied 503 ended the call, its own 200 ended the next call on the connection, and that one's own 503 came to no call. The ledger found the rejection doubtful, but the message ended only if the last response was a 200.

Change: ResponseLedger.mayBeDelivered looks at all responses that may be the call's own.

Test: LateContradictionTest.successThatEndedTheNextCallReportsTheDeliveryOfTheRejectedMessageBeforeIt, red with the code before: "expected: <{m1=false}> but was: <{}>". What remains: until that last response comes the relay can't know, and may send in between.

--- a/src/main/java/loftflow/upstream/http/ResponseLedger.java
+++ b/src/main/java/loftflow/upstream/http/ResponseLedger.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 /**
  * Determines what the responses on one connection prove about its calls.
@@ -29,6 +30,8 @@
     /** As above, for the total size of the tracked messages; the last call is always tracked. */
     private static final int MAX_TRACKED_BYTES = 64 << 10;
 
+    private static final int STATUS_OK = 200;
+
     /**
      * An outcome that was taken from a response without proof.
      *
@@ -131,6 +134,18 @@
         return calls;
     }
 
+    /** Returns whether a response that reports a delivery may be the own one of a call. */
+    boolean mayBeDelivered(C call) {
+        for (int i = 0; i < unproven.size(); i++) {
+            if (unproven.get(i).call() == call) {
+                int received = unproven.size() + surplus.size();
+                int last = Math.min(i + surplus.size(), received - 1);
+                return IntStream.rangeClosed(i, last).anyMatch(position -> statusAt(position) == STATUS_OK);
+            }
+        }
+        return false;
+    }
+
     /**
      * Called when the connection has ended.
      *
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -317,11 +317,13 @@
     }
 
     /**
-     * Corrects the outcome as {@link #onOutcomeContradicted} does, because a response to no call was received. If that
-     * reports a delivery, it may be the one of a message that was reported as rejected, which must not be sent again.
+     * Corrects the outcome as {@link #onOutcomeContradicted} does, because a response to no call was received.
+     *
+     * @param mayBeDelivered whether one of the responses that may be its own reports a delivery, so that a message that
+     *     was reported as rejected must not be sent again
      */
-    void onContradictedBy(int status) {
-        if (status == HttpResponseStatus.OK.code()) {
+    void onContradicted(boolean mayBeDelivered) {
+        if (mayBeDelivered) {
             revocable.takeRejected().forEach(attempt -> owner.onLateDelivery(attempt, false));
         }
         onOutcomeContradicted();
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -271,7 +271,7 @@
         owner.onUnsolicitedResponse(
                 status, System.nanoTime() - respondedAtNanos, CallResponse.retryAfterMicros(response));
         List<UpstreamCall> contradicted = ledger.onSurplus(status);
-        contradicted.forEach(surplus -> surplus.onContradictedBy(status));
+        contradicted.forEach(ended -> ended.onContradicted(ledger.mayBeDelivered(ended)));
         confirmation.onSurplusResponse(status);
         retire(ConnectionCloseReason.UNSOLICITED_RESPONSE);
     }
--- a/src/test/java/loftflow/upstream/http/BatchCallTestBase.java
+++ b/src/test/java/loftflow/upstream/http/BatchCallTestBase.java
@@ -147,6 +147,18 @@
                 .toList();
     }
 
+    /** Sends messages that may be repeated, with a distant timeout and deadline, in one call. */
+    void sendRepeatable(int count) {
+        long timeoutMicros = 30 * SECOND_MICROS;
+        long deadlineMicros = clock.micros() + timeoutMicros;
+        List<UpstreamClient.OutboundAttempt> attempts = Stream.generate(
+                        () -> createAttempt(timeoutMicros, deadlineMicros).attempt())
+                .limit(count)
+                .map(attempt -> new UpstreamClient.OutboundAttempt(attempt, timeoutMicros, Long.MAX_VALUE, true, true))
+                .toList();
+        onLoop(() -> client.send("r", attempts));
+    }
+
     /** Sends messages with a distant timeout and deadline in one call, and waits for the result of each. */
     List<String> sendAndAwait(int count) {
         List<String> ids = send(count, 30 * SECOND_MICROS, clock.micros() + 30 * SECOND_MICROS);
--- a/src/test/java/loftflow/upstream/http/LateContradictionTest.java
+++ b/src/test/java/loftflow/upstream/http/LateContradictionTest.java
@@ -5,6 +5,7 @@
 
 import java.net.Socket;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,8 @@
     /** Longer than any response is expected to take. */
     private static final long SILENT_CALL_TIMEOUT_MICROS = 2 * SECOND_MICROS;
 
+    private Set<String> expectedLate = Set.of();
+
     private void deliverFirst() {
         host.answer(request -> ScriptedPeer.status(200));
         sendAndAwait(1);
@@ -63,6 +66,37 @@
         assertEquals(1, host.connections.size());
     }
 
+    /** A message was sent again: its own response had ended the next call, behind a copied rejection of its own. */
+    @Test
+    void successThatEndedTheNextCallReportsTheDeliveryOfTheRejectedMessageBeforeIt() {
+        host.answer(request -> ScriptedPeer.status(503));
+        sendRepeatable(1);
+        await(() -> results.containsKey("m0"));
+        host.answer(request -> {
+            if (request.id().equals("m1")) {
+                writeCopyLater(ScriptedPeer.status(503));
+                RelayProcess.blockThread(RESPONSE_BEHIND_NEXT_CALL_MILLIS);
+                return ScriptedPeer.status(200);
+            }
+            return ScriptedPeer.status(503);
+        });
+        RelayProcess.blockThread(COPY_MILLIS);
+        expectedLate = Set.of("m1");
+        sendRepeatable(1);
+        await(() -> results.containsKey("m1"));
+        RelayProcess.blockThread(COPY_MILLIS);
+        sendRepeatable(1);
+        await(() -> disproved.contains("m2"));
+        assertEquals(1, host.connections.size());
+        assertEquals(Map.of("m1", false), lateDeliveries);
+        assertEquals(Set.of("m2"), disproved);
+    }
+
+    @Override
+    Set<String> expectedLateDeliveries() {
+        return expectedLate;
+    }
+
     /** The message was lost: a copy on another connection closed the one on which its own response would have come. */
     @Test
     void copyOnAnotherConnectionLeavesTheResponseOfThisOneReadable() throws Exception {
--- a/src/test/java/loftflow/upstream/http/ResponseCopyTest.java
+++ b/src/test/java/loftflow/upstream/http/ResponseCopyTest.java
@@ -7,8 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import loftflow.engine.Message;
-import loftflow.engine.UpstreamClient;
 import loftflow.fake.ScriptedPeer;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.server.RelayProcess;
@@ -73,7 +71,7 @@
     @Test
     void successBehindACopiedRejectionReportsADeliveryWithoutProof() {
         host.answer(request -> ScriptedPeer.status(503));
-        sendRepeatable();
+        sendRepeatable(1);
         await(() -> results.size() == 1);
         host.answer(request -> {
             writeCopyLater(ScriptedPeer.status(503));
@@ -82,7 +80,7 @@
         });
         RelayProcess.blockThread(COPY_MILLIS);
         expectedLate = Set.of("m1");
-        sendRepeatable();
+        sendRepeatable(1);
         await(() -> lateDeliveries.containsKey("m1"));
         assertEquals(1, host.connections.size());
         assertEquals(new Result(AttemptOutcome.REJECTED, false), results.get("m1"));
@@ -90,14 +88,6 @@
         assertEquals(Set.of(), disproved);
     }
 
-    private void sendRepeatable() {
-        long timeoutMicros = 30 * SECOND_MICROS;
-        Message.Attempt attempt =
-                createAttempt(timeoutMicros, clock.micros() + timeoutMicros).attempt();
-        onLoop(() -> client.send(
-                "r", List.of(new UpstreamClient.OutboundAttempt(attempt, timeoutMicros, Long.MAX_VALUE, true, true))));
-    }
-
     @Override
     Set<String> expectedLateDeliveries() {
         return expectedLate;
