The own response of a batch counts behind one that named nobody

What callers would see: a batch is answered 'done' and its messages go to another host again.

Cause: a second copy of the response to a single message (200 without states, 503 or 500) ended a batch. Its connection was read on, but the batch's own response then came to no call, and its states were not read.

Change: UnnamedBatch reads a response to no call for the batch that was last ended without being named. What it names as delivered is reported as a late delivery, which ends the message. Another attempt may have gone out before; none follows.

Test: BatchResponseOrderTest.ownResponseBehindOneThatNamesNobodyReportsTheDelivery (200, 503, 500). On the code before no late delivery was reported by construction: no code read the states of a response to no call.

--- a/src/main/java/loftflow/upstream/http/CallResponse.java
+++ b/src/main/java/loftflow/upstream/http/CallResponse.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import loftflow.json.MalformedInputException;
 import loftflow.log.Log;
+import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.LimitReport;
 import loftflow.protocol.HostProtocol;
 
@@ -125,8 +126,13 @@
         return Collections.unmodifiableSet(states.keySet());
     }
 
-    /** Returns the reported state of a message, which is unknown if none is reported. */
-    String state(String messageId) {
-        return states.getOrDefault(messageId, HostProtocol.STATE_FAILED);
+    /** Returns what the reported state of a message means; one that is not reported may have been executed. */
+    OutcomeTable.Outcome reportedOutcome(String messageId) {
+        return OutcomeTable.ofMessageState(states.getOrDefault(messageId, HostProtocol.STATE_FAILED));
+    }
+
+    /** Returns whether it names a message as delivered. */
+    boolean reportsDelivery(String messageId) {
+        return reportedOutcome(messageId).attemptOutcome() == AttemptOutcome.OK;
     }
 }
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -43,6 +43,8 @@
     private final RevocableOutcomes revocable = new RevocableOutcomes();
     /** Whether a response to a single message that may be its own was ignored, and reported it as delivered. */
     private boolean hasIgnoredDelivery;
+    /** The attempts of all messages that were sent. */
+    private List<Message.Attempt> sentAttempts = List.of();
     /** The ids of all messages that were sent. */
     private Set<String> sentIds = Set.of();
 
@@ -142,6 +144,7 @@
         if (isProbe()) {
             return RequestFactory.createProbe(owner.authority(), probePath);
         }
+        sentAttempts = pendingAttempts.list();
         sentIds = pendingAttempts.messageIds();
         FullHttpRequest request =
                 isBatch ? RequestFactory.createBatch(owner.authority(), pendingAttempts.list()) : createSingleRequest();
@@ -323,7 +326,7 @@
      *     was reported as rejected must not be sent again
      */
     void onContradicted(boolean mayBeDelivered) {
-        if (mayBeDelivered) {
+        if (mayBeDelivered && !isBatch) {
             revocable.takeRejected().forEach(attempt -> owner.onLateDelivery(attempt, false));
         }
         onOutcomeContradicted();
@@ -347,7 +350,8 @@
     private void endEachByReportedState(boolean isWhole) {
         boolean isLate = isPastEarliestDeadline();
         for (Message.Attempt attempt : pendingAttempts.list()) {
-            OutcomeTable.Outcome outcome = reportedOutcome(attempt);
+            OutcomeTable.Outcome outcome =
+                    response.reportedOutcome(attempt.message().content().messageId());
             if (outcome.attemptOutcome() == AttemptOutcome.OK) {
                 endAttempt(attempt, AttemptOutcome.OK, !isLate);
             } else if (isLate && !outcome.isMessageCompleted()) {
@@ -356,17 +360,24 @@
                 endByReportedState(attempt, outcome, isWhole);
             }
         }
-        for (Message.Attempt attempt : abandonedAttempts) {
-            if (reportedOutcome(attempt).attemptOutcome() == AttemptOutcome.OK) {
-                owner.onLateDelivery(attempt, !isLate);
-            }
-        }
+        reportLateDeliveries(abandonedAttempts, response);
         abandonedAttempts.clear();
     }
 
-    private OutcomeTable.Outcome reportedOutcome(Message.Attempt attempt) {
-        return OutcomeTable.ofMessageState(
-                response.state(attempt.message().content().messageId()));
+    private void reportLateDeliveries(List<Message.Attempt> attempts, CallResponse reporting) {
+        boolean isCounted = !isPastEarliestDeadline();
+        attempts.stream()
+                .filter(attempt ->
+                        reporting.reportsDelivery(attempt.message().content().messageId()))
+                .forEach(attempt -> owner.onLateDelivery(attempt, isCounted));
+    }
+
+    /** Reports what its own response, which came once another one had ended the call, names as delivered. */
+    void onLateResponse(CallResponse late) {
+        if (late.isOk()) {
+            late.readStates(owner.route());
+            reportLateDeliveries(sentAttempts, late);
+        }
     }
 
     private void endByReportedState(Message.Attempt attempt, OutcomeTable.Outcome outcome, boolean isWhole) {
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -30,6 +30,7 @@
     private final ResponseDecoder decoder = new ResponseDecoder();
     private final ResponseLedger<UpstreamCall> ledger = new ResponseLedger<>();
     private final OutcomeDoubts doubts = new OutcomeDoubts(ledger);
+    private final UnnamedBatch unnamedBatch = new UnnamedBatch();
     private final RejectedMessageIds rejectedIds = new RejectedMessageIds();
     private final ResponseFingerprint fingerprint = new ResponseFingerprint();
     private final CopyDetector copies;
@@ -255,6 +256,7 @@
      * earlier call, whose outcome another response has determined.
      */
     private void onUnsolicited(HttpObject message) {
+        unnamedBatch.onUnsolicited(message);
         if (message.decoderResult().isFailure() || decoder.isMalformed()) {
             closeOnSurplusBytes();
         } else if (message instanceof HttpResponse response
@@ -339,6 +341,7 @@
             copies.onRejection(decoder.status());
         }
         doubts.onResponse(completed);
+        unnamedBatch.onEnded(completed);
         confirmation.onResponseComplete(completed, decoder.status(), isProof);
         decoder.awaitResponse();
     }
--- a/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
+++ b/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -41,7 +42,9 @@
 
     private static final long SECOND_TO_OWN_RESPONSE_MILLIS = 200;
 
+    private final Set<String> disproved = ConcurrentHashMap.newKeySet();
     private Set<String> expectedLate = Set.of();
+    private Set<String> expectedDisproved = Set.of();
 
     /** Sends m0 and m1 to a host that does not respond, and waits until it has received the call. */
     private void sendAndAwaitRequest(long timeoutMicros, long timeToDeadlineMicros) {
@@ -65,6 +68,7 @@
 
     @Override
     Set<String> expectedLateDeliveries() {
+        assertEquals(expectedDisproved, disproved);
         return expectedLate;
     }
 
@@ -318,6 +322,32 @@
         next.forEach(id -> assertEquals(new Result(AttemptOutcome.OK, true), results.get(id)));
     }
 
+    /** The messages were sent again: a response to a single message, sent twice, ended the batch before its own came. */
+    @ParameterizedTest
+    @ValueSource(ints = {200, 503, 500})
+    void ownResponseBehindOneThatNamesNobodyReportsTheDelivery(int status) {
+        host.answer(request -> ScriptedPeer.status(status));
+        send(1, LONG_MICROS, clock.micros() + LONG_MICROS);
+        await(() -> results.size() == 1);
+        awaitSettled();
+        host.answer(request -> {
+            write(ScriptedPeer.status(status));
+            RelayProcess.blockThread(SECOND_TO_OWN_RESPONSE_MILLIS);
+            return ScriptedPeer.answer(200, bodyReportingDelivered(1, 2));
+        });
+        sendRepeatable(2);
+        await(() -> lateDeliveries.size() == 2);
+        assertEquals(1, host.connections.size(), "both calls use one connection");
+        assertEquals(Map.of("m1", true, "m2", true), lateDeliveries);
+        expectedLate = Set.of("m1", "m2");
+        expectedDisproved = status == 503 ? expectedLate : Set.of();
+    }
+
+    @Override
+    public void onOutcomeDisproved(Message.Attempt attempt) {
+        disproved.add(attempt.message().content().messageId());
+    }
+
     /** A second response to the first call arrives during the next call and reports none of its messages. */
     @Test
     void secondResponseInPlaceOfTheNextOneLeavesExecutionUncertain() {
