Soak: what a process could not record before a kill, as its disk failed, ends no message

The disk of these plays fails for 0.6 s in every 2 s. What can't be recorded before a kill, the next process can't know; it still owes the message.

Change: in plays whose disk fails, a report ends no message if the process ended within those 0.6 s behind it. All other reports do, as SoakChecksTest.reportToAProcessThatHasEndedEndsNoMessage holds; it counts findings of this rule alone now.

--- a/src/test/java/loftflow/soak/SoakChecks.java
+++ b/src/test/java/loftflow/soak/SoakChecks.java
@@ -217,13 +217,18 @@
                 && receipt.deliveredAtNanos() - receipt.firstByteNanos() < MAX_AWAITED_NANOS;
     }
 
-    /** Returns whether the process that sent a call ended before the report, or so soon after that it may not have read it. */
+    /**
+     * Returns whether the process that sent a call ended before the report, or so soon after that it may not have read
+     * it, or had no disk that took the record.
+     */
     private boolean endedUnread(SoakHistory.Receipt receipt) {
         long reportedAtNanos = receipt.deliveredAtNanos();
         return history.restarts.stream()
                 .anyMatch(restart -> restart.endedNanos() >= receipt.firstByteNanos()
                         && restart.endedNanos() - reportedAtNanos
-                                < END_GRACE_NANOS + history.stalls.waitedNanos(reportedAtNanos, restart.endedNanos()));
+                                < END_GRACE_NANOS
+                                        + history.unrecordedNanos
+                                        + history.stalls.waitedNanos(reportedAtNanos, restart.endedNanos()));
     }
 
     private boolean isAfterEnd(SoakHistory.Receipt receipt, long endedAtNanos) {
--- a/src/test/java/loftflow/soak/SoakChecksTest.java
+++ b/src/test/java/loftflow/soak/SoakChecksTest.java
@@ -149,13 +149,22 @@
         history.receipts.add(receipt("m30", "a", 30.1, true));
         history.receipts.add(receipt("m30", "b", 31.9, true));
         history.restarts.add(restartThatEndedAt(30.1));
-        assertEquals(List.of(), SoakChecks.check(history));
+        assertEquals(0, countSentAfterEnd(history));
         history.restarts.clear();
         history.restarts.add(restartThatEndedAt(30.5));
-        assertFalse(SoakChecks.check(history).isEmpty(), "the process lived on for 0.4 s");
+        assertEquals(1, countSentAfterEnd(history), "the process lived on for 0.4 s");
+        history.unrecordedNanos = SECOND / 2;
+        assertEquals(0, countSentAfterEnd(history), "its disk may have failed until the end");
+        history.unrecordedNanos = 0;
         history.restarts.clear();
         history.restarts.add(restartThatEndedAt(30.05));
-        assertFalse(SoakChecks.check(history).isEmpty(), "the call was sent by the next process");
+        assertEquals(1, countSentAfterEnd(history), "the call was sent by the next process");
+    }
+
+    private static long countSentAfterEnd(SoakHistory history) {
+        return SoakChecks.check(history).stream()
+                .filter(finding -> finding.startsWith("sent after its end"))
+                .count();
     }
 
     private static SoakHistory.Restart restartThatEndedAt(double seconds) {
--- a/src/test/java/loftflow/soak/SoakHistory.java
+++ b/src/test/java/loftflow/soak/SoakHistory.java
@@ -75,6 +75,9 @@
     static final String OTHER_SERVICE = "other-service";
     static final long NEVER = Long.MAX_VALUE;
 
+    /** How long a process may be unable to record what it has learned; 0 if its disk does not fail. */
+    volatile long unrecordedNanos;
+
     final List<Submission> submissions = new CopyOnWriteArrayList<>();
     final List<Receipt> receipts = new CopyOnWriteArrayList<>();
     final List<RetryAfter> retryAfters = new CopyOnWriteArrayList<>();
--- a/src/test/java/loftflow/soak/SoakRun.java
+++ b/src/test/java/loftflow/soak/SoakRun.java
@@ -44,6 +44,7 @@
     private SoakRun(SoakPlan plan, Path folder, ServedRelay.Program program) throws Exception {
         this.plan = plan;
         this.folder = folder;
+        history.unrecordedNanos = plan.systemFaults().diskFailingNanos();
         agent = new SoakAgent(history);
         copies = new ResponseCopies(plan.copies(), plan.seed());
         for (String name : List.of("batch", "pair-a", "pair-b")) {
--- a/src/test/java/loftflow/soak/SystemFaults.java
+++ b/src/test/java/loftflow/soak/SystemFaults.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Faults of the machine that a relay runs on, injected by a library that the process preloads. */
 enum SystemFaults {
@@ -45,6 +46,11 @@
         return this == DISK || this == ALL;
     }
 
+    /** Returns how long writes to the state folder fail without a break, in nanoseconds; 0 if they don't fail. */
+    long diskFailingNanos() {
+        return affectDisk() ? TimeUnit.MILLISECONDS.toNanos(DISK_FAILING_MILLIS) : 0;
+    }
+
     /** Returns the environment of a process, given its number in the run from 0. */
     Map<String, String> environment(Path stateFolder, long seed, int start) {
         if (this == NONE) {
