A destination that gets only short-lived messages is probed after an outage

Cause: HalfOpenProbe takes only a message with a probe's timeout left, 1.5 s at least, and a health check needed such a message too.

Change: where the circuit has been half-open for such a time and only messages with less wait, a health check probes; where the platform allows none, the message with the most time left.

--- a/src/main/java/loftflow/policy/HalfOpenProbe.java
+++ b/src/main/java/loftflow/policy/HalfOpenProbe.java
@@ -1,6 +1,7 @@
 package loftflow.policy;
 
 import java.util.Comparator;
+import java.util.stream.Stream;
 import loftflow.policy.api.Idempotency;
 import loftflow.policy.api.KeyScope;
 
@@ -80,6 +81,7 @@
     private void probe(Destination destination, Route route, Circuit circuit) {
         PendingMessage message = messageWithLowestCost(destination, route);
         if (message == null) {
+            probeForShortLivedMessages(destination, route, circuit);
             return;
         }
         boolean messageMayProbe = !route.addressUnverified && isRepeatableAnywhere(message);
@@ -90,6 +92,23 @@
         }
     }
 
+    /**
+     * Probes a route for which only messages wait that have too little time left for a probe, once no other has come
+     * for such a time. Without it, a destination that gets no others would get no call any more.
+     */
+    private void probeForShortLivedMessages(Destination destination, Route route, Circuit circuit) {
+        if (context.now() - circuit.probeNotBeforeMicros < timeouts.probeTimeoutMicros(route)) {
+            return;
+        }
+        PendingMessage longestLived = waitingMessages(destination, route)
+                .max(Comparator.comparingLong(message -> message.deadlineMicros))
+                .orElse(null);
+        if (longestLived != null) {
+            boolean maySendCheck = context.settings().limits().probes();
+            circuit.startProbe(maySendCheck ? checkHealth(route) : sender.send(longestLived, route, true));
+        }
+    }
+
     private Call checkHealth(Route route) {
         Call check = new Call(route, context.now(), true);
         route.healthChecksInFlight.add(check);
@@ -103,14 +122,18 @@
      * time left for a probe's timeout; null if there is none.
      */
     private PendingMessage messageWithLowestCost(Destination destination, Route route) {
-        return destination.waitingMessages.stream()
-                .filter(message -> keyOrder.isNextInOrder(message)
-                        && retryPolicy.isAllowed(message, route)
-                        && message.deadlineMicros - context.now() >= timeouts.probeTimeoutMicros(route))
+        long probeTimeoutMicros = timeouts.probeTimeoutMicros(route);
+        return waitingMessages(destination, route)
+                .filter(message -> message.deadlineMicros - context.now() >= probeTimeoutMicros)
                 .min(Comparator.comparingInt(HalfOpenProbe::costOfFailure))
                 .orElse(null);
     }
 
+    private Stream<PendingMessage> waitingMessages(Destination destination, Route route) {
+        return destination.waitingMessages.stream()
+                .filter(message -> keyOrder.isNextInOrder(message) && retryPolicy.isAllowed(message, route));
+    }
+
     private static boolean isRepeatableAnywhere(PendingMessage message) {
         Idempotency idempotency = message.requestClass.idempotency();
         return idempotency == Idempotency.IDEMPOTENT
--- a/src/test/java/loftflow/policy/PolicyHarness.java
+++ b/src/test/java/loftflow/policy/PolicyHarness.java
@@ -90,6 +90,37 @@
         return settings(7, fleetSize, 10, 100, false, true);
     }
 
+    /** Settings of a platform that allows no health checks. */
+    static PolicySettings withoutProbes() {
+        PolicySettings probed = settings();
+        RelayLimits limits = probed.limits();
+        return new PolicySettings(
+                probed.seed(),
+                probed.relayIndex(),
+                probed.fleetSize(),
+                probed.zone(),
+                probed.classes(),
+                probed.tenants(),
+                probed.kinds(),
+                probed.zones(),
+                new RelayLimits(
+                        limits.maxConcurrentCalls(),
+                        limits.maxOpenMessages(),
+                        limits.maxAttempts(),
+                        true,
+                        false,
+                        false,
+                        false,
+                        false,
+                        limits.connectTimeoutMicros()),
+                probed.rules(),
+                probed.overQuotaWeight(),
+                probed.halvingDecay(),
+                probed.mustSubscribe(),
+                probed.rateHint(),
+                probed.crossZoneCost());
+    }
+
     private static PolicySettings settings(
             long seed,
             int fleetSize,
