--- a/src/test/java/loftflow/soak/SoakMutantTest.java
+++ b/src/test/java/loftflow/soak/SoakMutantTest.java
@@ -66,7 +66,7 @@
                     "Retry-After ignored"),
             new Mutant(
                     "upstream/http/UpstreamCall",
-                    "        onStatusLine(code);\n        end(AttemptOutcome.ERROR);",
+                    "        onStatusLine(code);\n        endWithoutResponse(AttemptOutcome.ERROR);",
                     "        endAll(AttemptOutcome.OK, true);",
                     "lost"),
             new Mutant(
