EndpointWatcherTest waits for the revision as well as for the endpoint

Trace: the test's listener sets `known` and then adds the revision; the test looked in between.

Change: the test waits for both. It asserts the same.

--- a/src/test/java/loftflow/discovery/EndpointWatcherTest.java
+++ b/src/test/java/loftflow/discovery/EndpointWatcherTest.java
@@ -222,7 +222,7 @@
         watch(request -> revisions.isEmpty() && !isWatch(request)
                 ? list(1, true, entry("h1", "in_service"))
                 : fullListRequests().size() < 4 ? answer(200, body) : list(3, true, entry("h1", "terminating")));
-        await(() -> known.get("h1") == Availability.DRAINING);
+        await(() -> known.get("h1") == Availability.DRAINING && revisions.contains(3L));
         assertEquals(List.of(1L, 3L), revisions.stream().distinct().toList());
     }
 
