--- a/src/test/java/loftflow/server/RelayProcess.java
+++ b/src/test/java/loftflow/server/RelayProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -21,6 +22,11 @@
 /** A relay in a process of its own, with scripted peers as upstreams and discovery agent. */
 public final class RelayProcess implements AutoCloseable {
     private static final Pattern SERVING = Pattern.compile("serving on \\S*?([0-9.]+):(\\d+)");
+    private static final Pattern PEAK_RESIDENT = Pattern.compile("VmHWM:\\s*(\\d+) kB");
+    private static final int KIB_PER_MIB = 1024;
+    private static final Path DEPLOY_FILE = Path.of("deploy/balancer.toml");
+    private static final Pattern RUN_COMMAND = Pattern.compile("(?m)^run = \"(.*)\"$");
+    private static final String JAR_OPTION = "-jar target/loftflow.jar";
     private static final int STATUS_ACCEPTED = 202;
     private static final int STATUS_REJECTED = 503;
     private static final int TIMEOUT_SECONDS = 30;
@@ -40,6 +46,10 @@
     private String roundPeriodSeconds = "0.005";
     private String keyWindowSeconds = "5";
     private int maxDescriptors = 1024;
+    private int configuredMemoryMib = 192;
+    private int configuredDescriptors = 256;
+    private int maxOpenMessages = 50;
+    private boolean usesDeployedCommand;
     private Path warmStartFile;
     private Process process;
     private Path log;
@@ -107,6 +117,30 @@
         return this;
     }
 
+    /** Sets the limit on open messages. */
+    RelayProcess withMaxOpenMessages(int max) {
+        maxOpenMessages = max;
+        return this;
+    }
+
+    /** Starts the relay by the {@code run} command of the deploy file, with the given limits in its configuration. */
+    RelayProcess withDeployedCommand(int memoryMib, int descriptors) {
+        usesDeployedCommand = true;
+        configuredMemoryMib = memoryMib;
+        configuredDescriptors = descriptors;
+        return this;
+    }
+
+    /** Returns the largest resident size that the process has had, in MiB. */
+    int peakResidentMib() {
+        Matcher peak = PEAK_RESIDENT.matcher(read(Path.of("/proc/" + process.pid() + "/status")));
+        return peak.find() ? Integer.parseInt(peak.group(1)) / KIB_PER_MIB : -1;
+    }
+
+    long processId() {
+        return process.pid();
+    }
+
     /** Returns the number of file descriptors that the relay has open. */
     int openDescriptors() {
         return Path.of("/proc/" + process.pid() + "/fd").toFile().list().length;
@@ -125,9 +159,13 @@
                 configurationFile(),
                 "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
                         + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
-                        + "\"memory_mb\":192,\"sockets\":256,\"disk_mb\":" + diskMib + "},\"known\":"
+                        + "\"memory_mb\":" + configuredMemoryMib + ",\"sockets\":" + configuredDescriptors
+                        + ",\"disk_mb\":" + diskMib + "},\"known\":"
                         + list(1, true, knownEndpoints.toArray(String[]::new)) + ",\"settings\":"
-                        + SETTINGS.replace("PERIOD", roundPeriodSeconds).replace("KEY_WINDOW", keyWindowSeconds) + "}");
+                        + SETTINGS.replace("PERIOD", roundPeriodSeconds)
+                                .replace("KEY_WINDOW", keyWindowSeconds)
+                                .replace("MAX_OPEN", Integer.toString(maxOpenMessages))
+                        + "}");
     }
 
     /** Changes the discovery address in the configuration file and sends SIGHUP. */
@@ -170,18 +208,7 @@
     RelayProcess start() throws IOException {
         writeConfiguration();
         log = folder.resolve("log" + startCount++);
-        ProcessBuilder builder = new ProcessBuilder(
-                        "sh",
-                        "-c",
-                        "ulimit -n " + maxDescriptors + " && exec \"$0\" \"$@\"",
-                        Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                        "-XX:TieredStopAtLevel=1",
-                        "-Xmx24m",
-                        "-XX:+ExitOnOutOfMemoryError",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        Main.class.getName(),
-                        "serve")
+        ProcessBuilder builder = new ProcessBuilder(usesDeployedCommand ? deployedCommand() : testCommand())
                 .redirectErrorStream(true)
                 .redirectOutput(log.toFile());
         if (warmStartFile != null) {
@@ -194,6 +221,33 @@
         return this;
     }
 
+    private List<String> testCommand() {
+        return new ArrayList<>(List.of(
+                "sh",
+                "-c",
+                "ulimit -n " + maxDescriptors + " && exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx24m",
+                "-XX:+ExitOnOutOfMemoryError",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "serve"));
+    }
+
+    /** Returns the deployed command with the classes of this process in place of the jar. */
+    private List<String> deployedCommand() throws IOException {
+        Matcher run = RUN_COMMAND.matcher(Files.readString(DEPLOY_FILE));
+        if (!run.find() || !run.group(1).contains(JAR_OPTION)) {
+            throw new IOException("no run command with " + JAR_OPTION + " in " + DEPLOY_FILE);
+        }
+        String classes = "-cp " + System.getProperty("java.class.path") + " " + Main.class.getName();
+        String command =
+                run.group(1).replace("\\\"", "\"").replace("\\\\", "\\").replace(JAR_OPTION, classes);
+        return new ArrayList<>(List.of("/bin/sh", "-c", "ulimit -n " + configuredDescriptors + " && " + command));
+    }
+
     private static final String SETTINGS =
             """
             {"me":0,"fleet-size":1,"zone":"a","zones":["a"],"kinds":["one","many"],"period-s":PERIOD,
@@ -205,7 +259,7 @@
               {"name":"unsafe","repeat":"once","goal-time-s":2,"deadline-s":20,"worth":1},
               {"name":"ordered","repeat":"once","goal-time-s":2,"deadline-s":20,"worth":1,"fifo-by-key":true}],
              "family-info":{"call-slots":8,"batch-by-kind":[1,4],"routes-apart":[false,false]},
-             "limits":{"max-open":50,"send-cap":12,"may-cancel":true,"probes":true,"second-copies":true,
+             "limits":{"max-open":MAX_OPEN,"send-cap":12,"may-cancel":true,"probes":true,"second-copies":true,
               "connect-timeout-s":1.5,"conn-idle-s":10},
              "contract":{"drain-grace-s":0.5,"fall-s":2.0,"fall-multiple":2.5,"cold-from":0.2,"warm-up-s":9},
              "stats":{"how":"inline","fields":["x0","x1"]},"fees":{}}""";
@@ -241,12 +295,18 @@
         return process.waitFor(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
-    Socket connect() throws IOException {
+    /** Returns where the relay listens. */
+    InetSocketAddress address() throws IOException {
         Matcher address = SERVING.matcher(log());
         if (!address.find()) {
             throw new IOException("the relay does not serve: " + log());
         }
-        Socket socket = new Socket(address.group(1), Integer.parseInt(address.group(2)));
+        return new InetSocketAddress(address.group(1), Integer.parseInt(address.group(2)));
+    }
+
+    Socket connect() throws IOException {
+        InetSocketAddress address = address();
+        Socket socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout(TIMEOUT_SECONDS * 1000);
         return socket;
     }
