A process no longer runs out of memory by heads and trailers that clients send in part

Cause: Netty's decoder stores each field as an entry, a name and a value; a field of four bytes on the wire holds some 100 bytes of heap. Heads of 8,000 bytes hold 200 KB, also trailers, and only the number of connections bounded them. The budget of the listener counted bytes of bodies, as they are on the wire.

Change: SelectiveHeaders stores the fields that the relay uses, twice at most, and no trailers; the others are validated and dropped. The whole of what a connection holds (bytes that are not decoded, head, body, requests that wait), in bytes of heap, comes from one budget of all listeners, an eighth of the largest heap of the process (MemoryLimits). Over it a connection reads no more while it has requests in progress; else the request that has been incomplete for longest, 0.4 s at least, is evicted with 503, or the new one is rejected with 503. What a connection holds under 12 KiB is never refused. Bytes are received into the heap, not into direct memory with its own limit, and unread responses are bounded at 4 KiB (each is an entry of the outbound buffer with some 300 bytes, so 64 KiB of them held 145 KB).

AcceptanceResponseTest fills the relay's socket by smaller writes at the end, since responses are buffered up to 4 KiB and no more to 64; what it asserts is the same.

--- a/src/main/java/loftflow/listener/connection/ConnectionLimiter.java
+++ b/src/main/java/loftflow/listener/connection/ConnectionLimiter.java
@@ -92,6 +92,26 @@
         }
     }
 
+    /**
+     * Evicts the connection whose request has been incomplete for longest, unless that is not long or it is the given
+     * one.
+     *
+     * @return whether a connection was evicted
+     */
+    public boolean evictIncomplete(C requester) {
+        C longestIncomplete = firstOlderThan(MIN_INCOMPLETE_MICROS, incomplete);
+        if (longestIncomplete == null || longestIncomplete.equals(requester)) {
+            return false;
+        }
+        readPending.accept(longestIncomplete);
+        if (!longestIncomplete.equals(firstOlderThan(MIN_INCOMPLETE_MICROS, incomplete))) {
+            return false;
+        }
+        onClosed(longestIncomplete);
+        evict.accept(longestIncomplete);
+        return true;
+    }
+
     /** Returns the next connection to evict; null if every connection may be in use. */
     private C firstEvictable() {
         if (!finished.isEmpty()) {
--- a/src/main/java/loftflow/listener/http/HttpClientConnection.java
+++ b/src/main/java/loftflow/listener/http/HttpClientConnection.java
@@ -8,12 +8,11 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -24,11 +23,13 @@
 import loftflow.engine.Message;
 import loftflow.engine.MessageAcceptor;
 import loftflow.http.ConnectionTimer;
+import loftflow.http.HeapReceiveAllocator;
 import loftflow.http.UnreadBytes;
 import loftflow.listener.connection.ArrivalTimeBound;
 import loftflow.listener.request.ClientResponse;
 import loftflow.listener.request.Exchange;
 import loftflow.listener.request.MessageRequest;
+import loftflow.memory.MemoryBudget;
 
 /**
  * A client connection: reads requests, responds to them in order, and closes the connection if the client stalls. Every
@@ -41,7 +42,9 @@
     private static final int MIN_READ_BYTES = 64;
     private static final int FIRST_READ_BYTES = 2 << 10;
     /** What one pass of the event loop reads of a connection, so that one with many requests does not delay others. */
-    private static final int MAX_BYTES_PER_PASS = 8 << 10;
+    static final int MAX_BYTES_PER_PASS = 8 << 10;
+    /** Responses that a client does not read are held up to this size, and no more requests are read meanwhile. */
+    private static final WriteBufferWaterMark UNREAD_RESPONSE_BYTES = new WriteBufferWaterMark(1 << 10, 4 << 10);
     /** How often {@link #readPending} reads so much at most. */
     private static final int MAX_PENDING_READS = 128;
 
@@ -79,7 +82,14 @@
     private ClientResponse rejection;
 
     private boolean isClosing;
-    private int reservedBytes;
+    private final RequestDecoder decoder = new RequestDecoder();
+    /** What {@link #pipelined} holds, in bytes of heap. */
+    private int pipelinedBytes;
+
+    private final MemoryBudget.Account memory;
+    /** Whether more must not be read until a request of {@link #pipelined} has been handled. */
+    private boolean isMemoryExhausted;
+
     private final ConnectionTimer timer =
             new ConnectionTimer((nanos, task) -> context.executor().schedule(task, nanos, TimeUnit.NANOSECONDS));
 
@@ -87,6 +97,7 @@
         this.listener = listener;
         this.messageAcceptor = messageAcceptor;
         this.clock = clock;
+        memory = listener.requestMemory().openAccount();
         exchange = new Exchange(messageAcceptor) {
             @Override
             protected void respond(ClientResponse response, long retryAfterMicros) {
@@ -97,7 +108,7 @@
 
     /** Returns the handlers of the channel's pipeline, in order. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new ActivityTracker(), new Decoder(), new HttpResponseEncoder(), this};
+        return new ChannelHandler[] {new ActivityTracker(), decoder, new HttpResponseEncoder(), this};
     }
 
     /** Returns whether a completely received request has no response yet. */
@@ -122,6 +133,7 @@
     void evict() {
         boolean isRejected = !isClosing && !(isIdle && hasResponded);
         isClosing = true;
+        releaseMemory();
         if (isRejected) {
             // Closing with unread bytes would reset the connection. Bytes that are read from here on are discarded.
             readPending();
@@ -176,6 +188,7 @@
                 }
             }
             ctx.fireChannelRead(bytes);
+            updateMemory();
         }
 
         @Override
@@ -189,23 +202,16 @@
         }
     }
 
-    /**
-     * Keeps Content-Length in a request that also has Transfer-Encoding, which Netty's decoder would remove, so that
-     * the request can be rejected.
-     */
-    private static final class Decoder extends HttpRequestDecoder {
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage request) {}
-    }
-
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
+        ctx.channel().config().setWriteBufferWaterMark(UNREAD_RESPONSE_BYTES);
         ctx.channel()
                 .config()
-                .setRecvByteBufAllocator(
+                .setRecvByteBufAllocator(new HeapReceiveAllocator(
                         new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_BYTES_PER_PASS)
-                                .maxMessagesPerRead(1));
+                                .maxMessagesPerRead(1),
+                        () -> MAX_BYTES_PER_PASS));
         encoder = ctx.pipeline().context(HttpResponseEncoder.class);
         arrivalTimeBound = new ArrivalTimeBound(listener.acceptor(), clock.micros());
         startReadTimeout();
@@ -244,14 +250,18 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         timer.end();
-        pipelined.clear();
-        reading = null;
         listener.connections().onClosed(this);
-        listener.bufferBudget().release(reservedBytes);
-        reservedBytes = 0;
+        releaseMemory();
         withdraw();
     }
 
+    private void releaseMemory() {
+        pipelined.clear();
+        pipelinedBytes = 0;
+        reading = null;
+        memory.release();
+    }
+
     /** Withdraws the message that awaits its response, as its client may resubmit it under another id. */
     private void withdraw() {
         Message message = exchange.releaseMessage();
@@ -293,29 +303,54 @@
     }
 
     private void readContent(HttpContent content) {
-        int bytes = content.content().readableBytes();
         if (content.decoderResult().isFailure()) {
             reject(ClientResponse.MALFORMED);
         } else if (!reading.append(content.content())) {
             reject(ClientResponse.TOO_LARGE);
-        } else if (!listener.bufferBudget().tryReserve(bytes, reading.bodyBytes())) {
-            reject(ClientResponse.OVERLOADED);
-        } else {
-            reservedBytes += bytes;
-            if (content instanceof LastHttpContent) {
-                reading.onComplete(earliestArrivalMicros);
-                pipelined.add(reading);
-                reading = null;
-                handlePipelined();
+        } else if (content instanceof LastHttpContent) {
+            reading.onComplete(earliestArrivalMicros);
+            pipelined.add(reading);
+            pipelinedBytes += reading.heldBytes();
+            reading = null;
+            handlePipelined();
+            updateAutoRead();
+        }
+    }
+
+    /**
+     * Reserves what the connection holds. Beyond the limit it reads no more until a request that it has received is
+     * handled; if there is none, the request that is being received is rejected.
+     */
+    private void updateMemory() {
+        if (isClosing || rejection != null) {
+            return;
+        }
+        long heldBytes = heldBytes();
+        isMemoryExhausted = !memory.tryHold(heldBytes) && !makeRoom(heldBytes);
+        if (isMemoryExhausted) {
+            listener.onMemoryExhausted();
+            if (isAwaitingResponse) {
                 updateAutoRead();
+            } else {
+                reject(ClientResponse.OVERLOADED);
             }
         }
     }
 
+    private long heldBytes() {
+        return decoder.heldBytes() + pipelinedBytes + (reading == null ? 0 : reading.heldBytes());
+    }
+
+    /** Makes room by evicting another connection whose request has been incomplete for long. */
+    private boolean makeRoom(long heldBytes) {
+        return listener.connections().evictIncomplete(this) && memory.tryHold(heldBytes);
+    }
+
     /** Pauses reading while too many requests are buffered or the client does not read its responses. */
     private void updateAutoRead() {
-        boolean shouldPause =
-                pipelined.size() >= MAX_PIPELINED_REQUESTS || !context.channel().isWritable();
+        boolean shouldPause = pipelined.size() >= MAX_PIPELINED_REQUESTS
+                || isMemoryExhausted
+                || !context.channel().isWritable();
         if (shouldPause) {
             arrivalTimeBound.onReadPaused();
         }
@@ -333,6 +368,7 @@
     private void reject(ClientResponse response) {
         reading = null;
         rejection = response;
+        memory.hold(heldBytes());
         handlePipelined();
     }
 
@@ -343,9 +379,8 @@
         isHandlingPipelined = true;
         while (!isAwaitingResponse && !pipelined.isEmpty()) {
             HttpRequestReader next = pipelined.poll();
+            pipelinedBytes -= next.heldBytes();
             handle(next);
-            reservedBytes -= next.bodyBytes();
-            listener.bufferBudget().release(next.bodyBytes());
         }
         isHandlingPipelined = false;
         if (rejection != null && !isAwaitingResponse && !isClosing) {
@@ -391,14 +426,16 @@
     }
 
     private ChannelFuture write(ClientResponse response, long retryAfterMicros, boolean isLast) {
-        return isLast || retryAfterMicros > 0
-                ? context.writeAndFlush(ResponseFactory.create(response, retryAfterMicros, isLast))
-                : encoder.writeAndFlush(ResponseFactory.encoded(response));
+        if (isLast || retryAfterMicros > 0) {
+            return context.writeAndFlush(ResponseFactory.create(response, retryAfterMicros, isLast));
+        }
+        return encoder.writeAndFlush(ResponseFactory.encoded(response));
     }
 
     private void onResponded() {
         timer.stop();
         hasResponded = true;
+        isMemoryExhausted = !memory.tryHold(heldBytes());
         isIdle = pipelined.isEmpty() && reading == null && rejection == null;
         if (isIdle) {
             listener.connections().onIdle(this);
--- a/src/main/java/loftflow/listener/http/HttpListener.java
+++ b/src/main/java/loftflow/listener/http/HttpListener.java
@@ -10,20 +10,50 @@
 import loftflow.listener.Listener;
 import loftflow.listener.connection.Acceptor;
 import loftflow.listener.connection.ConnectionLimiter;
-import loftflow.listener.connection.RequestBufferBudget;
+import loftflow.log.Log;
+import loftflow.memory.MemoryBudget;
+import loftflow.memory.MemoryLimits;
 
 /** Serves HTTP/1.1 clients, with limits on their connections and on the memory for partly received requests. */
 public final class HttpListener implements Listener {
     /** The minimum time without a request in progress after which a connection may be evicted. */
     static final long MIN_IDLE_MICROS = TimeUnit.SECONDS.toMicros(2);
 
+    /** What each connection may hold for a request even if the others have used up the memory. */
+    public static final int GUARANTEED_BYTES = 12 << 10;
+
+    private static final long MEMORY_LOG_INTERVAL_MICROS = TimeUnit.SECONDS.toMicros(1);
+
     private final Acceptor acceptor;
     private final ConnectionLimiter<HttpClientConnection> connections;
-    private final RequestBufferBudget bufferBudget = new RequestBufferBudget();
+    private final MemoryBudget requestMemory;
+    private final Clock clock;
+    private long memoryLoggedAtMicros = -MEMORY_LOG_INTERVAL_MICROS;
     private boolean isDraining;
 
-    /** Creates a listener with a connection limit, which listens once {@link #listen} is called. */
+    /** Creates a listener with a limit of its own on the memory of requests. */
     public HttpListener(MessageAcceptor messageAcceptor, Clock clock, EventLoopLag eventLoopLag, int maxConnections) {
+        this(
+                messageAcceptor,
+                clock,
+                eventLoopLag,
+                maxConnections,
+                new MemoryBudget(MemoryLimits.ofProcess().clientRequestBytes(), GUARANTEED_BYTES));
+    }
+
+    /**
+     * Creates a listener, which listens once {@link #listen} is called.
+     *
+     * @param requestMemory limits the requests that are received in part or wait, also those of other listeners
+     */
+    public HttpListener(
+            MessageAcceptor messageAcceptor,
+            Clock clock,
+            EventLoopLag eventLoopLag,
+            int maxConnections,
+            MemoryBudget requestMemory) {
+        this.clock = clock;
+        this.requestMemory = requestMemory;
         acceptor = new Acceptor(eventLoopLag, channel -> channel.pipeline()
                 .addLast(new HttpClientConnection(this, messageAcceptor, clock).handlers()));
         connections = new ConnectionLimiter<>(
@@ -43,8 +73,18 @@
         return connections;
     }
 
-    RequestBufferBudget bufferBudget() {
-        return bufferBudget;
+    MemoryBudget requestMemory() {
+        return requestMemory;
+    }
+
+    /** Called when a request can't be received, or has to wait, because others use up the memory. */
+    void onMemoryExhausted() {
+        long nowMicros = clock.micros();
+        if (nowMicros - memoryLoggedAtMicros >= MEMORY_LOG_INTERVAL_MICROS) {
+            memoryLoggedAtMicros = nowMicros;
+            Log.line("listener: request memory exhausted heldBytes=" + requestMemory.heldBytes() + " connections="
+                    + connections.size());
+        }
     }
 
     /**
--- a/src/main/java/loftflow/listener/http/HttpRequestReader.java
+++ b/src/main/java/loftflow/listener/http/HttpRequestReader.java
@@ -9,12 +9,16 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import loftflow.engine.Message;
+import loftflow.http.SelectiveHeaders;
 import loftflow.listener.request.ClientResponse;
 import loftflow.listener.request.MessageRequest;
 import loftflow.protocol.ClientProtocol;
 
 /** A request that is being received: validates its head, buffers its body and parses its message. */
 final class HttpRequestReader {
+    /** The objects of a request beside the characters of its head and the bytes of its body. */
+    private static final int REQUEST_OVERHEAD_BYTES = 512;
+
     private final HttpRequest head;
     private final ByteBuf body = Unpooled.buffer(0, ClientProtocol.MAX_BODY_BYTES);
     private long arrivedAtMicros;
@@ -63,8 +67,15 @@
         arrivedAtMicros = earliestArrivalMicros;
     }
 
-    int bodyBytes() {
-        return body.readableBytes();
+    /** Returns whether the head gives the length of the body. */
+    boolean hasLength() {
+        return head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    }
+
+    /** Returns the heap memory of what has been received, in bytes. */
+    int heldBytes() {
+        int headBytes = head.uri().length() + ((SelectiveHeaders) head.headers()).storedBytes();
+        return REQUEST_OVERHEAD_BYTES + headBytes + body.capacity();
     }
 
     /** Parses the message in the request; returns null if a header is missing or invalid. */
--- a/src/main/java/loftflow/listener/http2/SessionFlowControl.java
+++ b/src/main/java/loftflow/listener/http2/SessionFlowControl.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http2.DefaultHttp2LocalFlowController;
 import io.netty.handler.codec.http2.Http2Exception;
 import io.netty.handler.codec.http2.Http2Stream;
-import loftflow.listener.connection.RequestBufferBudget;
 import loftflow.listener.http2.flowcontrol.ReceiveWindowAllocator;
 import loftflow.protocol.ClientProtocol;
 
@@ -14,7 +13,7 @@
  */
 final class SessionFlowControl {
     /** The initial window of a stream. A body within it needs no allocation from the pool. */
-    static final int INITIAL_STREAM_WINDOW_BYTES = RequestBufferBudget.GUARANTEED_REQUEST_BYTES;
+    static final int INITIAL_STREAM_WINDOW_BYTES = 4 << 10;
     /**
      * The maximum window of a stream: one byte more than the maximum body, so that a body of unknown length that
      * exceeds the maximum is detected.
--- a/src/main/java/loftflow/server/RelayServer.java
+++ b/src/main/java/loftflow/server/RelayServer.java
@@ -24,6 +24,8 @@
 import loftflow.listener.http.HttpListener;
 import loftflow.log.Log;
 import loftflow.membership.WithdrawnEndpoints;
+import loftflow.memory.MemoryBudget;
+import loftflow.memory.MemoryLimits;
 import loftflow.policy.DefaultDeliveryPolicy;
 import loftflow.upstream.http.HttpUpstreamClient;
 
@@ -102,8 +104,10 @@
                 amqp == null ? httpUpstreams : amqp.upstreamClient(httpUpstreams),
                 amqp == null ? notifier : amqp.completionNotifier());
         int maxConnections = maxConnectionsPerListener();
+        MemoryBudget requestMemory =
+                new MemoryBudget(MemoryLimits.ofProcess().clientRequestBytes(), HttpListener.GUARANTEED_BYTES);
         for (int i = 0; i < config.listenAddresses().size(); i++) {
-            httpListeners.add(new HttpListener(engine, clock, eventLoopLag, maxConnections));
+            httpListeners.add(new HttpListener(engine, clock, eventLoopLag, maxConnections, requestMemory));
         }
         http2 = config.http2() == null
                 ? null
--- a/src/test/java/loftflow/ArchitectureTest.java
+++ b/src/test/java/loftflow/ArchitectureTest.java
@@ -96,7 +96,8 @@
                 "listener | loftflow.listener",
                 "listener.connection | loftflow.engine loftflow.listener.connection loftflow.log",
                 "listener.request | loftflow.protocol loftflow.engine loftflow.listener.request",
-                "listener.http | loftflow.protocol loftflow.listener loftflow.engine loftflow.listener.http loftflow.listener.connection loftflow.listener.request loftflow.http",
+                "listener.http | loftflow.protocol loftflow.listener loftflow.engine loftflow.listener.http loftflow.listener.connection loftflow.listener.request loftflow.http "
+                        + "loftflow.memory loftflow.log",
                 "listener.http2 | loftflow.protocol loftflow.listener loftflow.engine loftflow.listener.http2.. loftflow.listener.connection "
                         + "loftflow.listener.request loftflow.http",
                 "listener.http2.flowcontrol | loftflow.listener.http2.flowcontrol",
@@ -110,6 +111,7 @@
                 "discovery | loftflow.protocol loftflow.policy.api loftflow.engine loftflow.discovery loftflow.http loftflow.json loftflow.log",
                 "completion | loftflow.protocol loftflow.engine loftflow.completion loftflow.discovery loftflow.recordfile loftflow.log",
                 "json | loftflow.json",
+                "memory | loftflow.memory",
                 "policy | loftflow.policy loftflow.policy.api",
                 "policy.api | loftflow.policy.api",
                 "simulator | loftflow.policy loftflow.policy.api loftflow.json loftflow.settings loftflow.simulator",
@@ -122,7 +124,7 @@
                 "config.tool | loftflow.protocol loftflow.policy.api loftflow.engine loftflow.json loftflow.config..",
                 "server | loftflow.policy loftflow.policy.api loftflow.server loftflow.config loftflow.engine loftflow.listener.. loftflow.upstream.. "
                         + "loftflow.discovery loftflow.completion loftflow.journal loftflow.log loftflow.deadletter.. loftflow.admin "
-                        + "loftflow.amqp.. loftflow.deduplication loftflow.warmstart.. loftflow.clock loftflow.membership",
+                        + "loftflow.amqp.. loftflow.deduplication loftflow.warmstart.. loftflow.clock loftflow.membership loftflow.memory",
                 "membership | loftflow.policy.api loftflow.membership loftflow.engine loftflow.recordfile loftflow.log",
                 "deadletter | loftflow.policy.api loftflow.engine loftflow.deadletter loftflow.log",
                 "deadletter.store | loftflow.policy.api loftflow.engine loftflow.deadletter.. loftflow.log",
--- a/src/test/java/loftflow/server/AcceptanceResponseTest.java
+++ b/src/test/java/loftflow/server/AcceptanceResponseTest.java
@@ -59,8 +59,12 @@
     private static final int MAX_CONNECTIONS = 8;
     private static final int SMALL_BUFFER_BYTES = 4096;
     private static final String READY_REQUEST = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
-    /** The responses to so many requests are smaller than the buffer at which the relay stops reading requests. */
+    private static final int READY_RESPONSE_BYTES = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".length();
     private static final int READY_REQUESTS_PER_WRITE = 400;
+    /** The responses to so many requests are smaller than the buffer at which the relay stops reading requests. */
+    private static final int READY_REQUESTS_PER_SMALL_WRITE = 20;
+    /** So many writes less than the kernel has held before are held again. */
+    private static final int MARGIN_WRITES = 4;
 
     @TempDir
     Path folder;
@@ -301,19 +305,43 @@
         assertEquals(status == 500 ? List.of("m1 dead") : List.of(), notices);
     }
 
+    /** Sends requests and returns once the relay has read all of them. */
+    private static void sendRead(Socket client, String requests) {
+        write(client, requests);
+        KernelSocketState relaySocket = KernelSocketState.ofPeer(client);
+        KernelSocketState clientSocket = KernelSocketState.of(client);
+        // Bytes that arrive while the relay uses its socket are unread only once they are acknowledged.
+        while (clientSocket.hasUnacknowledged() || relaySocket.hasUnread()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Waits until the relay has read all requests, or has stopped reading as responses are unread. */
+    private void awaitPause(Socket client) throws Exception {
+        KernelSocketState relaySocket = KernelSocketState.ofPeer(client);
+        KernelSocketState clientSocket = KernelSocketState.of(client);
+        while (loop.submit(listener::isIdle).get() && (clientSocket.hasUnacknowledged() || relaySocket.hasUnread())) {
+            Thread.onSpinWait();
+        }
+    }
+
     /**
      * Makes the relay buffer responses that the client does not read, then sends m1, so that its 202 is buffered too.
      */
     private Socket sendBehindUnreadResponses() throws Exception {
         Socket client = connectAndUse();
-        KernelSocketState relaySocket = KernelSocketState.ofPeer(client);
-        KernelSocketState clientSocket = KernelSocketState.of(client);
+        int writes = 0;
         while (loop.submit(listener::isIdle).get()) {
             write(client, READY_REQUEST.repeat(READY_REQUESTS_PER_WRITE));
-            // Bytes that arrive while the relay uses its socket are unread only once they are acknowledged.
-            while (clientSocket.hasUnacknowledged() || relaySocket.hasUnread()) {
-                Thread.onSpinWait();
-            }
+            awaitPause(client);
+            writes++;
+        }
+        client.getInputStream().skipNBytes((long) writes * READY_REQUESTS_PER_WRITE * READY_RESPONSE_BYTES);
+        for (int i = 0; i < writes - MARGIN_WRITES; i++) {
+            sendRead(client, READY_REQUEST.repeat(READY_REQUESTS_PER_WRITE));
+        }
+        while (loop.submit(listener::isIdle).get()) {
+            sendRead(client, READY_REQUEST.repeat(READY_REQUESTS_PER_SMALL_WRITE));
         }
         write(client, message("m1"));
         await(() -> host.requests.size() == 1);
--- a/src/test/java/loftflow/server/ClientMemoryTest.java
+++ b/src/test/java/loftflow/server/ClientMemoryTest.java
@@ -25,6 +25,9 @@
             "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Call-Class: safe\r\nX-Caller: acme\r\n"
                     + "X-Budget-Ms: 20000\r\nX-Consignee: dest=7\r\n";
 
+    /** Messages of this class are rejected, so that they don't use up the limit on open messages. */
+    private static final String UNKNOWN_CLASS_HEAD = MESSAGE_HEAD.replace("safe", "none");
+
     /** What a badly behaved client sends. */
     enum Behaviour {
         SHORT_FIELDS,
@@ -49,11 +52,11 @@
                 case LONG_LINE -> MESSAGE_HEAD + "a: " + "x".repeat(HEAD_BYTES - MESSAGE_HEAD.length());
                 case HALF_BODY -> MESSAGE_HEAD + "X-Call-Id: b" + connection + "\r\nContent-Length: 65536\r\n\r\n"
                         + "x".repeat(60_000);
-                case PIPELINED_HEADS -> (MESSAGE_HEAD + "X-Call-Id: p" + connection
+                case PIPELINED_HEADS -> (UNKNOWN_CLASS_HEAD + "X-Call-Id: p" + connection
                                 + "\r\nContent-Length: 0\r\nX-Caller: "
                                 + "x".repeat(HEAD_BYTES - 2 * MESSAGE_HEAD.length()) + "\r\n\r\n")
                         .repeat(20);
-                case PIPELINED_BODIES -> (MESSAGE_HEAD + "X-Call-Id: q" + connection
+                case PIPELINED_BODIES -> (UNKNOWN_CLASS_HEAD + "X-Call-Id: q" + connection
                                 + "\r\nContent-Length: 4000\r\n\r\n" + "x".repeat(4000))
                         .repeat(20);
                 case UNREAD_RESPONSES -> "GET /none HTTP/1.1\r\nHost: a\r\n\r\n".repeat(10_000);
