Requests of others are read in time while hundreds of clients send without a pause

Cause: a pass of the event loop read 8 KiB of each connection, some 230 small requests, and sent each response by a system call of its own. 500 such connections made a pass of more than a second; the request of another client waits for it, and a message that was read more than 0.4 s late is rejected.

Change: ReadShare divides 128 KiB a pass among the connections that had bytes in the pass before, 512 bytes each at least; bodies with a length are read in parts of 8 KiB as before. The responses to the requests of one read are sent by one system call.

--- a/src/main/java/loftflow/http/HeapReceiveAllocator.java
+++ b/src/main/java/loftflow/http/HeapReceiveAllocator.java
@@ -8,9 +8,9 @@
 import java.util.function.IntSupplier;
 
 /**
- * Receives into heap buffers, so that bytes which wait to be decoded are held in the heap and not in direct memory, whose
- * limit is another one. The size of a read is that of another allocator, within a limit that may change from read to
- * read.
+ * Receives into heap buffers, so that bytes which wait to be decoded are held in the heap and not in direct memory,
+ * whose limit is another one. The size of a read is that of another allocator, within a limit that may change from read
+ * to read.
  */
 public final class HeapReceiveAllocator implements RecvByteBufAllocator {
     private final IntSupplier maxBytesPerRead;
--- a/src/main/java/loftflow/http/SelectiveHeaders.java
+++ b/src/main/java/loftflow/http/SelectiveHeaders.java
@@ -11,7 +11,7 @@
 import java.util.List;
 
 /**
- * The fields of a head or of trailers. Fields that no protocol of the relay uses are validated and not stored: stored, a
+ * The fields of a head or of trailers. Fields that no protocol of the relay uses are validated and not stored, as a stored
  * field takes many times the bytes that the peer has sent. Not thread-safe.
  */
 public final class SelectiveHeaders extends DefaultHttpHeaders {
--- a/src/main/java/loftflow/listener/http/HttpClientConnection.java
+++ b/src/main/java/loftflow/listener/http/HttpClientConnection.java
@@ -90,6 +90,11 @@
     /** Whether more must not be read until a request of {@link #pipelined} has been handled. */
     private boolean isMemoryExhausted;
 
+    private boolean isReadingPending;
+    /** Whether the bytes of a read are being handled. */
+    private boolean isReading;
+
+    private boolean hasUnflushedResponses;
     private final ConnectionTimer timer =
             new ConnectionTimer((nanos, task) -> context.executor().schedule(task, nanos, TimeUnit.NANOSECONDS));
 
@@ -145,12 +150,20 @@
     /** Reads pending bytes, unless reading is paused because the client does not read its responses. */
     void readPending() {
         hasUnreadBytes = true;
+        isReadingPending = true;
         for (int reads = 0; hasUnreadBytes && reads < MAX_PENDING_READS; reads++) {
             hasUnreadBytes = false;
             if (context.channel().isWritable()) {
                 UnreadBytes.read(context.channel());
             }
         }
+        isReadingPending = false;
+    }
+
+    /** A body is read in large parts, as it costs little to read. */
+    private int maxBytesPerRead() {
+        boolean isLarge = isReadingPending || reading != null && reading.hasLength();
+        return isLarge ? MAX_BYTES_PER_PASS : listener.readShare().bytesPerRead();
     }
 
     /** Reads pending bytes, then closes the connection unless a request has begun or a response is still unsent. */
@@ -187,7 +200,11 @@
                     startReadTimeout();
                 }
             }
+            listener.readShare().onRead();
+            isReading = true;
             ctx.fireChannelRead(bytes);
+            isReading = false;
+            flushResponses();
             updateMemory();
         }
 
@@ -211,7 +228,7 @@
                 .setRecvByteBufAllocator(new HeapReceiveAllocator(
                         new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_BYTES_PER_PASS)
                                 .maxMessagesPerRead(1),
-                        () -> MAX_BYTES_PER_PASS));
+                        this::maxBytesPerRead));
         encoder = ctx.pipeline().context(HttpResponseEncoder.class);
         arrivalTimeBound = new ArrivalTimeBound(listener.acceptor(), clock.micros());
         startReadTimeout();
@@ -429,7 +446,19 @@
         if (isLast || retryAfterMicros > 0) {
             return context.writeAndFlush(ResponseFactory.create(response, retryAfterMicros, isLast));
         }
-        return encoder.writeAndFlush(ResponseFactory.encoded(response));
+        if (!isReading) {
+            return encoder.writeAndFlush(ResponseFactory.encoded(response));
+        }
+        hasUnflushedResponses = true;
+        return encoder.write(ResponseFactory.encoded(response));
+    }
+
+    /** Sends the responses to all requests of one read by one system call. */
+    private void flushResponses() {
+        if (hasUnflushedResponses) {
+            hasUnflushedResponses = false;
+            context.flush();
+        }
     }
 
     private void onResponded() {
--- a/src/main/java/loftflow/listener/http/HttpListener.java
+++ b/src/main/java/loftflow/listener/http/HttpListener.java
@@ -10,6 +10,7 @@
 import loftflow.listener.Listener;
 import loftflow.listener.connection.Acceptor;
 import loftflow.listener.connection.ConnectionLimiter;
+import loftflow.listener.connection.ReadShare;
 import loftflow.log.Log;
 import loftflow.memory.MemoryBudget;
 import loftflow.memory.MemoryLimits;
@@ -28,6 +29,7 @@
     private final ConnectionLimiter<HttpClientConnection> connections;
     private final MemoryBudget requestMemory;
     private final Clock clock;
+    private ReadShare readShare;
     private long memoryLoggedAtMicros = -MEMORY_LOG_INTERVAL_MICROS;
     private boolean isDraining;
 
@@ -62,6 +64,7 @@
 
     /** Starts to listen at an address. */
     public ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
+        readShare = new ReadShare(loop, HttpClientConnection.MAX_BYTES_PER_PASS);
         return acceptor.open(loop, address);
     }
 
@@ -77,6 +80,10 @@
         return requestMemory;
     }
 
+    ReadShare readShare() {
+        return readShare;
+    }
+
     /** Called when a request can't be received, or has to wait, because others use up the memory. */
     void onMemoryExhausted() {
         long nowMicros = clock.micros();
