--- a/src/main/java/loftflow/http/SelectiveHeaders.java
+++ b/src/main/java/loftflow/http/SelectiveHeaders.java
@@ -11,8 +11,8 @@
 import java.util.List;
 
 /**
- * The fields of a head or of trailers. Fields that no protocol of the relay uses are validated and not stored, as a stored
- * field takes many times the bytes that the peer has sent. Not thread-safe.
+ * The fields of a head or of trailers. Fields that no protocol of the relay uses are validated and not stored, as a
+ * stored field takes many times the bytes that the peer has sent. Not thread-safe.
  */
 public final class SelectiveHeaders extends DefaultHttpHeaders {
     /** The objects of a stored field beside its characters. */
--- a/src/test/java/loftflow/server/ClientMemoryTest.java
+++ b/src/test/java/loftflow/server/ClientMemoryTest.java
@@ -85,6 +85,8 @@
         "SHORT_TRAILERS, 900, 128",
         "LONG_LINE, 900, 128",
         "HALF_BODY, 900, 128",
+        "HALF_BODY, 900, 96",
+        "KNOWN_FIELDS, 900, 80",
         "PIPELINED_HEADS, 500, 128",
         "PIPELINED_BODIES, 500, 128",
         "UNREAD_RESPONSES, 500, 128"
