Messages that a relay holds, and the ids it remembers, are bounded by their memory

A message that has ended and whose notice is not acknowledged, or that has an attempt in flight, counted nowhere. EndedMessages kept 16,384 ids of up to 200 characters.

Change: a message counts 1 KiB, its texts and twice its body (a call holds it encoded) until it leaves the table; beyond a quarter of the heap new ones get 503 with Retry-After, as at the limit of open messages. Resumed and reopened ones are owed and always added. Ids of ended messages take a sixteenth of the heap; the oldest go first. config check uses the same figures: a quarter of the heap, bodies twice (before: half, bodies once; small messages weigh the same).

--- a/src/main/java/loftflow/config/plan/CapacityChecks.java
+++ b/src/main/java/loftflow/config/plan/CapacityChecks.java
@@ -87,12 +87,16 @@
     }
 
     private void checkHeap() {
-        double heldBytes = SizingModel.bytesOf(declared, derived.maxOpenMessages(), SizingModel.HEAP_BYTES_PER_MESSAGE);
+        double heldBytes = SizingModel.HEAP_BYTES_PER_BODY_BYTE
+                * SizingModel.bytesOf(
+                        declared,
+                        derived.maxOpenMessages(),
+                        SizingModel.HEAP_BYTES_PER_MESSAGE / SizingModel.HEAP_BYTES_PER_BODY_BYTE);
         if (heldBytes > SizingModel.OPEN_HEAP_SHARE * derived.heapBytes()) {
             derivedError(
                     "process.heap",
                     text(
-                            "%s is too small for %d held messages: they take %s, and may take half of it;"
+                            "%s is too small for %d held messages: they take %s, and may take a quarter of it;"
                                     + " raise it to %s",
                             Units.formatSize(derived.heapBytes()),
                             derived.maxOpenMessages(),
--- a/src/main/java/loftflow/config/plan/SizingModel.java
+++ b/src/main/java/loftflow/config/plan/SizingModel.java
@@ -11,11 +11,13 @@
     /** Journal bytes of a message beside its body: ids, key, headers, and the records of a few attempts. */
     static final long JOURNAL_BYTES_PER_MESSAGE = 600;
     /** Heap bytes of an open message beside its body. */
-    static final long HEAP_BYTES_PER_MESSAGE = 2 << 10;
+    static final long HEAP_BYTES_PER_MESSAGE = 1 << 10;
+    /** A body is held once more by a call, encoded. */
+    static final int HEAP_BYTES_PER_BODY_BYTE = 2;
     /** The share of the journal that open messages may use; the rest is for completions and for compaction. */
     static final double OPEN_JOURNAL_SHARE = 0.3;
     /** The share of the heap that open messages may use. */
-    static final double OPEN_HEAP_SHARE = 0.5;
+    static final double OPEN_HEAP_SHARE = 0.25;
     /** Heap bytes of an id in the deduplication window. */
     static final long HEAP_BYTES_PER_SEEN_ID = 300;
     /** The share of the heap that the deduplication window may use. */
--- a/src/main/java/loftflow/engine/DeliveryEngine.java
+++ b/src/main/java/loftflow/engine/DeliveryEngine.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import loftflow.memory.MemoryLimits;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.DeliveryPolicy;
 import loftflow.policy.api.EndpointListKind;
@@ -29,7 +30,7 @@
     private final DeliveryPolicy policy;
     private final RequestClassRegistry requestClasses;
     private final DestinationRegistry destinations = new DestinationRegistry();
-    private final MessageTable messages = new MessageTable();
+    private final MessageTable messages;
     private final PolicyEventQueue events;
     private final MessageLifecycle lifecycle;
     private final MessageAdmission admission;
@@ -37,11 +38,23 @@
     private final JournalRecovery recovery;
     private final DeliveryRound round;
 
+    /** Creates an engine as below, with the memory limits of this process. */
+    public DeliveryEngine(
+            Timers timers,
+            Clock clock,
+            PolicySettings settings,
+            long roundPeriodMicros,
+            WriteAheadLog journal,
+            Function<PolicySettings, DeliveryPolicy> policyFactory) {
+        this(timers, clock, settings, roundPeriodMicros, journal, policyFactory, MemoryLimits.ofProcess());
+    }
+
     /**
      * Creates an engine that has not started; {@link #attach} must be called before {@link #start}.
      *
      * @param roundPeriodMicros how long events are collected before the policy runs, in microseconds
      * @param policyFactory creates the policy for the settings
+     * @param memoryLimits limits the messages that the engine holds
      */
     public DeliveryEngine(
             Timers timers,
@@ -49,12 +62,14 @@
             PolicySettings settings,
             long roundPeriodMicros,
             WriteAheadLog journal,
-            Function<PolicySettings, DeliveryPolicy> policyFactory) {
+            Function<PolicySettings, DeliveryPolicy> policyFactory,
+            MemoryLimits memoryLimits) {
         context = new EngineContext(timers, clock, settings, journal);
         policy = policyFactory.apply(settings);
         requestClasses = new RequestClassRegistry(settings);
         events = new PolicyEventQueue(timers, roundPeriodMicros, this::runRound);
-        EndedMessages endedMessages = new EndedMessages();
+        messages = new MessageTable(memoryLimits.messageBytes());
+        EndedMessages endedMessages = new EndedMessages(memoryLimits.endedMessageBytes());
         lifecycle = new MessageLifecycle(context, requestClasses, messages, events, endedMessages);
         admission =
                 new MessageAdmission(context, requestClasses, messages, destinations, events, lifecycle, endedMessages);
--- a/src/main/java/loftflow/engine/MessageAdmission.java
+++ b/src/main/java/loftflow/engine/MessageAdmission.java
@@ -72,6 +72,7 @@
                 || !isDestinationListed
                 || context.deadLetterSink().rejects(content)
                 || messages.openCount() >= context.maxOpenMessages()
+                || !messages.hasRoomFor(content)
                 || !context.journal().recordAccepted(message)) {
             clientReply.rejected(RETRY_AFTER_MICROS);
             return null;
@@ -122,6 +123,7 @@
         if (!destinations.isReady()
                 || context.isQuiescing()
                 || isBusy
+                || !messages.hasRoomFor(content)
                 || messages.findByMessageId(content.messageId()) != null
                 || !destinations.contains(content.destination())) {
             return null;
--- a/src/main/java/loftflow/engine/MessageTable.java
+++ b/src/main/java/loftflow/engine/MessageTable.java
@@ -10,13 +10,45 @@
  * ended.
  */
 final class MessageTable {
+    /** The objects of a message with some attempts, beside its texts and its body. */
+    private static final int MESSAGE_OVERHEAD_BYTES = 1 << 10;
+    /** A body is held once more by a call, encoded, until the host has read it. */
+    private static final int BYTES_PER_BODY_BYTE = 2;
+
     private final Map<Long, Message> byNumber = new LinkedHashMap<>();
     private final Map<String, Message> byMessageId = new HashMap<>();
+    private final long maxBytes;
+    private long heldBytes;
     private int openCount;
 
+    /**
+     * Creates a table without messages.
+     *
+     * @param maxBytes how much heap memory new messages may take together with those in the table
+     */
+    MessageTable(long maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
+    /** Adds a message, whatever memory it takes. */
     void add(Message message) {
-        byNumber.put(message.number(), message);
+        Message replaced = byNumber.put(message.number(), message);
         byMessageId.put(message.content().messageId(), message);
+        heldBytes += bytes(message.content()) - (replaced == null ? 0 : bytes(replaced.content()));
+    }
+
+    /** Returns whether there is memory for a message with the given content. */
+    boolean hasRoomFor(Message.Content content) {
+        return heldBytes + bytes(content) <= maxBytes;
+    }
+
+    private static long bytes(Message.Content content) {
+        int textChars = content.messageId().length() + length(content.key()) + length(content.orderingKey());
+        return MESSAGE_OVERHEAD_BYTES + textChars + (long) BYTES_PER_BODY_BYTE * content.body().length;
+    }
+
+    private static int length(String text) {
+        return text == null ? 0 : text.length();
     }
 
     /** Returns the message with this journal number, or null. */
@@ -40,7 +72,9 @@
     /** Removes a message if it is done and has no attempt in flight. */
     void removeIfSettled(Message message) {
         if (message.isDone() && !message.hasAttemptsInFlight()) {
-            byNumber.remove(message.number());
+            if (byNumber.remove(message.number()) != null) {
+                heldBytes -= bytes(message.content());
+            }
             byMessageId.remove(message.content().messageId(), message);
         }
     }
--- a/src/main/java/loftflow/memory/MemoryLimits.java
+++ b/src/main/java/loftflow/memory/MemoryLimits.java
@@ -2,7 +2,7 @@
 
 /**
  * The largest amounts of heap memory, in bytes, that peers can make a relay hold, by kind of peer. Together they are
- * half of the heap; the rest is for the relay itself and for garbage that has not been collected.
+ * nine sixteenths of the heap; the rest is for the relay itself and for garbage that has not been collected.
  *
  * @param clientRequestBytes requests that have been received in part, or wait for an earlier one on their connection
  * @param messageBytes messages that have been accepted and not yet ended
@@ -20,10 +20,10 @@
     private static final int UNITS = 32;
 
     private static final int CLIENT_REQUEST_UNITS = 4;
-    private static final int MESSAGE_UNITS = 7;
+    private static final int MESSAGE_UNITS = 8;
     private static final int HOST_RESPONSE_UNITS = 2;
     private static final int REVOCABLE_OUTCOME_UNITS = 2;
-    private static final int ENDED_MESSAGE_UNITS = 1;
+    private static final int ENDED_MESSAGE_UNITS = 2;
 
     /** Returns the limits of this process, from the largest heap that it may use. */
     public static MemoryLimits ofProcess() {
--- a/src/test/java/loftflow/server/ClientMemoryTest.java
+++ b/src/test/java/loftflow/server/ClientMemoryTest.java
@@ -8,6 +8,7 @@
 import loftflow.fake.ScriptedPeer;
 import loftflow.server.ConnectionCrowd.Responses;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -16,6 +17,7 @@
 @Timeout(120)
 class ClientMemoryTest extends RelayTestBase {
     private static final int DESCRIPTORS = 1024;
+    private static final int MEMORY_MIB = 128;
     private static final long CROWD_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     private static final int HEAD_BYTES = 8000;
@@ -109,4 +111,33 @@
             assertTrue(client.wasServed(), client::toString);
         }
     }
+
+    /** Guards against a process that ends because of large messages which it has accepted and can't deliver. */
+    @Test
+    void largeMessagesThatCannotBeDeliveredAreHeldInTheMemoryOfTheProcess() throws Exception {
+        host.answer(request -> ScriptedPeer.SILENCE);
+        relay.withDeployedCommand(MEMORY_MIB, DESCRIPTORS)
+                .withMaxOpenMessages(10_000)
+                .withDiskMib(2000)
+                .start();
+        try (SteadyClient client = new SteadyClient(relay);
+                ConnectionCrowd crowd =
+                        new ConnectionCrowd(relay.address(), 60, Responses.READ, ClientMemoryTest::largeMessages)) {
+            client.submitFor(CROWD_NANOS);
+            int peakMib = relay.peakResidentMib();
+            System.out.println(
+                    "large messages: peak MiB " + peakMib + ", connections " + crowd.openedCount() + ", " + client);
+            assertTrue(relay.isAlive(), relay::log);
+            assertTrue(peakMib <= MEMORY_MIB, "resident MiB: " + peakMib);
+            assertTrue(client.wasAnswered(), client::toString);
+        }
+    }
+
+    private static byte[] largeMessages(int connection) {
+        StringBuilder messages = new StringBuilder();
+        for (int i = 0; i < 40; i++) {
+            messages.append(RelayProcess.message("l" + connection + "-" + i, "safe", 7, 20_000, "x".repeat(64 << 10)));
+        }
+        return messages.toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
 }
--- a/src/test/java/loftflow/server/SteadyClient.java
+++ b/src/test/java/loftflow/server/SteadyClient.java
@@ -14,6 +14,7 @@
     private static final long CLIENT_TIMEOUT_MILLIS = 400;
 
     private static final int STATUS_ACCEPTED = 202;
+    private static final int STATUS_REJECTED = 503;
     private static final int MESSAGE_TIMEOUT_MILLIS = 20_000;
 
     private final RelayProcess relay;
@@ -74,6 +75,11 @@
         }
     }
 
+    /** Returns whether every message was accepted or rejected in time. */
+    boolean wasAnswered() {
+        return lateCount == 0 && Set.of(STATUS_ACCEPTED, STATUS_REJECTED).containsAll(statuses.keySet());
+    }
+
     /** Returns whether every message was accepted in time. */
     boolean wasServed() {
         return lateCount == 0 && statuses.keySet().equals(Set.of(STATUS_ACCEPTED));
