Responses that hosts send in part or in excess are bounded by their memory

Also kept for as long as a host sends, or a connection lasts: the body of every response (up to 64 KiB, though only that of a batch or a probe has a meaning), the states of messages that the call does not carry, a status for each surplus response on a connection that is still read, fingerprints at 72 bytes each, ids of rejected messages, and up to 64 KiB of messages a connection whose outcome may be corrected.

Change: heads store the fields that the relay uses and a hash of all (for copies); bodies and states are kept where they are used; a partly received response comes from a budget of all connections, a sixteenth of the heap, beyond which it ends as malformed (the call may have run). Outcomes are tracked within another sixteenth, oldest of a connection first out. After 32 surplus responses, which disprove all that can be disproved, a connection is closed. Fingerprints take eight bytes. What each connection is guaranteed is 4 KiB.

--- a/src/main/java/loftflow/discovery/AgentConnection.java
+++ b/src/main/java/loftflow/discovery/AgentConnection.java
@@ -25,7 +25,9 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import loftflow.http.SelectiveHeaders;
 import loftflow.http.StrictResponseDecoder;
 import loftflow.http.UnreadBytes;
 import loftflow.log.Log;
@@ -49,6 +51,7 @@
     private static final int MAX_SUCCESSOR_WAIT_MILLIS = 50;
 
     private static final int NO_RESPONSE = 0;
+    private static final SelectiveHeaders.Factory HEADERS = SelectiveHeaders.Factory.ofMessages(List.of(), false);
 
     /** When a connection carries more than one request. */
     public enum Reuse {
@@ -115,7 +118,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel newChannel) {
-                        StrictResponseDecoder decoder = new StrictResponseDecoder();
+                        StrictResponseDecoder decoder = new StrictResponseDecoder(HEADERS);
                         newChannel
                                 .pipeline()
                                 .addLast(
--- a/src/main/java/loftflow/engine/package-info.java
+++ b/src/main/java/loftflow/engine/package-info.java
@@ -5,6 +5,7 @@
  * {@link loftflow.engine.DeadLetterSink}, {@link loftflow.engine.EndpointListListener},
  * {@link loftflow.engine.Timers}).
  *
- * <p>May use: the policy's types, {@code protocol}, {@code memory} and the log; no Netty, no files, no sockets, no threads.
+ * <p>May use: the policy's types, {@code protocol}, {@code memory} and the log; no Netty, no files, no sockets,
+ * no threads.
  */
 package loftflow.engine;
--- a/src/main/java/loftflow/http/StrictResponseDecoder.java
+++ b/src/main/java/loftflow/http/StrictResponseDecoder.java
@@ -1,11 +1,16 @@
 package loftflow.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.util.List;
 import java.util.regex.Pattern;
 
 /**
@@ -17,9 +22,30 @@
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("\\d{3}");
 
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2 << 10;
+    private static final int MAX_READ_BYTES = 16 << 10;
+
     private boolean hasMalformedLine;
     /** The number of fields that determine the length of the body: Content-Length and Transfer-Encoding. */
     private int framingFieldCount;
+    /** The fields of the head that is being received; null between heads. */
+    private SelectiveHeaders partialHead;
+
+    /** Creates a decoder of responses, which store the given headers. */
+    public StrictResponseDecoder(SelectiveHeaders.Factory headers) {
+        super(new HttpDecoderConfig()
+                .setHeadersFactory(headers)
+                .setTrailersFactory(SelectiveHeaders.Factory.ofTrailers()));
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) throws Exception {
+        super.handlerAdded(ctx);
+        AdaptiveRecvByteBufAllocator sizes =
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES);
+        ctx.channel().config().setRecvByteBufAllocator(new HeapReceiveAllocator(sizes, () -> MAX_READ_BYTES));
+    }
 
     /** Resets the checks for the next response on the connection. */
     public void awaitResponse() {
@@ -35,6 +61,19 @@
         return hasMalformedLine || framingFieldCount > 1;
     }
 
+    /** Returns the heap memory, in bytes, of received bytes that are not decoded and of a partly received head. */
+    public int heldBytes() {
+        return internalBuffer().capacity() + (partialHead == null ? 0 : partialHead.storedBytes());
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf bytes, List<Object> decoded) throws Exception {
+        super.decode(ctx, bytes, decoded);
+        if (!decoded.isEmpty()) {
+            partialHead = null;
+        }
+    }
+
     /** Returns whether received bytes remain that are not part of any decoded response. */
     public boolean hasLeftover() {
         return actualReadableBytes() > 0;
@@ -50,7 +89,9 @@
     protected HttpMessage createMessage(String[] statusLine) {
         hasMalformedLine |= !VERSION.matcher(statusLine[0]).matches()
                 || !STATUS.matcher(statusLine[1]).matches();
-        return super.createMessage(statusLine);
+        HttpMessage head = super.createMessage(statusLine);
+        partialHead = (SelectiveHeaders) head.headers();
+        return head;
     }
 
     /**
--- a/src/main/java/loftflow/upstream/http/BatchCodec.java
+++ b/src/main/java/loftflow/upstream/http/BatchCodec.java
@@ -8,8 +8,10 @@
 import java.io.UncheckedIOException;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import loftflow.engine.Message;
 import loftflow.json.JsonFields;
 import loftflow.json.MalformedInputException;
@@ -54,13 +56,16 @@
     }
 
     /**
-     * Decodes a response body and returns the reported state of each message, by message id.
+     * Decodes a response body.
+     *
+     * @param sentIds the ids of the messages of the call
      *
      * @throws IOException if the body is not valid JSON or an entry repeats a field
      * @throws MalformedInputException if the body is not an array of entries or repeats a message id
      */
-    static Map<String, String> decodeStates(String body) throws IOException {
+    static ReportedStates decodeStates(String body, Set<String> sentIds) throws IOException {
         Map<String, String> states = new HashMap<>();
+        Set<String> otherIds = new HashSet<>();
         try (JsonParser parser = JSON.createParser(body)) {
             parser.nextToken();
             if (!(JsonFields.read(parser) instanceof List<?> entries)) {
@@ -69,7 +74,10 @@
             for (Object json : entries) {
                 JsonFields entry = JsonFields.ofObject("entry", json);
                 String messageId = entry.text(HostProtocol.MESSAGE_ID_FIELD);
-                if (states.put(messageId, entry.text(HostProtocol.STATE_FIELD)) != null) {
+                String state = entry.text(HostProtocol.STATE_FIELD);
+                boolean isNew =
+                        sentIds.contains(messageId) ? states.put(messageId, state) == null : otherIds.add(messageId);
+                if (!isNew) {
                     throw new MalformedInputException("duplicate message id");
                 }
             }
@@ -77,6 +85,6 @@
                 throw new MalformedInputException("unexpected data after the array");
             }
         }
-        return states;
+        return new ReportedStates(states, !otherIds.isEmpty());
     }
 }
--- a/src/main/java/loftflow/upstream/http/CallResponse.java
+++ b/src/main/java/loftflow/upstream/http/CallResponse.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Collections;
-import java.util.Map;
 import java.util.Set;
 import loftflow.json.MalformedInputException;
 import loftflow.log.Log;
@@ -30,8 +29,20 @@
     private long retryAfterMicros;
     private boolean isConcurrencyLimited;
     private final ByteBuf body = Unpooled.buffer(0, MAX_BODY_BYTES);
-    /** The states of the messages by id; empty if none have been read. */
-    private Map<String, String> states = Map.of();
+    /** Whether the body is stored; that of any other response means nothing. */
+    private final boolean isBodyUsed;
+
+    private int bodySizeBytes;
+    private ReportedStates states = ReportedStates.NONE;
+
+    /**
+     * Creates a response of which nothing has been received.
+     *
+     * @param isBodyUsed whether the body of a response with status 200 has a meaning
+     */
+    CallResponse(boolean isBodyUsed) {
+        this.isBodyUsed = isBodyUsed;
+    }
 
     /** Returns the back-off that a response requests, in microseconds; 0 for none. */
     static long retryAfterMicros(HttpResponse response) {
@@ -61,20 +72,37 @@
      * @return false if the body exceeds its maximum size
      */
     boolean appendBody(ByteBuf chunk) {
-        if (body.readableBytes() + chunk.readableBytes() > MAX_BODY_BYTES) {
+        bodySizeBytes += chunk.readableBytes();
+        if (bodySizeBytes > MAX_BODY_BYTES) {
             return false;
         }
-        body.writeBytes(chunk);
+        if (isBodyUsed && isOk()) {
+            body.writeBytes(chunk);
+        }
         return true;
     }
 
-    /** Decodes the message states in the body of a response to a batch; a malformed body has none. */
-    void readStates(String route) {
+    /** Returns the heap memory of the body that is stored, in bytes. */
+    int heldBytes() {
+        return body.capacity();
+    }
+
+    private void discardBody() {
+        body.clear().capacity(0);
+    }
+
+    /**
+     * Decodes the message states in the body of a response to a batch; a malformed body has none.
+     *
+     * @param sentIds the ids of the messages of the call
+     */
+    void readStates(String route, Set<String> sentIds) {
         try {
-            states = BatchCodec.decodeStates(text());
+            states = BatchCodec.decodeStates(text(), sentIds);
         } catch (IOException | MalformedInputException e) {
             Log.line("upstream: malformed batch response route=" + route + " cause=" + e.getMessage());
         }
+        discardBody();
     }
 
     private String text() {
@@ -112,6 +140,7 @@
         if (isOk() && report.equals(LimitReport.NONE)) {
             report = LoadReportParser.parse(text());
         }
+        discardBody();
     }
 
     /** Returns what its status means for the messages of a call. */
@@ -121,14 +150,19 @@
                 : OutcomeTable.ofStatus(status, isConcurrencyLimited);
     }
 
-    /** Returns the ids of the messages whose states it reports. */
+    /** Returns the ids of the messages of the call whose states it reports. */
     Set<String> namedIds() {
-        return Collections.unmodifiableSet(states.keySet());
+        return Collections.unmodifiableSet(states.byMessageId().keySet());
+    }
+
+    /** Returns whether it reports states of messages that are not of the call. */
+    boolean namesOthers() {
+        return states.namesOthers();
     }
 
     /** Returns what the reported state of a message means; one that is not reported may have been executed. */
     OutcomeTable.Outcome reportedOutcome(String messageId) {
-        return OutcomeTable.ofMessageState(states.getOrDefault(messageId, HostProtocol.STATE_FAILED));
+        return OutcomeTable.ofMessageState(states.byMessageId().getOrDefault(messageId, HostProtocol.STATE_FAILED));
     }
 
     /** Returns whether it names a message as delivered. */
--- a/src/main/java/loftflow/upstream/http/CopyDetector.java
+++ b/src/main/java/loftflow/upstream/http/CopyDetector.java
@@ -1,8 +1,6 @@
 package loftflow.upstream.http;
 
 import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.Set;
 
 /** Recognizes copies of earlier responses on one connection by their fingerprints. Not thread-safe. */
@@ -11,7 +9,7 @@
     private static final int MAX_REMEMBERED_RESPONSES = 1024;
 
     private final ResponseVariety variety;
-    private final Set<Long> received = new LinkedHashSet<>();
+    private final RecentFingerprints received = new RecentFingerprints(MAX_REMEMBERED_RESPONSES);
     /** The statuses of responses that rejected a call. */
     private final Set<Integer> rejections = new HashSet<>();
     /** The status of a copy behind which no response has been received; 0 for none. */
@@ -67,11 +65,6 @@
         if (isSingleMessage) {
             variety.onNewOnConnection(status, fingerprint);
         }
-        if (received.size() > MAX_REMEMBERED_RESPONSES) {
-            Iterator<Long> oldest = received.iterator();
-            oldest.next();
-            oldest.remove();
-        }
     }
 
     /** Called when a response let the messages of its call be sent again. */
--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -1,10 +1,8 @@
 package loftflow.upstream.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.Comparator;
@@ -12,14 +10,12 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import loftflow.engine.Clock;
 import loftflow.engine.Endpoint;
 import loftflow.engine.Message;
-import loftflow.engine.UpstreamClient;
 import loftflow.log.Log;
+import loftflow.memory.MemoryBudget;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.Availability;
 import loftflow.policy.api.LimitReport;
@@ -29,38 +25,12 @@
  * one that is quiet, otherwise the first that becomes reusable or is established. Must be used on the event loop.
  */
 final class HostConnectionPool implements UpstreamCallOwner, UpstreamConnectionOwner {
-    /**
-     * Dependencies and settings shared by the pools of all hosts.
-     *
-     * @param bootstrap connects sockets, with the connect timeout
-     * @param connectTimeoutMicros the time allowed for establishing a connection, and again for a handshake on it
-     * @param idleTimeoutMicros the idle time after which a connection is closed and no longer used
-     * @param lateResponseMicros how long a late response is awaited after a timeout; 0 to not await it
-     * @param reuseDelayNanos see {@link ReuseDelay}
-     * @param suspectHosts the hosts that have sent a response to no call
-     * @param closeLog logs why connections were closed
-     * @param openCalls the call of each attempt without an outcome
-     */
-    record Environment(
-            EventLoop loop,
-            Clock clock,
-            Bootstrap bootstrap,
-            long connectTimeoutMicros,
-            long idleTimeoutMicros,
-            long lateResponseMicros,
-            ConnectionRegistry connections,
-            long reuseDelayNanos,
-            SuspectHosts suspectHosts,
-            ConnectionCloseLog closeLog,
-            Map<Message.Attempt, UpstreamCall> openCalls,
-            UpstreamClient.ResultListener results) {}
-
     /** With so many connections to a host, a call waits for one of them rather than for a new one. */
     private static final int MAX_CONNECTIONS_FOR_QUIET = 8;
 
     private static final int STATUS_OK = 200;
 
-    private final Environment environment;
+    private final UpstreamEnvironment environment;
     private Endpoint endpoint;
     private final RetryAfterDeadline retryAfter;
     private final ReuseDelay reuseDelay;
@@ -84,7 +54,8 @@
     private int idleClosures;
     private boolean isRemoved;
 
-    HostConnectionPool(Environment environment, Endpoint endpoint, RetryAfterDeadline retryAfter, int maxBatchSize) {
+    HostConnectionPool(
+            UpstreamEnvironment environment, Endpoint endpoint, RetryAfterDeadline retryAfter, int maxBatchSize) {
         this.environment = environment;
         this.endpoint = endpoint;
         this.retryAfter = retryAfter;
@@ -112,6 +83,16 @@
         return environment.loop().schedule(task, delayMicros, TimeUnit.MICROSECONDS);
     }
 
+    @Override
+    public MemoryBudget responseMemory() {
+        return environment.responseMemory();
+    }
+
+    @Override
+    public MemoryBudget revocableMemory() {
+        return environment.revocableMemory();
+    }
+
     RetryAfterDeadline retryAfter() {
         return retryAfter;
     }
--- a/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
+++ b/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
@@ -18,6 +18,8 @@
 import loftflow.engine.Message;
 import loftflow.engine.UpstreamClient;
 import loftflow.log.Log;
+import loftflow.memory.MemoryBudget;
+import loftflow.memory.MemoryLimits;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.Availability;
 import loftflow.policy.api.DestinationKind;
@@ -35,6 +37,9 @@
     /** Idle connections are closed this long before the host's idle timeout, or at half of it if that is later. */
     private static final long MAX_IDLE_MARGIN_MICROS = 1_000_000;
 
+    /** What each connection may hold even if the others have used up the memory. */
+    private static final int GUARANTEED_BYTES = 4 << 10;
+
     private static final long MICROS_PER_MILLI = 1000;
     private static final int DEFAULT_MAX_BATCH_SIZE = 1;
 
@@ -64,7 +69,7 @@
         }
     }
 
-    private final HostConnectionPool.Environment environment;
+    private final UpstreamEnvironment environment;
     private final ResultListener results;
     private final boolean hasLoadReports;
     private final Map<String, DestinationKind> kinds = new HashMap<>();
@@ -96,7 +101,7 @@
                 .channelFactory(sockets)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis);
-        environment = new HostConnectionPool.Environment(
+        environment = new UpstreamEnvironment(
                 loop,
                 clock,
                 bootstrap,
@@ -108,6 +113,8 @@
                 new SuspectHosts(System::nanoTime),
                 new ConnectionCloseLog(System::nanoTime, Log::line),
                 openCalls,
+                new MemoryBudget(MemoryLimits.ofProcess().hostResponseBytes(), GUARANTEED_BYTES),
+                new MemoryBudget(MemoryLimits.ofProcess().revocableOutcomeBytes(), GUARANTEED_BYTES),
                 results);
     }
 
--- a/src/main/java/loftflow/upstream/http/RejectedMessageIds.java
+++ b/src/main/java/loftflow/upstream/http/RejectedMessageIds.java
@@ -9,8 +9,10 @@
  */
 final class RejectedMessageIds {
     private static final int MAX_IDS = 256;
+    private static final int MAX_CHARS = 8 << 10;
 
     private final Set<String> ids = new LinkedHashSet<>();
+    private int chars;
 
     boolean contains(String messageId) {
         return ids.contains(messageId);
@@ -18,9 +20,13 @@
 
     /** Adds an id; of too many, the oldest is forgotten. */
     void add(String messageId) {
-        ids.add(messageId);
-        if (ids.size() > MAX_IDS) {
-            ids.remove(ids.iterator().next());
+        if (ids.add(messageId)) {
+            chars += messageId.length();
+        }
+        while (ids.size() > MAX_IDS || chars > MAX_CHARS) {
+            String oldest = ids.iterator().next();
+            ids.remove(oldest);
+            chars -= oldest.length();
         }
     }
 }
--- a/src/main/java/loftflow/upstream/http/ResponseDecoder.java
+++ b/src/main/java/loftflow/upstream/http/ResponseDecoder.java
@@ -2,10 +2,16 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
+import java.util.function.IntSupplier;
+import loftflow.http.SelectiveHeaders;
 import loftflow.http.StrictResponseDecoder;
+import loftflow.memory.MemoryBudget;
+import loftflow.protocol.HostProtocol;
 
 /**
  * Decodes responses, exposes the status of the awaited response as soon as its status line has been received, and
@@ -13,9 +19,30 @@
  * never completes.
  */
 final class ResponseDecoder extends StrictResponseDecoder {
+    private static final SelectiveHeaders.Factory HEADERS = SelectiveHeaders.Factory.ofMessages(
+            List.of(
+                    HostProtocol.RETRY_AFTER_MILLIS_HEADER,
+                    HostProtocol.CONCURRENCY_LIMITED_HEADER,
+                    HostProtocol.LOAD_REPORT_HEADER),
+            true);
+
+    private final MemoryBudget.Account memory;
+    private final IntSupplier bodyBytes;
     private final ResponseHeadScanner headScanner = new ResponseHeadScanner();
     private boolean hasReceived;
 
+    /**
+     * Creates a decoder.
+     *
+     * @param memory the account for what is held of responses that have been received in part
+     * @param bodyBytes returns the heap memory of the body that is being received
+     */
+    ResponseDecoder(MemoryBudget.Account memory, IntSupplier bodyBytes) {
+        super(HEADERS);
+        this.memory = memory;
+        this.bodyBytes = bodyBytes;
+    }
+
     @Override
     public void awaitResponse() {
         super.awaitResponse();
@@ -71,5 +98,14 @@
         hasReceived = true;
         headScanner.scan((ByteBuf) bytes);
         super.channelRead(ctx, bytes);
+        if (!memory.tryHold(heldBytes() + bodyBytes.getAsInt())) {
+            ctx.fireExceptionCaught(new TooLongFrameException("the responses of all hosts take too much memory"));
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        super.channelInactive(ctx);
+        memory.release();
     }
 }
--- a/src/main/java/loftflow/upstream/http/ResponseFingerprint.java
+++ b/src/main/java/loftflow/upstream/http/ResponseFingerprint.java
@@ -3,10 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32;
 import java.util.zip.CRC32C;
 import java.util.zip.Checksum;
+import loftflow.http.SelectiveHeaders;
 
 /** Computes a number by which equal responses are recognized: the checksums of status, headers and body. */
 final class ResponseFingerprint {
@@ -17,12 +17,10 @@
     void begin(HttpResponse response) {
         low.reset();
         high.reset();
-        add(response.status().toString());
-        response.headers().forEach(header -> add(header.getKey() + ':' + header.getValue() + '\n'));
-    }
-
-    private void add(String text) {
-        add(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        ByteBuffer head = ByteBuffer.allocate(Integer.BYTES + Long.BYTES);
+        head.putInt(response.status().code());
+        head.putLong(((SelectiveHeaders) response.headers()).fieldsHash());
+        add(head.flip());
     }
 
     /** Adds a chunk of the body. */
--- a/src/main/java/loftflow/upstream/http/ResponseLedger.java
+++ b/src/main/java/loftflow/upstream/http/ResponseLedger.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.IntStream;
+import loftflow.memory.MemoryBudget;
 
 /**
  * Determines what the responses on one connection prove about its calls.
@@ -30,6 +31,11 @@
     /** As above, for the total size of the tracked messages; the last call is always tracked. */
     private static final int MAX_TRACKED_BYTES = 64 << 10;
 
+    /** With so many surplus responses nothing can be proven any more, and further ones are not worth reading. */
+    private static final int MAX_SURPLUS_RESPONSES = 32;
+    /** The objects of a tracked call beside the bodies of its messages. */
+    private static final int CALL_OVERHEAD_BYTES = 2 << 10;
+
     private static final int STATUS_OK = 200;
 
     /**
@@ -46,6 +52,8 @@
     /** The statuses of the responses that no call awaited. */
     private final List<Integer> surplus = new ArrayList<>();
 
+    private final MemoryBudget.Account memory;
+
     /** Whether no response to an earlier call can be outstanding. */
     private boolean isInStep = true;
     /** When a response to an earlier call is no longer expected to be outstanding. */
@@ -57,6 +65,15 @@
      */
     private long dueMicros;
 
+    /**
+     * Creates a ledger without calls.
+     *
+     * @param memory the account for the tracked calls; while it is exhausted, older outcomes are no longer tracked
+     */
+    ResponseLedger(MemoryBudget.Account memory) {
+        this.memory = memory;
+    }
+
     /**
      * Called when a call is sent.
      *
@@ -106,18 +123,36 @@
             // A host answers in order, so the earlier calls have received their own responses too.
             unproven.clear();
             contradicted.clear();
+            memory.release();
             return;
         }
         unproven.add(new Unproven<>(call, status, deadlineMicros, sizeBytes));
         while (unproven.size() > 1 && (unproven.size() > MAX_TRACKED_CALLS || trackedBytes() > MAX_TRACKED_BYTES)) {
-            contradicted.remove(unproven.remove(0).call());
+            forgetOldest();
         }
+        while (!unproven.isEmpty() && !memory.tryHold(trackedBytes() + (long) CALL_OVERHEAD_BYTES * unproven.size())) {
+            forgetOldest();
+        }
+    }
+
+    private void forgetOldest() {
+        contradicted.remove(unproven.remove(0).call());
     }
 
     private long trackedBytes() {
         return unproven.stream().mapToLong(Unproven::sizeBytes).sum();
     }
 
+    /** Returns whether further surplus responses would show nothing more. */
+    boolean isSurplusExhausted() {
+        return surplus.size() >= MAX_SURPLUS_RESPONSES;
+    }
+
+    /** Releases the memory of the tracked calls, once the connection has ended. */
+    void release() {
+        memory.release();
+    }
+
     /**
      * Called when a response was received that no call awaits.
      *
--- a/src/main/java/loftflow/upstream/http/ResponseVariety.java
+++ b/src/main/java/loftflow/upstream/http/ResponseVariety.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -18,7 +17,7 @@
     /** So many presumed copies without any response behind them show that the host repeats its responses. */
     private static final int MAX_UNCONFIRMED_COPIES = 2;
 
-    private final Set<Long> recent = new LinkedHashSet<>();
+    private final RecentFingerprints recent = new RecentFingerprints(MAX_REMEMBERED_RESPONSES);
     private final Map<Integer, Integer> distinctByStatus = new HashMap<>();
     private final Set<Integer> repeatedStatuses = new HashSet<>();
     private int unconfirmedCopies;
@@ -31,9 +30,6 @@
             return;
         }
         distinctByStatus.merge(status, 1, Integer::sum);
-        if (recent.size() > MAX_REMEMBERED_RESPONSES) {
-            recent.remove(recent.iterator().next());
-        }
     }
 
     /** Returns whether the responses with a status have all differed. */
--- a/src/main/java/loftflow/upstream/http/RetirementCheck.java
+++ b/src/main/java/loftflow/upstream/http/RetirementCheck.java
@@ -35,7 +35,7 @@
 
     /** Returns whether a response may still come that contradicts an outcome. */
     boolean isNeeded() {
-        return nextCheckMicros() > 0;
+        return !ledger.isSurplusExhausted() && nextCheckMicros() > 0;
     }
 
     private long nextCheckMicros() {
--- a/src/main/java/loftflow/upstream/http/UnnamedBatch.java
+++ b/src/main/java/loftflow/upstream/http/UnnamedBatch.java
@@ -20,10 +20,15 @@
         call = ended.isBatch() && !ended.isNamedInResponse() ? ended : null;
     }
 
+    /** Returns the heap memory, in bytes, of the response that is being received. */
+    int heldBytes() {
+        return response == null ? 0 : response.heldBytes();
+    }
+
     /** Called for each part of a response to no call. */
     void onUnsolicited(HttpObject part) {
         if (call != null && part instanceof HttpResponse head) {
-            response = new CallResponse();
+            response = new CallResponse(true);
             response.readHead(head);
         }
         if (response != null && part instanceof HttpContent content) {
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -5,8 +5,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import loftflow.engine.Message;
@@ -28,15 +26,14 @@
     private final String probePath;
 
     private final PendingAttempts pendingAttempts;
-    /** The attempts that were sent and ended before the response, as they timed out or were cancelled. */
-    private final List<Message.Attempt> abandonedAttempts = new ArrayList<>();
+    private final LateDeliveries lateDeliveries;
 
     private final boolean isBatch;
     private final Future<?> probeTimeout;
     private CallConnection connection;
     private boolean isSent;
     private boolean isProbeCompleted;
-    private CallResponse response = new CallResponse();
+    private CallResponse response;
     /** The timed-out attempt whose late response is awaited; null if there is none. */
     private Message.Attempt lateAttempt;
 
@@ -55,6 +52,8 @@
         probePath = null;
         probeTimeout = null;
         isBatch = outboundAttempts.size() > 1;
+        response = new CallResponse(isBatch);
+        lateDeliveries = new LateDeliveries(owner);
         pendingAttempts = new PendingAttempts(
                 outboundAttempts,
                 startedAtMicros,
@@ -69,6 +68,8 @@
         pendingAttempts = new PendingAttempts(startedAtMicros + timeoutMicros);
         this.probePath = probePath;
         isBatch = false;
+        response = new CallResponse(true);
+        lateDeliveries = new LateDeliveries(owner);
         probeTimeout = owner.schedule(timeoutMicros, this::onProbeTimeout);
     }
 
@@ -200,6 +201,11 @@
         endWithoutResponse(AttemptOutcome.ERROR);
     }
 
+    /** Returns the heap memory of the body that has been received, in bytes. */
+    int responseBodyBytes() {
+        return response.heldBytes();
+    }
+
     /**
      * Appends a chunk of the response body.
      *
@@ -215,13 +221,13 @@
      */
     void ignoreResponse() {
         hasIgnoredDelivery |= !isBatch && response.isOk();
-        response = new CallResponse();
+        response = new CallResponse(isBatch || isProbe());
     }
 
     /** Decodes the message states in the complete response to a batch. */
     void readStates() {
         if (isBatch && response.isOk()) {
-            response.readStates(owner.route());
+            response.readStates(owner.route(), sentIds);
         }
     }
 
@@ -231,18 +237,18 @@
      */
     boolean isNamedInResponse() {
         return !response.namedIds().isEmpty()
-                && sentIds.containsAll(response.namedIds())
+                && !response.namesOthers()
                 && response.namedIds().stream().noneMatch(connection::hasRejected);
     }
 
     /** Returns whether the complete response to a batch reports delivery without naming any of its messages. */
     boolean isUnnamedInBatchResponse() {
-        return isBatch && response.isOk() && Collections.disjoint(response.namedIds(), sentIds);
+        return isBatch && response.isOk() && response.namedIds().isEmpty();
     }
 
     /** Returns whether the complete response names messages of other calls alone. */
     boolean isResponseOfAnotherCall() {
-        return isUnnamedInBatchResponse() && !response.namedIds().isEmpty();
+        return isUnnamedInBatchResponse() && response.namesOthers();
     }
 
     /** Returns whether the status of the complete response shows that no message of the call was executed. */
@@ -360,23 +366,14 @@
                 endByReportedState(attempt, outcome, isWhole);
             }
         }
-        reportLateDeliveries(abandonedAttempts, response);
-        abandonedAttempts.clear();
-    }
-
-    private void reportLateDeliveries(List<Message.Attempt> attempts, CallResponse reporting) {
-        boolean isCounted = !isPastEarliestDeadline();
-        attempts.stream()
-                .filter(attempt ->
-                        reporting.reportsDelivery(attempt.message().content().messageId()))
-                .forEach(attempt -> owner.onLateDelivery(attempt, isCounted));
+        lateDeliveries.reportAbandoned(response, !isPastEarliestDeadline());
     }
 
     /** Reports what its own response, which came once another one had ended the call, names as delivered. */
     void onLateResponse(CallResponse late) {
         if (late.isOk()) {
-            late.readStates(owner.route());
-            reportLateDeliveries(sentAttempts, late);
+            late.readStates(owner.route(), sentIds);
+            lateDeliveries.report(sentAttempts, late, !isPastEarliestDeadline());
         }
     }
 
@@ -464,7 +461,7 @@
             return AttemptOutcome.CONNECT_FAILED;
         }
         // The message is sent with the rest of the batch and may be executed.
-        abandonedAttempts.add(attempt);
+        lateDeliveries.onAbandoned(attempt);
         return outcome;
     }
 
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -27,9 +27,9 @@
     private static final long MAX_RESPONSE_PAUSE_MICROS = 500_000;
 
     private final UpstreamConnectionOwner owner;
-    private final ResponseDecoder decoder = new ResponseDecoder();
-    private final ResponseLedger<UpstreamCall> ledger = new ResponseLedger<>();
-    private final OutcomeDoubts doubts = new OutcomeDoubts(ledger);
+    private final ResponseDecoder decoder;
+    private final ResponseLedger<UpstreamCall> ledger;
+    private final OutcomeDoubts doubts;
     private final UnnamedBatch unnamedBatch = new UnnamedBatch();
     private final RejectedMessageIds rejectedIds = new RejectedMessageIds();
     private final ResponseFingerprint fingerprint = new ResponseFingerprint();
@@ -52,16 +52,17 @@
     /** Why this relay closed it; null while it has not. */
     private ConnectionCloseReason closeReason;
 
-    /** When the last response was received; initially the creation time. */
-    private long respondedAtNanos = System.nanoTime();
-    /** The last time a byte was sent or received; initially the creation time. The host's idle timeout starts there. */
-    private long idleSinceNanos = System.nanoTime();
-
+    private final ConnectionQuiet quiet = new ConnectionQuiet();
     private final ConnectionTimer timer;
     private final RetirementCheck retirementCheck;
 
     UpstreamConnection(UpstreamConnectionOwner owner) {
         this.owner = owner;
+        decoder = new ResponseDecoder(
+                owner.responseMemory().openAccount(),
+                () -> unnamedBatch.heldBytes() + (call == null ? 0 : call.responseBodyBytes()));
+        ledger = new ResponseLedger<>(owner.revocableMemory().openAccount());
+        doubts = new OutcomeDoubts(ledger);
         copies = new CopyDetector(owner.responseVariety());
         timer = new ConnectionTimer((nanos, task) -> owner.schedule(TimeUnit.NANOSECONDS.toMicros(nanos), task));
         retirementCheck = new RetirementCheck(owner, ledger, timer, this);
@@ -98,7 +99,7 @@
         next.onConnectionAssigned(this);
         context.writeAndFlush(next.createRequest()).addListener(written -> {
             if (written.isSuccess()) {
-                idleSinceNanos = System.nanoTime();
+                quiet.onActivity();
                 next.onSent();
             } else {
                 close(ConnectionCloseReason.WRITE_FAILED);
@@ -135,8 +136,8 @@
      * not restart the idle time.
      */
     void closeAfterIdle(long idleTimeoutMicros) {
-        long leftNanos = idleSinceNanos + TimeUnit.MICROSECONDS.toNanos(idleTimeoutMicros) - System.nanoTime();
-        timer.start(Math.max(0, leftNanos), TimeUnit.NANOSECONDS, () -> retire(ConnectionCloseReason.IDLE_TIMEOUT));
+        Runnable retireIdle = () -> retire(ConnectionCloseReason.IDLE_TIMEOUT);
+        timer.start(quiet.idleInNanos(idleTimeoutMicros), TimeUnit.NANOSECONDS, retireIdle);
     }
 
     /**
@@ -149,7 +150,7 @@
         return retireReason == null
                 && context.channel().isActive()
                 && !decoder.hasLeftover()
-                && System.nanoTime() - idleSinceNanos < TimeUnit.MICROSECONDS.toNanos(idleTimeoutMicros);
+                && quiet.idleInNanos(idleTimeoutMicros) > 0;
     }
 
     @Override
@@ -172,12 +173,12 @@
 
     /** Returns the time in nanoseconds until the connection has been quiet for the reuse delay; 0 or less if it has. */
     long quietInNanos() {
-        return isNew() ? 0 : respondedAtNanos + owner.reuseDelayNanos() - System.nanoTime();
+        return isNew() ? 0 : owner.reuseDelayNanos() - quiet.sinceResponseNanos();
     }
 
     /** Returns whether the connection has been quiet for the whole reuse delay, whatever room the host has. */
     boolean isFullyQuiet() {
-        return isNew() || System.nanoTime() - respondedAtNanos >= owner.fullReuseDelayNanos();
+        return isNew() || quiet.sinceResponseNanos() >= owner.fullReuseDelayNanos();
     }
 
     /** Reports the connection as reusable once it has been quiet for the reuse delay. */
@@ -228,7 +229,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-        idleSinceNanos = System.nanoTime();
+        quiet.onActivity();
         if (call == null) {
             onUnsolicited(message);
             return;
@@ -270,10 +271,8 @@
 
     private void onUnsolicitedResponse(HttpResponse response) {
         int status = response.status().code();
-        owner.onUnsolicitedResponse(
-                status, System.nanoTime() - respondedAtNanos, CallResponse.retryAfterMicros(response));
-        List<UpstreamCall> contradicted = ledger.onSurplus(status);
-        contradicted.forEach(ended -> ended.onContradicted(ledger.mayBeDelivered(ended)));
+        owner.onUnsolicitedResponse(status, quiet.sinceResponseNanos(), CallResponse.retryAfterMicros(response));
+        ledger.onSurplus(status).forEach(ended -> ended.onContradicted(ledger.mayBeDelivered(ended)));
         confirmation.onSurplusResponse(status);
         retire(ConnectionCloseReason.UNSOLICITED_RESPONSE);
     }
@@ -322,7 +321,7 @@
         if (!isAwaitingLateResponse) {
             timer.stop();
         }
-        owner.onUnsolicitedResponse(decoder.status(), System.nanoTime() - respondedAtNanos, 0);
+        owner.onUnsolicitedResponse(decoder.status(), quiet.sinceResponseNanos(), 0);
         call.ignoreResponse();
         decoder.awaitResponseInLeftover();
     }
@@ -330,7 +329,7 @@
     private void onResponseComplete() {
         UpstreamCall completed = call;
         call = null;
-        respondedAtNanos = System.nanoTime();
+        quiet.onResponse();
         isResponseComplete = true;
         owner.responseTimes().onResponse(owner.nowMicros(), owner.nowMicros() - sentAtMicros);
         boolean isRepeated = copies.isRepeated(fingerprint.value());
@@ -482,6 +481,7 @@
         List<UpstreamCall> unconfirmed = doubts.findUnconfirmed(owner.nowMicros(), owner.isSingleUse(), wasEvicted);
         unconfirmed.forEach(UpstreamCall::onOutcomeContradicted);
         confirmation.onEnd(closeReason == ConnectionCloseReason.CLOSED_BY_HOST);
+        ledger.release();
         owner.onConnectionEnded(retireReason, closeReason, callCount, unconfirmed.size());
     }
 
--- a/src/main/java/loftflow/upstream/http/UpstreamConnectionOwner.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnectionOwner.java
@@ -1,6 +1,7 @@
 package loftflow.upstream.http;
 
 import io.netty.util.concurrent.Future;
+import loftflow.memory.MemoryBudget;
 
 /** The owner of a connection, which is the connection pool of its host. */
 interface UpstreamConnectionOwner {
@@ -29,6 +30,12 @@
     /** Returns what is known of how the host's responses differ. */
     ResponseVariety responseVariety();
 
+    /** Returns the memory limit of responses that hosts have sent in part. */
+    MemoryBudget responseMemory();
+
+    /** Returns the memory limit of messages that are kept to correct their outcome. */
+    MemoryBudget revocableMemory();
+
     /** Returns what is known of the host's response times. */
     HostResponseTimes responseTimes();
 
--- a/src/main/java/loftflow/upstream/http/package-info.java
+++ b/src/main/java/loftflow/upstream/http/package-info.java
@@ -5,7 +5,7 @@
  * <p>{@link loftflow.upstream.http.HttpUpstreamClient} is the entry point. {@code protocol.HostProtocol} defines the
  * names of the protocol, {@code OutcomeTable} the outcome of each response.
  *
- * <p>May use: the engine, the policy's types, {@code protocol}, {@code json}, {@code http}, the log, Netty and Jackson;
- * not the listeners, the journal or discovery.
+ * <p>May use: the engine, the policy's types, {@code protocol}, {@code json}, {@code http}, {@code memory}, the log,
+ * Netty and Jackson; not the listeners, the journal or discovery.
  */
 package loftflow.upstream.http;
--- a/src/test/java/loftflow/ArchitectureTest.java
+++ b/src/test/java/loftflow/ArchitectureTest.java
@@ -107,7 +107,8 @@
                         + "loftflow.amqp.confirm loftflow.log",
                 "deduplication | loftflow.deduplication loftflow.recordfile loftflow.log",
                 "recordfile | loftflow.recordfile",
-                "upstream.http | loftflow.protocol loftflow.policy.api loftflow.json loftflow.engine loftflow.upstream.http loftflow.http loftflow.log",
+                "upstream.http | loftflow.protocol loftflow.policy.api loftflow.json loftflow.engine loftflow.upstream.http loftflow.http "
+                        + "loftflow.memory loftflow.log",
                 "discovery | loftflow.protocol loftflow.policy.api loftflow.engine loftflow.discovery loftflow.http loftflow.json loftflow.log",
                 "completion | loftflow.protocol loftflow.engine loftflow.completion loftflow.discovery loftflow.recordfile loftflow.log",
                 "json | loftflow.json",
--- a/src/test/java/loftflow/server/RelayProcess.java
+++ b/src/test/java/loftflow/server/RelayProcess.java
@@ -49,6 +49,7 @@
     private int configuredMemoryMib = 192;
     private int configuredDescriptors = 256;
     private int maxOpenMessages = 50;
+    private int concurrentCalls = 8;
     private boolean usesDeployedCommand;
     private Path warmStartFile;
     private Process process;
@@ -123,6 +124,12 @@
         return this;
     }
 
+    /** Sets the limit on concurrent calls. */
+    RelayProcess withConcurrentCalls(int max) {
+        concurrentCalls = max;
+        return this;
+    }
+
     /** Starts the relay by the {@code run} command of the deploy file, with the given limits in its configuration. */
     RelayProcess withDeployedCommand(int memoryMib, int descriptors) {
         usesDeployedCommand = true;
@@ -165,6 +172,7 @@
                         + SETTINGS.replace("PERIOD", roundPeriodSeconds)
                                 .replace("KEY_WINDOW", keyWindowSeconds)
                                 .replace("MAX_OPEN", Integer.toString(maxOpenMessages))
+                                .replace("CALL_SLOTS", Integer.toString(concurrentCalls))
                         + "}");
     }
 
@@ -258,7 +266,7 @@
                "deadline-s":20,"worth":1},
               {"name":"unsafe","repeat":"once","goal-time-s":2,"deadline-s":20,"worth":1},
               {"name":"ordered","repeat":"once","goal-time-s":2,"deadline-s":20,"worth":1,"fifo-by-key":true}],
-             "family-info":{"call-slots":8,"batch-by-kind":[1,4],"routes-apart":[false,false]},
+             "family-info":{"call-slots":CALL_SLOTS,"batch-by-kind":[1,4],"routes-apart":[false,false]},
              "limits":{"max-open":MAX_OPEN,"send-cap":12,"may-cancel":true,"probes":true,"second-copies":true,
               "connect-timeout-s":1.5,"conn-idle-s":10},
              "contract":{"drain-grace-s":0.5,"fall-s":2.0,"fall-multiple":2.5,"cold-from":0.2,"warm-up-s":9},
--- a/src/test/java/loftflow/server/SteadyClient.java
+++ b/src/test/java/loftflow/server/SteadyClient.java
@@ -9,7 +9,7 @@
 
 /** A well-behaved client that submits one message after another on a connection that it keeps. */
 final class SteadyClient implements AutoCloseable {
-    private static final long REQUEST_INTERVAL_MILLIS = 20;
+    private static final long DEFAULT_INTERVAL_MILLIS = 20;
     /** Clients wait so long for a response (PROTOCOL, "Clients to relays"). */
     private static final long CLIENT_TIMEOUT_MILLIS = 400;
 
@@ -18,6 +18,7 @@
     private static final int MESSAGE_TIMEOUT_MILLIS = 20_000;
 
     private final RelayProcess relay;
+    private final long intervalMillis;
     private final Map<Integer, Integer> statuses = new TreeMap<>();
     private Socket connection;
     private int connectionCount;
@@ -27,7 +28,13 @@
 
     /** Creates a client, which connects at once. */
     SteadyClient(RelayProcess relay) throws IOException {
+        this(relay, DEFAULT_INTERVAL_MILLIS);
+    }
+
+    /** Creates a client that pauses for the given time behind each response. */
+    SteadyClient(RelayProcess relay, long intervalMillis) throws IOException {
         this.relay = relay;
+        this.intervalMillis = intervalMillis;
         connection = relay.connect();
     }
 
@@ -36,7 +43,7 @@
         long end = System.nanoTime() + nanos;
         while (System.nanoTime() < end && relay.isAlive()) {
             submit();
-            TimeUnit.MILLISECONDS.sleep(REQUEST_INTERVAL_MILLIS);
+            TimeUnit.MILLISECONDS.sleep(intervalMillis);
         }
     }
 
--- a/src/test/java/loftflow/upstream/http/ResponseLedgerTest.java
+++ b/src/test/java/loftflow/upstream/http/ResponseLedgerTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import loftflow.memory.MemoryBudget;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -24,7 +25,7 @@
     private static final long DEADLINE_MICROS = 1_000_000;
     private static final int SIZE_BYTES = 10;
 
-    private final ResponseLedger<Integer> ledger = new ResponseLedger<>();
+    private final ResponseLedger<Integer> ledger = new ResponseLedger<>(new MemoryBudget(1 << 20, 0).openAccount());
     /** Responses with the same status are equal. */
     private final Set<Integer> receivedStatuses = new HashSet<>();
 
@@ -38,6 +39,30 @@
         return isProof;
     }
 
+    /** Guards against a heap that is filled by the responses of a host which sends copies without end. */
+    @Test
+    void surplusResponsesAreCountedUpToALimit() {
+        call(0, 200);
+        call(1, 200);
+        assertFalse(ledger.isSurplusExhausted());
+        for (int i = 0; i < 100 && !ledger.isSurplusExhausted(); i++) {
+            ledger.onSurplus(200);
+        }
+        assertTrue(ledger.isSurplusExhausted());
+    }
+
+    /** Guards against messages that many connections keep in order to correct their outcomes. */
+    @Test
+    void outcomesAreTrackedWithinTheMemoryOfAllConnections() {
+        MemoryBudget budget = new MemoryBudget(100 << 10, 0);
+        for (int i = 0; i < 1000; i++) {
+            ResponseLedger<Integer> connection = new ResponseLedger<>(budget.openAccount());
+            connection.onSent(0, 0, 0);
+            connection.onResponse(i, 200, false, true, DEADLINE_MICROS, 20 << 10);
+        }
+        assertTrue(budget.heldBytes() > 0 && budget.heldBytes() <= 100 << 10, "held: " + budget.heldBytes());
+    }
+
     @Test
     void firstResponseIsProof() {
         assertTrue(call(0, 503));
@@ -138,7 +163,7 @@
     void nothingIsProvenThatTheHostContradicts(
             @ForAll long seed, @ForAll @IntRange(min = 1, max = 14) int calls, @ForAll boolean endsEarly) {
         Random random = new Random(seed);
-        ResponseLedger<Integer> checked = new ResponseLedger<>();
+        ResponseLedger<Integer> checked = new ResponseLedger<>(new MemoryBudget(1 << 20, 0).openAccount());
         Deque<Integer> unanswered = new ArrayDeque<>();
         List<Integer> written = new ArrayList<>();
         Map<Integer, Integer> own = new HashMap<>();
