Lists of the agent are bounded by their endpoints, and read one entry at a time

Cause: only the bytes of a response were bounded, at 2 MiB. It was parsed into maps and lists, 16 times its size for empty entries, and an exception with its trace was made for each malformed one; what several lists add was bounded by nothing.

The longest list is a sixteenth of the heap, 2 MiB at most, an acknowledgement of notices 64 KiB.

--- a/src/main/java/loftflow/discovery/AgentConnection.java
+++ b/src/main/java/loftflow/discovery/AgentConnection.java
@@ -42,7 +42,13 @@
  * again only while the agent accepts no connections.
  */
 public final class AgentConnection {
-    private static final int MAX_RESPONSE_BYTES = 2 << 20;
+    /** The longest list of endpoints. */
+    private static final int MAX_LIST_BYTES = 2 << 20;
+    /** A response is held several times while it is decoded and parsed. */
+    private static final int RESPONSE_HEAP_DIVISOR = 16;
+    /** The longest response whose body means nothing. */
+    private static final int MAX_ACKNOWLEDGEMENT_BYTES = 64 << 10;
+
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
     /** The minimum time for the response once the connection is open. A local agent responds well within it. */
     private static final long MIN_RESPONSE_TIMEOUT_MILLIS = 100;
@@ -56,7 +62,7 @@
     /** When a connection carries more than one request. */
     public enum Reuse {
         ALWAYS,
-        /** Only while no other connection to the agent can be opened. */
+        /** Only while no other connection to the agent can be opened; for responses whose body means nothing. */
         IF_UNAVOIDABLE
     }
 
@@ -73,6 +79,7 @@
 
     private final EventLoop loop;
     private final Reuse reuse;
+    private final int maxResponseBytes;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
     /** The open or opening connection; null if there is none. */
@@ -110,6 +117,7 @@
         this.loop = loop;
         this.reuse = reuse;
         this.address = address;
+        maxResponseBytes = reuse == Reuse.ALWAYS ? maxListBytes() : MAX_ACKNOWLEDGEMENT_BYTES;
         bootstrap = new Bootstrap()
                 .group(loop)
                 .channelFactory(sockets)
@@ -124,12 +132,16 @@
                                 .addLast(
                                         new HttpRequestEncoder(),
                                         decoder,
-                                        new HttpObjectAggregator(MAX_RESPONSE_BYTES),
+                                        new HttpObjectAggregator(maxResponseBytes),
                                         new ResponseReader(decoder));
                     }
                 });
     }
 
+    private static int maxListBytes() {
+        return (int) Math.min(MAX_LIST_BYTES, Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR);
+    }
+
     /**
      * Sends a request. The handler is called once, with the response or with none if the connection fails or the
      * timeout expires. It is never called before this method returns. If opening the connection takes most of the
--- a/src/main/java/loftflow/discovery/EndpointListCodec.java
+++ b/src/main/java/loftflow/discovery/EndpointListCodec.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +27,14 @@
  */
 public final class EndpointListCodec {
     private static final JsonFactory JSON = new JsonFactory();
+    /** The most endpoints that a relay knows; further ones of a list are skipped. */
+    private static final int MAX_ENDPOINTS = 4096;
+    /** The most entries of a list that are read: those of all endpoints, and as many that are malformed. */
+    private static final int MAX_ENTRIES = 2 * MAX_ENDPOINTS;
+    /** The most characters of a text in an entry. */
+    private static final int MAX_TEXT_CHARS = 256;
+    /** So many entries of a list are logged if they are malformed. */
+    private static final int MAX_LOGGED_ENTRIES = 20;
 
     private EndpointListCodec() {}
 
@@ -52,7 +62,12 @@
      * @throws MalformedInputException if the list has no array of entries
      */
     public static List<Endpoint> readEndpoints(JsonFields list) {
-        return new EntryReader("known list", Map.of()).read(list, false);
+        if (list.value(DiscoveryProtocol.ENDPOINTS) == null) {
+            throw new MalformedInputException("known list: " + DiscoveryProtocol.ENDPOINTS + ": an array is needed");
+        }
+        EntryReader reader = new EntryReader("known list", Map.of());
+        list.listOrEmpty(DiscoveryProtocol.ENDPOINTS).forEach(reader::read);
+        return reader.finish(false);
     }
 
     /**
@@ -65,16 +80,56 @@
      */
     static EndpointList parse(String text, String source, Map<String, Endpoint> knownEndpoints) throws IOException {
         try (JsonParser parser = JSON.createParser(text)) {
-            parser.nextToken();
-            JsonFields list = JsonFields.ofObject("list", JsonFields.read(parser));
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new MalformedInputException("list: an object is needed");
+            }
+            EntryReader reader = new EntryReader(source, knownEndpoints);
+            Map<String, Object> members = new HashMap<>();
+            boolean hasEntries = false;
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String name = parser.currentName();
+                JsonToken value = parser.nextToken();
+                if (name.equals(DiscoveryProtocol.ENDPOINTS)) {
+                    hasEntries = value == JsonToken.START_ARRAY;
+                    readEntries(parser, reader);
+                } else if (value != null && value.isScalarValue()) {
+                    members.put(name, JsonFields.read(parser));
+                } else {
+                    parser.skipChildren();
+                }
+            }
+            if (parser.currentToken() != JsonToken.END_OBJECT) {
+                throw new MalformedInputException("unexpected end of JSON input");
+            }
             if (parser.nextToken() != null) {
                 throw new MalformedInputException("unexpected data after the list");
             }
+            if (!hasEntries) {
+                throw new MalformedInputException(source + ": " + DiscoveryProtocol.ENDPOINTS + ": an array is needed");
+            }
+            JsonFields list = JsonFields.ofObject("list", members);
             long revision = revision(list);
             boolean isFull = list.booleanOrFalse(DiscoveryProtocol.IS_FULL);
-            EntryReader reader = new EntryReader(source, knownEndpoints);
-            List<Endpoint> endpoints = reader.read(list, isFull);
-            return new EndpointList(revision, isFull, endpoints, reader.isComplete);
+            return new EndpointList(revision, isFull, reader.finish(isFull), reader.isComplete);
+        }
+    }
+
+    /** Reads the entries one by one, so that the memory of a list is that of the endpoints in it. */
+    private static void readEntries(JsonParser parser, EntryReader reader) throws IOException {
+        if (parser.currentToken() != JsonToken.START_ARRAY) {
+            parser.skipChildren();
+            return;
+        }
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            if (parser.currentToken() == null) {
+                throw new MalformedInputException("unexpected end of JSON input");
+            }
+            if (reader.isAtLimit()) {
+                parser.skipChildren();
+                reader.onIgnored();
+            } else {
+                reader.read(JsonFields.readFlatObject(parser));
+            }
         }
     }
 
@@ -85,6 +140,9 @@
         private final List<Endpoint> endpoints = new ArrayList<>();
         private final Set<String> routes = new HashSet<>();
         private boolean isComplete = true;
+        private int position;
+        private int newCount;
+        private int skippedCount;
         /** True if a malformed entry could not be attributed to a known endpoint. */
         private boolean hasUnattributedEntry;
 
@@ -93,19 +151,39 @@
             this.knownEndpoints = knownEndpoints;
         }
 
-        List<Endpoint> read(JsonFields list, boolean isFull) {
-            if (list.value(DiscoveryProtocol.ENDPOINTS) == null) {
-                throw new MalformedInputException(source + ": " + DiscoveryProtocol.ENDPOINTS + ": an array is needed");
+        /** Returns whether so many entries have been read that further ones are ignored. */
+        boolean isAtLimit() {
+            return position >= MAX_ENTRIES;
+        }
+
+        /** Called for an entry that has not been read. */
+        void onIgnored() {
+            isComplete = false;
+            hasUnattributedEntry = true;
+        }
+
+        /** Reads the next entry, and adds it or skips it. */
+        void read(Object entry) {
+            position++;
+            try {
+                Endpoint endpoint = readEntry(JsonFields.ofObject(DiscoveryProtocol.ENDPOINTS, entry));
+                countNew(endpoint.entry().route());
+                add(endpoint);
+            } catch (MalformedInputException | IllegalArgumentException | ArithmeticException e) {
+                skip(entry, e);
             }
-            int position = 0;
-            for (Object entry : list.listOrEmpty(DiscoveryProtocol.ENDPOINTS)) {
-                position++;
-                try {
-                    add(readEntry(JsonFields.ofObject(DiscoveryProtocol.ENDPOINTS, entry)));
-                } catch (MalformedInputException | IllegalArgumentException | ArithmeticException e) {
-                    skip(entry, position, e);
-                }
+        }
+
+        private void countNew(String route) {
+            boolean isNew = !knownEndpoints.containsKey(route);
+            if (isNew && knownEndpoints.size() + newCount >= MAX_ENDPOINTS || endpoints.size() >= MAX_ENDPOINTS) {
+                throw new MalformedInputException("more than " + MAX_ENDPOINTS + " endpoints");
             }
+            newCount += isNew ? 1 : 0;
+        }
+
+        /** Returns the endpoints of all entries. */
+        List<Endpoint> finish(boolean isFull) {
             if (isFull && hasUnattributedEntry) {
                 retainUnlistedEndpoints();
             }
@@ -118,14 +196,17 @@
         }
 
         /** Skips a malformed entry and, if its endpoint is known, adds the known entry instead. */
-        private void skip(Object entry, int position, RuntimeException reason) {
+        private void skip(Object entry, RuntimeException reason) {
             isComplete = false;
             Map<?, ?> fields = entry instanceof Map<?, ?> object ? object : Map.of();
             Object route = fields.get(DiscoveryProtocol.ROUTE);
-            Log.line("discovery: entry skipped source=" + source + " position=" + position
-                    + (route == null ? "" : " route=" + route) + " error=" + reason.getMessage());
+            skippedCount++;
+            if (skippedCount <= MAX_LOGGED_ENTRIES) {
+                Log.line("discovery: entry skipped source=" + source + " position=" + position
+                        + (route == null ? "" : " route=" + route) + " error=" + reason.getMessage());
+            }
             Endpoint known = route == null ? null : knownEndpoints.get(route);
-            if (known == null) {
+            if (known == null || endpoints.size() >= MAX_ENDPOINTS) {
                 hasUnattributedEntry = true;
             } else {
                 add(withState(known, fields.get(DiscoveryProtocol.STATE)));
@@ -156,13 +237,21 @@
     private static Endpoint readEntry(JsonFields fields) {
         Availability availability = availability(fields.text(DiscoveryProtocol.STATE));
         EndpointEntry entry = new EndpointEntry(
-                fields.text(DiscoveryProtocol.ROUTE),
+                text(fields, DiscoveryProtocol.ROUTE),
                 Math.toIntExact(fields.wholeNumber(DiscoveryProtocol.DESTINATION)),
-                fields.text(DiscoveryProtocol.KIND),
-                fields.text(DiscoveryProtocol.ZONE),
+                text(fields, DiscoveryProtocol.KIND),
+                text(fields, DiscoveryProtocol.ZONE),
                 availability,
                 fields.number(DiscoveryProtocol.RATE_PER_SECOND, 0));
-        return new Endpoint(entry, Endpoint.address(fields.text(DiscoveryProtocol.ADDRESS)));
+        return new Endpoint(entry, Endpoint.address(text(fields, DiscoveryProtocol.ADDRESS)));
+    }
+
+    private static String text(JsonFields fields, String name) {
+        String text = fields.text(name);
+        if (text.length() > MAX_TEXT_CHARS) {
+            throw new MalformedInputException(name + ": more than " + MAX_TEXT_CHARS + " characters");
+        }
+        return text;
     }
 
     private static Availability availability(String state) {
--- a/src/main/java/loftflow/json/JsonFields.java
+++ b/src/main/java/loftflow/json/JsonFields.java
@@ -89,6 +89,33 @@
         };
     }
 
+    /**
+     * Reads the object that starts at the parser's current token, without the arrays and objects within it, which count
+     * as absent: its memory is bounded by the length of its members' names and texts.
+     *
+     * @return its members; null if the value is not an object
+     * @throws MalformedInputException if the input ends within the value
+     * @throws IOException if the input is not valid JSON or can't be read
+     */
+    public static Map<String, Object> readFlatObject(JsonParser parser) throws IOException {
+        if (parser.currentToken() != JsonToken.START_OBJECT) {
+            parser.skipChildren();
+            return null;
+        }
+        Map<String, Object> members = new HashMap<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            boolean isNested =
+                    parser.nextToken() != null && parser.currentToken().isStructStart();
+            if (isNested) {
+                parser.skipChildren();
+            } else {
+                members.put(name, read(parser));
+            }
+        }
+        return members;
+    }
+
     private static List<Object> readArray(JsonParser parser) throws IOException {
         List<Object> values = new ArrayList<>();
         while (parser.nextToken() != JsonToken.END_ARRAY) {
