The id of a withdrawn message that may have run is not sent again

Cause: a message whose client leaves before its answer is withdrawn; while its call was out a repeat was answered 500, but once the call had ended its id was forgotten, whether or not the host had executed it. A request that came with the same id was accepted and sent again.

Change: once the last attempt of a withdrawn message has ended, its id is remembered like that of any other ended message, unless every attempt is proven not to have run; then it is free as before.

Evidence: AcceptanceResponseTest.idIsFreeAfterABufferedResponseFails asserted the fault: a settlement-like message ("once") that the host had answered 200 or 500 was accepted a second time. It is replaced by idOfAWithdrawnMessageThatMayHaveRunIsNotFree, as strict, which asks for 500 during and after the call and for one request at the host (before: 202), and idOfAWithdrawnMessageThatDidNotRunIsFree for a host that answers 503.

--- a/src/main/java/loftflow/engine/AttemptDispatcher.java
+++ b/src/main/java/loftflow/engine/AttemptDispatcher.java
@@ -139,7 +139,7 @@
                 retryAfterMicros,
                 context.nowMicros() - attempt.sentAtMicros(),
                 limitReport));
-        messages.removeIfSettled(message);
+        lifecycle.removeIfSettled(message);
     }
 
     /** Ends the message if this outcome decides its completion; otherwise records the outcome in the journal. */
--- a/src/main/java/loftflow/engine/Message.java
+++ b/src/main/java/loftflow/engine/Message.java
@@ -171,6 +171,7 @@
     private boolean isDone;
     private boolean isRepeatAccepted;
     private boolean isResumed;
+    private boolean isWithdrawn;
     private int acknowledgementsPending = 1;
     private int attemptsInFlight;
 
@@ -209,6 +210,11 @@
         return attempts.stream().anyMatch(attempt -> attempt.outcome == AttemptOutcome.OK);
     }
 
+    /** Returns whether any attempt is not proven to have had no effect. */
+    boolean mayHaveBeenExecuted() {
+        return attempts.stream().anyMatch(attempt -> attempt.outcome == null || !attempt.outcome.isProvenNotExecuted());
+    }
+
     /** Returns its sequence number in this relay's journal. */
     public long number() {
         return number;
@@ -278,6 +284,15 @@
         isResumed = true;
     }
 
+    /** Returns whether its client left before its answer, so that it was closed. */
+    boolean isWithdrawn() {
+        return isWithdrawn;
+    }
+
+    void markWithdrawn() {
+        isWithdrawn = true;
+    }
+
     /** Sets the client that waits for its answer. */
     void setClientReply(ClientReply waitingClient) {
         clientReply = waitingClient;
--- a/src/main/java/loftflow/engine/MessageAdmission.java
+++ b/src/main/java/loftflow/engine/MessageAdmission.java
@@ -168,7 +168,7 @@
         message.takeClientReply();
         if (messages.find(message.number()) != null && message.isOpen() && !message.isRepeatAccepted()) {
             events.add(new MessageWithdrawn(message.number()));
-            lifecycle.closeWithoutNotice(message);
+            lifecycle.closeWithdrawn(message);
         }
     }
 
--- a/src/main/java/loftflow/engine/MessageLifecycle.java
+++ b/src/main/java/loftflow/engine/MessageLifecycle.java
@@ -169,10 +169,27 @@
         message.markDone();
         messages.decrementOpenCount();
         boolean isRecorded = context.journal().recordDone(message);
-        messages.removeIfSettled(message);
+        removeIfSettled(message);
         return isRecorded;
     }
 
+    /** Closes a message whose client has left before its answer. */
+    void closeWithdrawn(Message message) {
+        message.markWithdrawn();
+        closeWithoutNotice(message);
+    }
+
+    /**
+     * Removes a message if it is done and has no attempt in flight. The id of one that was withdrawn is free again only
+     * if it was not executed: a request that comes again with it must not be executed once more.
+     */
+    void removeIfSettled(Message message) {
+        messages.removeIfSettled(message);
+        if (message.isWithdrawn() && !message.hasAttemptsInFlight() && message.mayHaveBeenExecuted()) {
+            endedMessages.add(message.content(), message.isDelivered(), context.nowMicros());
+        }
+    }
+
     /** Ends a redrive; the dead-letter sink reads the result from the attempts of the message. */
     void endRedrive(Message message) {
         decideCompletion(message, FAILED);
--- a/src/test/java/loftflow/server/AcceptanceResponseTest.java
+++ b/src/test/java/loftflow/server/AcceptanceResponseTest.java
@@ -349,17 +349,32 @@
         return client;
     }
 
-    /** The 202 is still buffered when its client disconnects, and the call is in flight: the message is withdrawn. */
+    /** Guards against a message that runs twice, as its id comes again once its client has left during the call. */
     @ParameterizedTest
     @ValueSource(ints = {200, 500})
-    void idIsFreeAfterABufferedResponseFails(int status) throws Exception {
+    void idOfAWithdrawnMessageThatMayHaveRunIsNotFree(int status) throws Exception {
         holdResponse(ScriptedPeer.status(status));
         disconnect(sendBehindUnreadResponses(), true);
         await(this::isJournalEmpty);
+        assertEquals(500, statusOfRepeat(), "the call is in flight");
         hostMayRespond.countDown();
         awaitRounds();
         assertEquals(List.of(), notices);
         await(this::isIdle);
+        assertEquals(500, statusOfRepeat(), "the call has ended");
+        awaitRounds();
+        assertEquals(1, host.requests.size());
+    }
+
+    /** The 202 is still buffered when its client disconnects, and the host then rejects the call in flight. */
+    @Test
+    void idOfAWithdrawnMessageThatDidNotRunIsFree() throws Exception {
+        holdResponse(ScriptedPeer.status(503));
+        disconnect(sendBehindUnreadResponses(), true);
+        await(this::isJournalEmpty);
+        hostMayRespond.countDown();
+        await(this::isIdle);
+        awaitRounds();
         assertEquals(202, statusOfRepeat(), "a message with the same id is accepted");
     }
 
