HTTP/2 requests keep the fields that are used; AMQP properties count towards the buffer

By reading: an HTTP/2 stream kept all fields of its request until its response (a field of one byte on the wire takes some 100 bytes of heap), and the HTTP/1.1 part of that listener, which waits for an upgrade, stored all fields of a head as the HTTP/1.1 listener did. The header of an AMQP message with many small fields (3 bytes a field) was held at some 33 times its size, 128 KiB at most, for each channel whose content is not whole; the budget counted bodies.

Change: a stream keeps the fields of the client protocol; heads before an upgrade are selective too. Properties beyond 512 bytes on the wire reserve 32 bytes each from the budget of bodies; where it is exhausted the message is skipped, as one with a large body.

Evidence: CodecTest.largePropertiesStayWithinTheBudget, new (before: nothing reserved for them). The change for HTTP/2 has no test of its own; the tests of both listeners passed. A relay's own connection to a broker still has no budget: one message in part for each.

--- a/src/main/java/loftflow/amqp/codec/CommandAssembler.java
+++ b/src/main/java/loftflow/amqp/codec/CommandAssembler.java
@@ -20,6 +20,10 @@
 
     /** Upper bound of the initial allocation: a header alone must not allocate the declared size. */
     private static final int INITIAL_BUFFER_BYTES = 1 << 10;
+    /** The entry of a field table takes so much heap for each of its bytes on the wire. */
+    private static final int HEAP_BYTES_PER_PROPERTY_BYTE = 32;
+    /** Properties of this size on the wire are held whatever the budget. */
+    private static final int GUARANTEED_PROPERTY_BYTES = 512;
 
     private final int channel;
     private final int maxBodyBytes;
@@ -28,6 +32,8 @@
     private Properties properties;
     private long bodySize;
     private long receivedBytes;
+    /** What is reserved for {@link #properties}. */
+    private int propertyBytes;
     /** Null while no body is expected, and while the body is skipped. */
     private ByteBuf body;
 
@@ -84,7 +90,13 @@
         if (classId != method.type().classId() || bodySize < 0) {
             throw unexpected("a header of class " + classId + " with a body of " + bodySize + " bytes");
         }
+        int heldBytes = HEAP_BYTES_PER_PROPERTY_BYTE * Math.max(0, payload.readableBytes() - GUARANTEED_PROPERTY_BYTES);
         properties = Properties.read(payload);
+        if (!bodyBudget.tryReserve(heldBytes)) {
+            properties = Properties.NONE;
+            return bodySize == 0 ? complete() : null;
+        }
+        propertyBytes = heldBytes;
         body = bodySize <= maxBodyBytes ? Unpooled.buffer((int) Math.min(bodySize, INITIAL_BUFFER_BYTES)) : null;
         return bodySize == 0 ? complete() : null;
     }
@@ -115,6 +127,7 @@
         }
         Command command = new Command(channel, method, properties, bytes, bodySize);
         releaseBody();
+        releaseProperties();
         method = null;
         properties = null;
         bodySize = 0;
@@ -129,8 +142,14 @@
         }
     }
 
+    private void releaseProperties() {
+        bodyBudget.release(propertyBytes);
+        propertyBytes = 0;
+    }
+
     /** Releases the buffered bytes; called when the channel is closed. */
     public void close() {
         releaseBody();
+        releaseProperties();
     }
 }
--- a/src/main/java/loftflow/listener/http2/Http2Listener.java
+++ b/src/main/java/loftflow/listener/http2/Http2Listener.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpServerUpgradeHandler;
 import io.netty.handler.codec.http2.CleartextHttp2ServerUpgradeHandler;
@@ -11,6 +13,8 @@
 import io.netty.handler.codec.http2.Http2ServerUpgradeCodec;
 import io.netty.util.AsciiString;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
@@ -18,6 +22,7 @@
 import loftflow.engine.Clock;
 import loftflow.engine.EventLoopLag;
 import loftflow.engine.MessageAcceptor;
+import loftflow.http.SelectiveHeaders;
 import loftflow.listener.Listener;
 import loftflow.listener.connection.Acceptor;
 import loftflow.listener.connection.ConnectionLimiter;
@@ -72,6 +77,9 @@
         NETTY_LOGGER.setLevel(Level.OFF);
     }
 
+    private static final SelectiveHeaders.Factory UPGRADE_HEADERS =
+            SelectiveHeaders.Factory.ofMessages(upgradeFields(), false);
+
     private final MessageAcceptor messageAcceptor;
     private final Clock clock;
     private final Options options;
@@ -98,6 +106,13 @@
         receiveWindows = new ReceiveWindowPool(clock, connections::all, options.poolBytes(), options.classShares());
     }
 
+    private static List<CharSequence> upgradeFields() {
+        List<CharSequence> names = new ArrayList<>(ClientProtocol.requestHeaders());
+        names.add(HttpHeaderNames.HOST);
+        names.add(Http2CodecUtil.HTTP_UPGRADE_SETTINGS_HEADER);
+        return names;
+    }
+
     /** Starts to listen at an address. */
     public ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
         loop.schedule(() -> check(loop), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -108,7 +123,9 @@
         channel.config().setOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES);
         double ageJitter = acceptedConnections++ * GOLDEN_RATIO % 1;
         ClientSession session = new ClientSessionBuilder(this, messageAcceptor, clock, channel, ageJitter).create();
-        HttpServerCodec http1Codec = new HttpServerCodec();
+        HttpServerCodec http1Codec = new HttpServerCodec(new HttpDecoderConfig()
+                .setHeadersFactory(UPGRADE_HEADERS)
+                .setTrailersFactory(SelectiveHeaders.Factory.ofTrailers()));
         HttpServerUpgradeHandler upgradeHandler = new HttpServerUpgradeHandler(
                 http1Codec,
                 protocol -> AsciiString.contentEquals(Http2CodecUtil.HTTP_UPGRADE_PROTOCOL_NAME, protocol)
--- a/src/main/java/loftflow/listener/http2/RequestStream.java
+++ b/src/main/java/loftflow/listener/http2/RequestStream.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
 import io.netty.handler.codec.http2.Http2Headers;
 import io.netty.handler.codec.http2.Http2Stream;
 import io.netty.util.AsciiString;
@@ -59,12 +60,26 @@
         this.streams = streams;
         this.flowControl = flowControl;
         this.stream = stream;
-        this.head = head;
+        this.head = usedFields(head);
         this.startedAtMicros = startedAtMicros;
         // The decoder has verified that Content-Length is a number.
         contentLength = head.getLong(HttpHeaderNames.CONTENT_LENGTH, UNKNOWN_LENGTH);
     }
 
+    /** Returns a head without the fields that are not used: stored, a field takes many times its bytes on the wire. */
+    private static Http2Headers usedFields(Http2Headers received) {
+        Http2Headers used =
+                new DefaultHttp2Headers(false, ClientProtocol.requestHeaders().size());
+        used.method(received.method()).path(received.path());
+        for (AsciiString name : LOWER_CASE_NAMES.values()) {
+            CharSequence value = received.get(name);
+            if (value != null) {
+                used.set(name, value);
+            }
+        }
+        return used;
+    }
+
     Http2Stream stream() {
         return stream;
     }
--- a/src/test/java/loftflow/amqp/codec/CodecTest.java
+++ b/src/test/java/loftflow/amqp/codec/CodecTest.java
@@ -342,6 +342,36 @@
         assertFalse(assemble(second, content(9_000)).isSkipped());
     }
 
+    /** Guards against headers of many small fields, which take many times their bytes on the wire. */
+    @Test
+    void largePropertiesStayWithinTheBudget() throws Exception {
+        CountingBudget budget = new CountingBudget(1 << 20);
+        Map<String, Object> headers = new LinkedHashMap<>();
+        for (int i = 0; i < 1000; i++) {
+            headers.put("h" + i, null);
+        }
+        ByteBuf half = Unpooled.buffer();
+        Frame.write(
+                half,
+                1,
+                Method.of(MethodType.BASIC_PUBLISH, "", "k", false, false),
+                Properties.NONE.with(Property.HEADERS, headers),
+                new byte[9_000],
+                FRAME_MAX);
+        ByteBuf unended = half.slice(0, half.readableBytes() - 1);
+        List<CommandAssembler> assemblers = new ArrayList<>();
+        for (int channel = 1; channel <= 100; channel++) {
+            CommandAssembler assembler = new CommandAssembler(channel, 64 << 10, budget);
+            assembler.add(Frame.next(unended, FRAME_MAX));
+            assembler.add(Frame.next(unended, FRAME_MAX));
+            unended.readerIndex(0);
+            assemblers.add(assembler);
+        }
+        assertTrue(budget.peakBytes > 100_000 && budget.peakBytes <= 1 << 20, "peak: " + budget.peakBytes);
+        assemblers.forEach(CommandAssembler::close);
+        assertEquals(0, budget.reservedBytes);
+    }
+
     private static int replyCode(int... bytes) {
         ByteBuf in = Unpooled.buffer();
         for (int one : bytes) {
