A warning of a library no longer ends the event loop while no descriptor is left

Callers would have seen every connection reset, by a process that lives. Cause: the JVM's log handler opens the time-zone file for its first record; without a descriptor that throws an Error, in Netty's handler of an exception, and the event loop's thread ends. Change: LibraryLog writes what libraries log to the operators' log, without a file.

--- a/src/main/java/loftflow/server/RelayMain.java
+++ b/src/main/java/loftflow/server/RelayMain.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import loftflow.config.Config;
+import loftflow.log.LibraryLog;
 
 /** Starts a relay that serves until the process receives SIGTERM or SIGINT. */
 public final class RelayMain {
@@ -17,6 +18,7 @@
      * @throws IOException if a file can't be used or an address is already in use
      */
     public static void start(Config.Source source) throws Config.BadConfigException, IOException {
+        LibraryLog.install();
         // Installed before anything else, because SIGHUP ends the process by default.
         ConfigReloader reloader = ConfigReloader.installSighupHandler(source);
         Config config = source.read();
