A connection that lingers or waits for its answer reserves only what it holds

Change: what a connection holds is reserved anew with each answer, also with the last one, and reading goes on behind an answer; the next read decides.

--- a/src/main/java/loftflow/listener/http/HttpClientConnection.java
+++ b/src/main/java/loftflow/listener/http/HttpClientConnection.java
@@ -339,10 +339,11 @@
      * handled; if there is none, the request that is being received is rejected.
      */
     private void updateMemory() {
+        long heldBytes = heldBytes();
         if (isClosing || rejection != null) {
+            memory.hold(heldBytes);
             return;
         }
-        long heldBytes = heldBytes();
         isMemoryExhausted = !memory.tryHold(heldBytes) && !makeRoom(heldBytes);
         if (isMemoryExhausted) {
             listener.onMemoryExhausted();
@@ -355,7 +356,8 @@
     }
 
     private long heldBytes() {
-        return decoder.heldBytes() + pipelinedBytes + (reading == null ? 0 : reading.heldBytes());
+        int readingBytes = reading == null ? 0 : reading.heldBytes();
+        return context.channel().isActive() ? decoder.heldBytes() + pipelinedBytes + readingBytes : 0;
     }
 
     /** Makes room by evicting another connection whose request has been incomplete for long. */
@@ -424,6 +426,7 @@
         boolean isLast = isClosing;
         Message answered = exchange.releaseMessage();
         isAwaitingResponse = false;
+        memory.hold(heldBytes());
         write(response, retryAfterMicros, isLast).addListener(written -> {
             if (!written.isSuccess() && answered != null) {
                 messageAcceptor.withdraw(answered);
@@ -464,7 +467,7 @@
     private void onResponded() {
         timer.stop();
         hasResponded = true;
-        isMemoryExhausted = !memory.tryHold(heldBytes());
+        isMemoryExhausted = false;
         isIdle = pipelined.isEmpty() && reading == null && rejection == null;
         if (isIdle) {
             listener.connections().onIdle(this);
