Members of the agent's lists that are not used take no memory

Only the members that the relay uses are read; the rest is skipped. EndpointListCodec.parse is three shorter methods.

--- a/src/main/java/loftflow/discovery/EndpointListCodec.java
+++ b/src/main/java/loftflow/discovery/EndpointListCodec.java
@@ -36,6 +36,16 @@
     /** So many entries of a list are logged if they are malformed. */
     private static final int MAX_LOGGED_ENTRIES = 20;
 
+    private static final Set<String> LIST_MEMBERS = Set.of(DiscoveryProtocol.REVISION, DiscoveryProtocol.IS_FULL);
+    private static final Set<String> ENTRY_MEMBERS = Set.of(
+            DiscoveryProtocol.ROUTE,
+            DiscoveryProtocol.DESTINATION,
+            DiscoveryProtocol.KIND,
+            DiscoveryProtocol.ZONE,
+            DiscoveryProtocol.STATE,
+            DiscoveryProtocol.RATE_PER_SECOND,
+            DiscoveryProtocol.ADDRESS);
+
     private EndpointListCodec() {}
 
     /**
@@ -80,55 +90,53 @@
      */
     static EndpointList parse(String text, String source, Map<String, Endpoint> knownEndpoints) throws IOException {
         try (JsonParser parser = JSON.createParser(text)) {
-            if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new MalformedInputException("list: an object is needed");
-            }
             EntryReader reader = new EntryReader(source, knownEndpoints);
-            Map<String, Object> members = new HashMap<>();
-            boolean hasEntries = false;
-            while (parser.nextToken() == JsonToken.FIELD_NAME) {
-                String name = parser.currentName();
-                JsonToken value = parser.nextToken();
-                if (name.equals(DiscoveryProtocol.ENDPOINTS)) {
-                    hasEntries = value == JsonToken.START_ARRAY;
-                    readEntries(parser, reader);
-                } else if (value != null && value.isScalarValue()) {
-                    members.put(name, JsonFields.read(parser));
-                } else {
-                    parser.skipChildren();
-                }
-            }
-            if (parser.currentToken() != JsonToken.END_OBJECT) {
-                throw new MalformedInputException("unexpected end of JSON input");
-            }
-            if (parser.nextToken() != null) {
-                throw new MalformedInputException("unexpected data after the list");
-            }
-            if (!hasEntries) {
+            JsonFields list = JsonFields.ofObject("list", readList(parser, reader));
+            if (!reader.hasBegun) {
                 throw new MalformedInputException(source + ": " + DiscoveryProtocol.ENDPOINTS + ": an array is needed");
             }
-            JsonFields list = JsonFields.ofObject("list", members);
             long revision = revision(list);
             boolean isFull = list.booleanOrFalse(DiscoveryProtocol.IS_FULL);
             return new EndpointList(revision, isFull, reader.finish(isFull), reader.isComplete);
         }
     }
 
+    /** Reads the entries of a list, and returns its other members that are used. */
+    private static Map<String, Object> readList(JsonParser parser, EntryReader reader) throws IOException {
+        if (parser.nextToken() != JsonToken.START_OBJECT) {
+            throw new MalformedInputException("list: an object is needed");
+        }
+        Map<String, Object> members = new HashMap<>();
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            String name = parser.currentName();
+            JsonToken value = parser.nextToken();
+            if (name.equals(DiscoveryProtocol.ENDPOINTS)) {
+                readEntries(parser, reader);
+            } else if (LIST_MEMBERS.contains(name) && value.isScalarValue()) {
+                members.put(name, JsonFields.read(parser));
+            } else {
+                parser.skipChildren();
+            }
+        }
+        if (parser.nextToken() != null) {
+            throw new MalformedInputException("unexpected data after the list");
+        }
+        return members;
+    }
+
     /** Reads the entries one by one, so that the memory of a list is that of the endpoints in it. */
     private static void readEntries(JsonParser parser, EntryReader reader) throws IOException {
         if (parser.currentToken() != JsonToken.START_ARRAY) {
             parser.skipChildren();
             return;
         }
+        reader.hasBegun = true;
         while (parser.nextToken() != JsonToken.END_ARRAY) {
-            if (parser.currentToken() == null) {
-                throw new MalformedInputException("unexpected end of JSON input");
-            }
             if (reader.isAtLimit()) {
                 parser.skipChildren();
                 reader.onIgnored();
             } else {
-                reader.read(JsonFields.readFlatObject(parser));
+                reader.read(JsonFields.readMembers(parser, ENTRY_MEMBERS));
             }
         }
     }
@@ -140,6 +148,9 @@
         private final List<Endpoint> endpoints = new ArrayList<>();
         private final Set<String> routes = new HashSet<>();
         private boolean isComplete = true;
+        /** Whether the array of entries has begun. */
+        private boolean hasBegun;
+
         private int position;
         private int newCount;
         private int skippedCount;
--- a/src/main/java/loftflow/json/JsonFields.java
+++ b/src/main/java/loftflow/json/JsonFields.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Typed access to the values of a JSON object by member name, or of a JSON array by index from 0. A position is a
@@ -90,14 +91,15 @@
     }
 
     /**
-     * Reads the object that starts at the parser's current token, without the arrays and objects within it, which count
-     * as absent: its memory is bounded by the length of its members' names and texts.
+     * Reads some members of the object that starts at the parser's current token, so that its memory is bounded whatever
+     * else is in it.
      *
-     * @return its members; null if the value is not an object
+     * @param names the members that are read; those whose value is an array or an object count as absent
+     * @return the members; null if the value is not an object
      * @throws MalformedInputException if the input ends within the value
      * @throws IOException if the input is not valid JSON or can't be read
      */
-    public static Map<String, Object> readFlatObject(JsonParser parser) throws IOException {
+    public static Map<String, Object> readMembers(JsonParser parser, Set<String> names) throws IOException {
         if (parser.currentToken() != JsonToken.START_OBJECT) {
             parser.skipChildren();
             return null;
@@ -105,12 +107,11 @@
         Map<String, Object> members = new HashMap<>();
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
-            boolean isNested =
-                    parser.nextToken() != null && parser.currentToken().isStructStart();
-            if (isNested) {
-                parser.skipChildren();
-            } else {
+            JsonToken value = parser.nextToken();
+            if (names.contains(name) && value != null && value.isScalarValue()) {
                 members.put(name, read(parser));
+            } else {
+                parser.skipChildren();
             }
         }
         return members;
--- a/src/test/java/loftflow/server/AgentMemoryTest.java
+++ b/src/test/java/loftflow/server/AgentMemoryTest.java
@@ -24,6 +24,7 @@
         EMPTY,
         NESTED,
         NUMBERS,
+        MANY_MEMBERS,
         NEW_ENDPOINTS;
 
         private String list(int revision) {
@@ -35,10 +36,21 @@
                 case EMPTY -> "{}" + ",{}".repeat(LIST_BYTES / 3);
                 case NESTED -> "{\"uid\":[[]" + ",[]".repeat(LIST_BYTES / 3) + "]}";
                 case NUMBERS -> "1" + ",1".repeat(LIST_BYTES / 2);
+                case MANY_MEMBERS -> manyMembers();
                 case NEW_ENDPOINTS -> newEndpoints(revision);
             };
         }
 
+        private static String manyMembers() {
+            StringBuilder entry = new StringBuilder("{\"uid\":\"x\"");
+            for (int i = 0; entry.length() < LIST_BYTES - 1000; i++) {
+                entry.append(",\"")
+                        .append(Integer.toString(i, Character.MAX_RADIX))
+                        .append("\":0");
+            }
+            return entry.append('}').toString();
+        }
+
         private static String newEndpoints(int revision) {
             StringBuilder entries = new StringBuilder(endpoint(revision, 0));
             for (int i = 1; entries.length() < LIST_BYTES - 1000; i++) {
