--- a/src/main/java/loftflow/json/JsonFields.java
+++ b/src/main/java/loftflow/json/JsonFields.java
@@ -91,8 +91,8 @@
     }
 
     /**
-     * Reads some members of the object that starts at the parser's current token, so that its memory is bounded whatever
-     * else is in it.
+     * Reads some members of the object that starts at the parser's current token, so that its memory is bounded
+     * whatever else is in it.
      *
      * @param names the members that are read; those whose value is an array or an object count as absent
      * @return the members; null if the value is not an object
