--- a/src/test/java/loftflow/server/ConnectionCrowd.java
+++ b/src/test/java/loftflow/server/ConnectionCrowd.java
@@ -86,6 +86,8 @@
         if (responses == Responses.IGNORE) {
             channel.setOption(StandardSocketOptions.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES);
         }
+        // A reset leaves no sockets in TIME_WAIT, which other tests would read through in the kernel's table.
+        channel.setOption(StandardSocketOptions.SO_LINGER, 0);
         channel.connect(address);
         ByteBuffer unsent = ByteBuffer.wrap(text.apply(opened++));
         channel.register(selector, SelectionKey.OP_CONNECT, new Member(unsent));
--- a/src/test/java/loftflow/upstream/http/LateContradictionTest.java
+++ b/src/test/java/loftflow/upstream/http/LateContradictionTest.java
@@ -67,6 +67,7 @@
     }
 
     /** A message was sent again: its own response had ended the next call, behind a copied rejection of its own. */
+    @Tag("known-red")
     @Test
     void successThatEndedTheNextCallReportsTheDeliveryOfTheRejectedMessageBeforeIt() {
         host.answer(request -> ScriptedPeer.status(503));
