--- a/review/6/Case6.java
+++ b/review/9/Case9.java
@@ -9,14 +9,14 @@
  * One of four hosts hangs while calls with several messages come to it. Checks that no message has two attempts
  * outstanding at the same time, where the settings forbid second copies.
  */
-public final class Case6 {
+public final class Case9 {
     /** The hang; `zone+mass` plays 18 s. */
     private static final long HANG_MILLIS = 12_000;
     /** What the end of a call may be seen later than the start of the next one, which has another connection. */
     private static final long SLACK_MILLIS = 300;
 
     public static void main(String[] args) {
-        Rig.run(args[0], Case6::play);
+        Rig.run(args[0], Case9::play);
     }
 
     private static List<String> play(Rig rig) throws Exception {
--- a/review/standin-2/rig/Rig.java
+++ b/review/standin-2/rig/Rig.java
@@ -363,6 +363,11 @@
             }
         }
 
+        /** Returns whether it came on the same connection as another call. */
+        public boolean isOnConnectionOf(Call other) {
+            return connection == other.connection;
+        }
+
         /** Returns whether it is out: neither answered nor given up by a close of its connection. */
         public boolean isOut() {
             return answeredMillis == 0 && closedMillis == 0;
@@ -516,6 +521,8 @@
         private final Path config;
         private final Path state;
         private final String run;
+        /** What is added to the command, such as an option of serve; empty for none. */
+        public String options = "";
         private final String name;
         private final String settings;
         private final String limits;
@@ -562,7 +569,7 @@
         /** Starts it, and returns once it answers /-/ready with 200. */
         public void start() throws IOException, InterruptedException {
             Path temporary = Files.createDirectory(rig.folder.resolve("tmp-" + config.getFileName() + starts++));
-            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run);
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run + options);
             builder.environment().put("EDGE_CONFIG", config.toString());
             builder.environment().put("EDGE_STATE", state.toString());
             builder.environment().put("TMPDIR", temporary.toString());
