No second copies of a message whose attempt has ended while its call is out

Cause: the outcome of an attempt was taken for the end of its call. An attempt of a call with several messages times out after 4 s and is queued again, while the call stays out on its open connection for a settlement, which may only be awaited. With [undeliverable] the call of a single message is listened to after its timeout, and the message is sent again meanwhile; a redrive from the dead letters did not look at either. Nothing read RelayLimits.hedgedAttempts.

Change: HedgingRule is the one place that says whether a message may be outstanding twice, by the relay's limit and by its class. HttpUpstreamClient knows which calls may still execute a message (OutstandingCalls), until they are answered or their connection closes. OutstandingAttempts asks the rule for each attempt before its first byte, and ends such calls first; a redrive, which has time, waits for them instead. So that this seldom ends a settlement as "may have run", attempts that are awaited until their deadline (settlements, the last attempt of a message) share no call with attempts that are repeated after a timeout, where the rule forbids copies (CallSharing). Where it allows them nothing changes.

Evidence: OutstandingAttemptsTest plays relay processes with one host that hangs and one that does not. On: 6 copies by platform settings with second-copies false, 8 by a relay file that says nothing, 4 of calls with one message that are listened to, and a redrive that is sent again meanwhile; none now, and the settlements that were out are answered after the hang.

--- a/src/main/java/loftflow/deadletter/DeadLetterService.java
+++ b/src/main/java/loftflow/deadletter/DeadLetterService.java
@@ -327,7 +327,8 @@
         onDecision.accept(
                 decision instanceof RedrivePolicy.SendNow
                         ? new RedrivePolicy.SendLater(
-                                dueMicros, "the relay has no room for it, or does not know its destination")
+                                dueMicros,
+                                "the relay has no room for it, awaits an answer, or does not know its destination")
                         : decision);
     }
 
--- a/src/main/java/loftflow/engine/AttemptDispatcher.java
+++ b/src/main/java/loftflow/engine/AttemptDispatcher.java
@@ -7,6 +7,8 @@
 import loftflow.policy.api.AttemptCompleted;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.AttemptOutcomeDisproved;
+import loftflow.policy.api.CallSharing;
+import loftflow.policy.api.HedgingRule;
 import loftflow.policy.api.LimitReport;
 import loftflow.policy.api.MessageWithdrawn;
 
@@ -21,6 +23,8 @@
     private final MessageLifecycle lifecycle;
     private final MessageAdmission admission;
     private final RequestClassRegistry requestClasses;
+    private final HedgingRule hedging;
+    private final OutstandingAttempts outstanding;
     private final UnrecordedAttempts unrecorded;
     private final Map<String, List<UpstreamClient.OutboundAttempt>> pendingByRoute = new LinkedHashMap<>();
     private int attemptsInFlight;
@@ -38,6 +42,8 @@
         this.lifecycle = lifecycle;
         this.admission = admission;
         this.requestClasses = requestClasses;
+        hedging = new HedgingRule(context.settings());
+        outstanding = new OutstandingAttempts(context);
         unrecorded = new UnrecordedAttempts(
                 context, outbound -> sendBatch(outbound.attempt().route(), List.of(outbound)), this::completeAsNotSent);
     }
@@ -74,7 +80,9 @@
                 timeoutMicros > 0 ? Math.min(timeoutMicros, remainingMicros) : remainingMicros,
                 sendWithinMicros > 0 ? nowMicros + sendWithinMicros : Long.MAX_VALUE,
                 requestClasses.mayRepeatAtAnyTime(message),
-                mayShareCall);
+                mayShareCall
+                        ? hedging.sharing(message.content().requestClass(), timeoutMicros == 0)
+                        : CallSharing.NONE);
         // An attempt missing from the journal would be unknown after a restart.
         if (context.journal().recordAttempt(attempt) || outbound.mayRepeat()) {
             pendingByRoute.computeIfAbsent(route, newRoute -> new ArrayList<>()).add(outbound);
@@ -92,6 +100,8 @@
 
     private void sendBatch(String route, List<UpstreamClient.OutboundAttempt> batch) {
         List<UpstreamClient.OutboundAttempt> sendable = new ArrayList<>(batch.size());
+        batch.forEach(
+                outbound -> outstanding.endBefore(outbound.attempt().message().content()));
         for (UpstreamClient.OutboundAttempt outbound : batch) {
             // A message has ended if its client disconnected before the 202 response was written.
             if (outbound.attempt().message().isOpen()) {
--- a/src/main/java/loftflow/engine/EngineContext.java
+++ b/src/main/java/loftflow/engine/EngineContext.java
@@ -39,6 +39,10 @@
         return journal;
     }
 
+    PolicySettings settings() {
+        return settings;
+    }
+
     int maxOpenMessages() {
         return settings.limits().maxOpenMessages();
     }
--- a/src/main/java/loftflow/engine/MessageAdmission.java
+++ b/src/main/java/loftflow/engine/MessageAdmission.java
@@ -20,6 +20,7 @@
     private static final long MAX_UNREAD_MICROS = 400_000;
 
     private final EngineContext context;
+    private final OutstandingAttempts outstanding;
     private final RequestClassRegistry requestClasses;
     private final MessageTable messages;
     private final DestinationRegistry destinations;
@@ -40,6 +41,7 @@
             MessageLifecycle lifecycle,
             EndedMessages endedMessages) {
         this.context = context;
+        outstanding = new OutstandingAttempts(context);
         this.requestClasses = requestClasses;
         this.messages = messages;
         this.destinations = destinations;
@@ -125,6 +127,7 @@
                 || isBusy
                 || !messages.hasRoomFor(content)
                 || messages.findByMessageId(content.messageId()) != null
+                || outstanding.mustAwait(content)
                 || !destinations.contains(content.destination())) {
             return null;
         }
--- a/src/main/java/loftflow/engine/UpstreamClient.java
+++ b/src/main/java/loftflow/engine/UpstreamClient.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import loftflow.policy.api.AttemptOutcome;
+import loftflow.policy.api.CallSharing;
 import loftflow.policy.api.EndpointListKind;
 import loftflow.policy.api.LimitReport;
 
@@ -69,17 +70,17 @@
      *     attempt that can't arrive by then, because it waits for a connection or is the first on a new one, ends as
      *     not sent; {@link Long#MAX_VALUE} for no bound
      * @param mayRepeat whether another attempt is harmless even if this one was executed
-     * @param mayShareCall whether other attempts may travel in the same call
+     * @param sharing which other attempts may travel in the same call
      */
     record OutboundAttempt(
             Message.Attempt attempt,
             long timeoutMicros,
             long latestArrivalMicros,
             boolean mayRepeat,
-            boolean mayShareCall) {
+            CallSharing sharing) {
         /** Creates an attempt that must not be repeated once it may have been executed, and that may share a call. */
         public OutboundAttempt(Message.Attempt attempt, long timeoutMicros, long latestArrivalMicros) {
-            this(attempt, timeoutMicros, latestArrivalMicros, false, true);
+            this(attempt, timeoutMicros, latestArrivalMicros, false, CallSharing.ANY);
         }
     }
 
@@ -92,6 +93,22 @@
     /** Cancels an attempt; has no effect if it has ended. */
     void cancel(Message.Attempt attempt);
 
+    /**
+     * Ends every call that may still execute a message, whatever outcomes its attempts have, so that the message can be
+     * sent again without being outstanding twice. Other attempts that share such a call and have no outcome end with
+     * it. A response that has arrived takes effect first. An implementation whose calls end with their last outcome has
+     * nothing to do.
+     */
+    default void endCalls(String messageId) {}
+
+    /**
+     * Returns whether a call may still execute a message, whatever outcomes its attempts have, and its response is
+     * awaited for a limited time.
+     */
+    default boolean isOutstanding(String messageId) {
+        return false;
+    }
+
     /** Sends a probe to a route, where it counts as a call. */
     void probe(String route);
 
--- a/src/main/java/loftflow/experiment/emulator/EmulatedRelay.java
+++ b/src/main/java/loftflow/experiment/emulator/EmulatedRelay.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import loftflow.engine.CallBatcher;
 import loftflow.engine.CompletionNotifier;
 import loftflow.engine.DeliveryEngine;
 import loftflow.engine.Endpoint;
@@ -10,6 +11,7 @@
 import loftflow.engine.Timers;
 import loftflow.engine.UpstreamClient;
 import loftflow.policy.api.AttemptOutcome;
+import loftflow.policy.api.CallSharing;
 import loftflow.policy.api.EndpointListKind;
 import loftflow.policy.api.LimitReport;
 import loftflow.policy.api.PolicySettings;
@@ -142,16 +144,20 @@
                 Runnable onTimeout = () -> completeAttempt(attempt, AttemptOutcome.TIMEOUT, 0, LimitReport.NONE);
                 attemptTimers.put(attempt, schedule(outbound.timeoutMicros(), onTimeout));
             }
-            List<Message.Attempt> sharing = outgoing.stream()
-                    .filter(OutboundAttempt::mayShareCall)
-                    .map(OutboundAttempt::attempt)
+            List<OutboundAttempt> sharing = outgoing.stream()
+                    .filter(outbound -> outbound.sharing() != CallSharing.NONE)
                     .toList();
-            environment.sendCalls(this, route, sharing);
+            CallBatcher.split(sharing, (call, next) -> true)
+                    .forEach(compatible -> environment.sendCalls(this, route, attemptsOf(compatible)));
             outgoing.stream()
-                    .filter(outbound -> !outbound.mayShareCall())
+                    .filter(outbound -> outbound.sharing() == CallSharing.NONE)
                     .forEach(outbound -> environment.sendCalls(this, route, List.of(outbound.attempt())));
         }
 
+        private static List<Message.Attempt> attemptsOf(List<OutboundAttempt> outgoing) {
+            return outgoing.stream().map(OutboundAttempt::attempt).toList();
+        }
+
         /** Reports the outcome of an attempt to the engine; without effect if it has ended already. */
         void completeAttempt(
                 Message.Attempt attempt, AttemptOutcome outcome, long retryAfterMicros, LimitReport report) {
--- a/src/main/java/loftflow/policy/CallSender.java
+++ b/src/main/java/loftflow/policy/CallSender.java
@@ -1,6 +1,7 @@
 package loftflow.policy;
 
 import java.util.List;
+import loftflow.policy.api.CallSharing;
 
 /**
  * Sends a call to a route: records it with the rate limiter, the permits and the concurrency limiter, and fills it with
@@ -45,9 +46,9 @@
         route.group.sentCalls.increment(context.now());
         permits.onSent(route.group);
         rateLimiter.onSent(route.group);
-        boolean mayShare = !isProbe && timeouts.mayShareCall(message, route);
-        addAttempt(message, call, mayShare);
-        if (mayShare && route.maxBatchSize > 1) {
+        CallSharing sharing = isProbe ? CallSharing.NONE : timeouts.sharing(message, route);
+        addAttempt(message, call, sharing);
+        if (sharing != CallSharing.NONE && route.maxBatchSize > 1) {
             fillBatch(message.destination, call);
         }
         return call;
@@ -55,16 +56,17 @@
 
     private void fillBatch(Destination destination, Call call) {
         for (PendingMessage message : List.copyOf(destination.waitingMessages)) {
+            CallSharing sharing = timeouts.sharing(message, call.route);
             if (call.pendingOutcomes < call.route.maxBatchSize
                     && keyOrder.isNextInOrder(message)
-                    && timeouts.mayShareCall(message, call.route)
+                    && sharing.isCompatibleWithAll(call.sharings)
                     && retryPolicy.isAllowed(message, call.route)) {
-                addAttempt(message, call, true);
+                addAttempt(message, call, sharing);
             }
         }
     }
 
-    private void addAttempt(PendingMessage message, Call call, boolean mayShareCall) {
+    private void addAttempt(PendingMessage message, Call call, CallSharing sharing) {
         // A repeat must not wait for a connection beyond its key window, as the destination would then execute it
         // again.
         long sendTimeoutMicros = retryPolicy.keyWindowLeftMicros(message);
@@ -73,12 +75,13 @@
         message.attemptsInFlight++;
         call.pendingOutcomes++;
         call.messages.add(message);
+        call.sharings.add(sharing);
         context.actions()
                 .send(
                         message.id,
                         call.route.name,
                         timeouts.timeoutMicros(message, call),
                         sendTimeoutMicros,
-                        mayShareCall);
+                        sharing != CallSharing.NONE);
     }
 }
--- a/src/main/java/loftflow/policy/api/RelayLimits.java
+++ b/src/main/java/loftflow/policy/api/RelayLimits.java
@@ -9,7 +9,7 @@
  * @param cancellation attempts may be cancelled
  * @param probes health checks may be sent
  * @param peerMessages relays of a fleet may send messages to each other
- * @param hedgedAttempts a second attempt may be made while the first is in flight; the default policy makes none
+ * @param hedgedAttempts a message may have two attempts outstanding if its class allows it too ({@link HedgingRule})
  * @param retryAfter a rejected client receives a Retry-After
  * @param connectTimeoutMicros connect timeout; 0 if the settings specify none
  */
--- a/src/main/java/loftflow/policy/api/RequestClass.java
+++ b/src/main/java/loftflow/policy/api/RequestClass.java
@@ -10,6 +10,8 @@
  * @param priorityWeight value of a delivery within the latency objective
  * @param lateWeight share of the weight that remains at the deadline, 0 to 1
  * @param ordered messages with equal keys are sent one at a time, in the order accepted
+ * @param hedgedAttempts an attempt may be made while an earlier one is outstanding, if {@link
+ *     RelayLimits#hedgedAttempts} allows it too; see {@link HedgingRule}
  */
 public record RequestClass(
         String name,
@@ -20,7 +22,32 @@
         long deadlineMicros,
         double priorityWeight,
         double lateWeight,
-        boolean ordered) {
+        boolean ordered,
+        boolean hedgedAttempts) {
+    /** Creates a class for which the limits of the relay alone decide about hedged attempts. */
+    public RequestClass(
+            String name,
+            Idempotency idempotency,
+            KeyScope keyScope,
+            long keyWindowMicros,
+            long latencyObjectiveMicros,
+            long deadlineMicros,
+            double priorityWeight,
+            double lateWeight,
+            boolean ordered) {
+        this(
+                name,
+                idempotency,
+                keyScope,
+                keyWindowMicros,
+                latencyObjectiveMicros,
+                deadlineMicros,
+                priorityWeight,
+                lateWeight,
+                ordered,
+                true);
+    }
+
     /**
      * Validates the class.
      *
--- a/src/main/java/loftflow/server/RoutingUpstreamClient.java
+++ b/src/main/java/loftflow/server/RoutingUpstreamClient.java
@@ -44,6 +44,16 @@
         clientFor(attempt.route()).cancel(attempt);
     }
 
+    @Override
+    public void endCalls(String messageId) {
+        httpClient.endCalls(messageId);
+    }
+
+    @Override
+    public boolean isOutstanding(String messageId) {
+        return httpClient.isOutstanding(messageId);
+    }
+
     @Override
     public void probe(String route) {
         clientFor(route).probe(route);
--- a/src/main/java/loftflow/upstream/http/CallConnection.java
+++ b/src/main/java/loftflow/upstream/http/CallConnection.java
@@ -2,8 +2,8 @@
 
 /** The connection on which a call is sent. */
 interface CallConnection {
-    /** Closes the connection because nobody awaits the response of the current call any more. */
-    void abandon();
+    /** Closes the connection at once, because the response of the current call is not awaited any more. */
+    void close(ConnectionCloseReason reason);
 
     /** Stays open only for the late response of the current call. */
     void awaitLateResponse();
--- a/src/main/java/loftflow/upstream/http/ConnectionCloseReason.java
+++ b/src/main/java/loftflow/upstream/http/ConnectionCloseReason.java
@@ -27,6 +27,8 @@
     NOT_POOLED,
     /** The call timed out or was cancelled. */
     CALL_ABANDONED,
+    /** A message of the call was sent again, and may not be outstanding twice. */
+    MESSAGE_REPEATED,
     /** The request could not be written. */
     WRITE_FAILED;
 
--- a/src/main/java/loftflow/upstream/http/HostConnectionPool.java
+++ b/src/main/java/loftflow/upstream/http/HostConnectionPool.java
@@ -180,6 +180,11 @@
         environment.results().onLateDelivery(attempt, isCounted);
     }
 
+    @Override
+    public void onNotOutstanding(UpstreamCall call, String messageId) {
+        environment.outstandingCalls().remove(call, messageId);
+    }
+
     @Override
     public int idleClosures() {
         return idleClosures;
--- a/src/main/java/loftflow/upstream/http/LateDeliveries.java
+++ b/src/main/java/loftflow/upstream/http/LateDeliveries.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import loftflow.engine.Message;
 
 /** Reports attempts of one call that a response names as delivered after they have ended. Not thread-safe. */
 final class LateDeliveries {
     private final UpstreamCallOwner owner;
+    private List<Message.Attempt> sentAttempts = List.of();
+    private Set<String> sentIds = Set.of();
     /** The attempts that were sent and ended before the response, as they timed out or were cancelled. */
     private final List<Message.Attempt> abandonedAttempts = new ArrayList<>();
 
@@ -14,6 +17,17 @@
         this.owner = owner;
     }
 
+    /** Called when the call is sent, with the attempts that it carries. */
+    void onSent(PendingAttempts attempts) {
+        sentAttempts = attempts.list();
+        sentIds = attempts.messageIds();
+    }
+
+    /** Returns the ids of all messages that were sent. */
+    Set<String> sentIds() {
+        return sentIds;
+    }
+
     /** Called when an attempt that was sent ends before the response. */
     void onAbandoned(Message.Attempt attempt) {
         abandonedAttempts.add(attempt);
@@ -26,11 +40,15 @@
     }
 
     /**
-     * Reports attempts that a response names as delivered.
+     * Reports all sent attempts that a response names as delivered.
      *
      * @param isCounted whether the host counts such a delivery
      */
-    void report(List<Message.Attempt> attempts, CallResponse response, boolean isCounted) {
+    void reportSent(CallResponse response, boolean isCounted) {
+        report(sentAttempts, response, isCounted);
+    }
+
+    private void report(List<Message.Attempt> attempts, CallResponse response, boolean isCounted) {
         attempts.stream()
                 .filter(attempt ->
                         response.reportsDelivery(attempt.message().content().messageId()))
--- a/src/main/java/loftflow/upstream/http/RequestFactory.java
+++ b/src/main/java/loftflow/upstream/http/RequestFactory.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Collection;
+import java.util.List;
 import loftflow.engine.Message;
 import loftflow.protocol.HostProtocol;
 
@@ -21,7 +22,14 @@
         return create(authority, HttpMethod.GET, path, EMPTY_BODY);
     }
 
-    static FullHttpRequest createSingle(String authority, Message.Content content) {
+    /** Creates the request of a call that carries messages. */
+    static FullHttpRequest createCall(String authority, boolean isBatch, List<Message.Attempt> attempts) {
+        return isBatch
+                ? createBatch(authority, attempts)
+                : createSingle(authority, attempts.get(0).message().content());
+    }
+
+    private static FullHttpRequest createSingle(String authority, Message.Content content) {
         FullHttpRequest request = create(authority, HttpMethod.POST, HostProtocol.SINGLE_PATH, content.body());
         request.headers().set(HostProtocol.MESSAGE_ID_HEADER, content.messageId());
         if (content.key() != null) {
@@ -30,7 +38,7 @@
         return request;
     }
 
-    static FullHttpRequest createBatch(String authority, Collection<Message.Attempt> attempts) {
+    private static FullHttpRequest createBatch(String authority, Collection<Message.Attempt> attempts) {
         byte[] body = BatchCodec.encode(attempts);
         FullHttpRequest request = create(authority, HttpMethod.POST, HostProtocol.BATCH_PATH, body);
         request.headers().set(HttpHeaderNames.CONTENT_TYPE, HostProtocol.BATCH_CONTENT_TYPE);
--- a/src/main/java/loftflow/upstream/http/UpstreamCall.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCall.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.util.concurrent.Future;
 import java.util.List;
 import java.util.Set;
 import loftflow.engine.Message;
@@ -22,17 +21,15 @@
 
     private final UpstreamCallOwner owner;
     private final long startedAtMicros;
-    /** The path of a probe; null for a call that carries messages. */
-    private final String probePath;
+    /** Null for a call that carries messages. */
+    private final PendingProbe probe;
 
     private final PendingAttempts pendingAttempts;
     private final LateDeliveries lateDeliveries;
 
     private final boolean isBatch;
-    private final Future<?> probeTimeout;
     private CallConnection connection;
     private boolean isSent;
-    private boolean isProbeCompleted;
     private CallResponse response;
     /** The timed-out attempt whose late response is awaited; null if there is none. */
     private Message.Attempt lateAttempt;
@@ -40,17 +37,14 @@
     private final RevocableOutcomes revocable = new RevocableOutcomes();
     /** Whether a response to a single message that may be its own was ignored, and reported it as delivered. */
     private boolean hasIgnoredDelivery;
-    /** The attempts of all messages that were sent. */
-    private List<Message.Attempt> sentAttempts = List.of();
-    /** The ids of all messages that were sent. */
-    private Set<String> sentIds = Set.of();
+
+    private final OutstandingMessages outstandingMessages;
 
     /** Creates a call for one or more attempts, and starts their timeouts. */
     UpstreamCall(UpstreamCallOwner owner, List<UpstreamClient.OutboundAttempt> outboundAttempts) {
         this.owner = owner;
         startedAtMicros = owner.nowMicros();
-        probePath = null;
-        probeTimeout = null;
+        probe = null;
         isBatch = outboundAttempts.size() > 1;
         response = new CallResponse(isBatch);
         lateDeliveries = new LateDeliveries(owner);
@@ -59,6 +53,8 @@
                 startedAtMicros,
                 (attempt, timeoutMicros) ->
                         owner.schedule(timeoutMicros, () -> abandon(attempt, AttemptOutcome.TIMEOUT)));
+        outstandingMessages =
+                new OutstandingMessages(pendingAttempts.messageIds(), id -> owner.onNotOutstanding(this, id));
     }
 
     /** Creates a probe, and starts its timeout. */
@@ -66,16 +62,16 @@
         this.owner = owner;
         startedAtMicros = owner.nowMicros();
         pendingAttempts = new PendingAttempts(startedAtMicros + timeoutMicros);
-        this.probePath = probePath;
         isBatch = false;
         response = new CallResponse(true);
         lateDeliveries = new LateDeliveries(owner);
-        probeTimeout = owner.schedule(timeoutMicros, this::onProbeTimeout);
+        probe = new PendingProbe(owner, probePath, owner.schedule(timeoutMicros, this::onProbeTimeout));
+        outstandingMessages = new OutstandingMessages(Set.of(), id -> {});
     }
 
     private void onProbeTimeout() {
         readPending();
-        if (!isProbeCompleted) {
+        if (!probe.isCompleted()) {
             abandonCall(AttemptOutcome.TIMEOUT);
         }
     }
@@ -87,7 +83,7 @@
 
     /** Returns whether the call carries no messages. */
     boolean isProbe() {
-        return probePath != null;
+        return probe != null;
     }
 
     long startedAtMicros() {
@@ -116,6 +112,11 @@
         return pendingAttempts;
     }
 
+    /** Returns the messages that the call may still execute. */
+    OutstandingMessages outstandingMessages() {
+        return outstandingMessages;
+    }
+
     /** Returns whether a rejection has to be proven, because another attempt does harm if this one was executed. */
     boolean mustProveRejection() {
         return !pendingAttempts.mayRepeat() && !isCompleted();
@@ -123,7 +124,7 @@
 
     /** Returns whether every attempt of this call, or its probe, has an outcome. */
     boolean isCompleted() {
-        return isProbe() ? isProbeCompleted : pendingAttempts.isEmpty();
+        return isProbe() ? probe.isCompleted() : pendingAttempts.isEmpty();
     }
 
     /** Returns whether the whole request has been written to the socket. */
@@ -143,22 +144,15 @@
     /** Creates the request, with the remaining time as its timeout unless it is a probe. */
     FullHttpRequest createRequest() {
         if (isProbe()) {
-            return RequestFactory.createProbe(owner.authority(), probePath);
+            return RequestFactory.createProbe(owner.authority(), probe.path());
         }
-        sentAttempts = pendingAttempts.list();
-        sentIds = pendingAttempts.messageIds();
-        FullHttpRequest request =
-                isBatch ? RequestFactory.createBatch(owner.authority(), pendingAttempts.list()) : createSingleRequest();
+        lateDeliveries.onSent(pendingAttempts);
+        FullHttpRequest request = RequestFactory.createCall(owner.authority(), isBatch, pendingAttempts.list());
         long leftMillis = Math.max(0, pendingAttempts.latestTimeoutMicros() - owner.nowMicros()) / MICROS_PER_MILLI;
         request.headers().set(HostProtocol.TIMEOUT_MILLIS_HEADER, leftMillis);
         return request;
     }
 
-    private FullHttpRequest createSingleRequest() {
-        Message.Attempt attempt = pendingAttempts.list().get(0);
-        return RequestFactory.createSingle(owner.authority(), attempt.message().content());
-    }
-
     /**
      * Applies the back-off in a complete response head. It applies even if the rest of the response is truncated,
      * malformed or never completes, and even if the call has been abandoned.
@@ -227,7 +221,7 @@
     /** Decodes the message states in the complete response to a batch. */
     void readStates() {
         if (isBatch && response.isOk()) {
-            response.readStates(owner.route(), sentIds);
+            response.readStates(owner.route(), lateDeliveries.sentIds());
         }
     }
 
@@ -340,7 +334,7 @@
 
     private void onProbeResponse() {
         response.readReportInBody();
-        endProbe(OutcomeTable.ofProbeStatus(response.status()));
+        probe.end(this, OutcomeTable.ofProbeStatus(response.status()), response);
     }
 
     /**
@@ -372,8 +366,8 @@
     /** Reports what its own response, which came once another one had ended the call, names as delivered. */
     void onLateResponse(CallResponse late) {
         if (late.isOk()) {
-            late.readStates(owner.route(), sentIds);
-            lateDeliveries.report(sentAttempts, late, !isPastEarliestDeadline());
+            late.readStates(owner.route(), lateDeliveries.sentIds());
+            lateDeliveries.reportSent(late, !isPastEarliestDeadline());
         }
     }
 
@@ -417,7 +411,7 @@
 
     private void endAll(AttemptOutcome outcome, boolean isMessageCompleted) {
         if (isProbe()) {
-            endProbe(outcome);
+            probe.end(this, outcome, response);
         }
         for (Message.Attempt attempt : pendingAttempts.list()) {
             endAttempt(attempt, outcome, isMessageCompleted);
@@ -426,19 +420,14 @@
 
     private void endAttempt(Message.Attempt attempt, AttemptOutcome outcome, boolean isMessageCompleted) {
         if (pendingAttempts.remove(attempt)) {
+            if (connection == null) {
+                outstandingMessages.remove(attempt.message().content().messageId());
+            }
             owner.onAttemptCompleted(
                     attempt, outcome, isMessageCompleted, response.retryAfterMicros(), response.report());
         }
     }
 
-    private void endProbe(AttemptOutcome outcome) {
-        if (!isProbeCompleted) {
-            isProbeCompleted = true;
-            probeTimeout.cancel(false);
-            owner.onProbeCompleted(this, outcome, response.retryAfterMicros(), response.report());
-        }
-    }
-
     /**
      * Stops waiting for one attempt, unless its response has already been received. With the last attempt of the call,
      * the connection is closed as well, so that the host does not continue to count the call as open, unless a late
@@ -456,6 +445,19 @@
         }
     }
 
+    /**
+     * Ends the call because one of its messages is to be sent again, unless a response that has arrived ends it. Its
+     * other messages may have been executed.
+     */
+    void endForRepeat(String messageId) {
+        readPending();
+        // A call that waits for its connection is sent without the messages that have ended.
+        if (connection != null && outstandingMessages.contains(messageId)) {
+            endWithoutResponse(isSent ? AttemptOutcome.CANCELLED : AttemptOutcome.CONNECT_FAILED);
+            connection.close(ConnectionCloseReason.MESSAGE_REPEATED);
+        }
+    }
+
     private AttemptOutcome outcomeOfAbandoned(Message.Attempt attempt, AttemptOutcome outcome) {
         if (connection == null) {
             return AttemptOutcome.CONNECT_FAILED;
@@ -490,7 +492,7 @@
             lateAttempt = timedOut;
             connection.awaitLateResponse();
         } else {
-            connection.abandon();
+            connection.close(ConnectionCloseReason.CALL_ABANDONED);
         }
     }
 }
--- a/src/main/java/loftflow/upstream/http/UpstreamCallOwner.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamCallOwner.java
@@ -55,6 +55,9 @@
      */
     void onLateDelivery(Message.Attempt attempt, boolean isCounted);
 
+    /** Reports that a call can't execute a message any more. */
+    void onNotOutstanding(UpstreamCall call, String messageId);
+
     /** Returns whether a connection may stay open to await the late response of a call. */
     boolean canAwaitLateResponse();
 
--- a/src/main/java/loftflow/upstream/http/UpstreamConnection.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamConnection.java
@@ -214,12 +214,7 @@
     }
 
     @Override
-    public void abandon() {
-        close(ConnectionCloseReason.CALL_ABANDONED);
-    }
-
-    /** Closes the connection at once. */
-    void close(ConnectionCloseReason reason) {
+    public void close(ConnectionCloseReason reason) {
         retireReason = retireReason == null ? reason : retireReason;
         closeReason = closeReason == null ? reason : closeReason;
         // Notify the owner first, so that it does not select the connection while it is being closed.
@@ -329,6 +324,7 @@
     private void onResponseComplete() {
         UpstreamCall completed = call;
         call = null;
+        completed.outstandingMessages().clear();
         quiet.onResponse();
         isResponseComplete = true;
         owner.responseTimes().onResponse(owner.nowMicros(), owner.nowMicros() - sentAtMicros);
@@ -374,6 +370,7 @@
         UpstreamCall failed = call;
         call = null;
         if (failed != null) {
+            failed.outstandingMessages().clear();
             endCall.accept(failed);
         }
         if (failed != null && failed.isEndedByStatus()) {
--- a/src/main/java/loftflow/upstream/http/UpstreamEnvironment.java
+++ b/src/main/java/loftflow/upstream/http/UpstreamEnvironment.java
@@ -19,6 +19,7 @@
  * @param suspectHosts the hosts that have sent a response to no call
  * @param closeLog logs why connections were closed
  * @param openCalls the call of each attempt without an outcome
+ * @param outstandingCalls the calls that may still execute each message
  * @param responseMemory limits responses that hosts have sent in part
  * @param revocableMemory limits messages that are kept to correct their outcome
  */
@@ -34,6 +35,7 @@
         SuspectHosts suspectHosts,
         ConnectionCloseLog closeLog,
         Map<Message.Attempt, UpstreamCall> openCalls,
+        OutstandingCalls outstandingCalls,
         MemoryBudget responseMemory,
         MemoryBudget revocableMemory,
         UpstreamClient.ResultListener results) {}
--- a/src/test/java/loftflow/server/RelayProcess.java
+++ b/src/test/java/loftflow/server/RelayProcess.java
@@ -50,6 +50,7 @@
     private int configuredDescriptors = 256;
     private int maxOpenMessages = 50;
     private int concurrentCalls = 8;
+    private boolean mayHedge = true;
     private boolean usesDeployedCommand;
     private Path warmStartFile;
     private Process process;
@@ -130,6 +131,12 @@
         return this;
     }
 
+    /** Sets whether a message may have two attempts outstanding. */
+    RelayProcess withSecondCopies(boolean allowed) {
+        mayHedge = allowed;
+        return this;
+    }
+
     /** Starts the relay by the {@code run} command of the deploy file, with the given limits in its configuration. */
     RelayProcess withDeployedCommand(int memoryMib, int descriptors) {
         usesDeployedCommand = true;
@@ -173,6 +180,7 @@
                                 .replace("KEY_WINDOW", keyWindowSeconds)
                                 .replace("MAX_OPEN", Integer.toString(maxOpenMessages))
                                 .replace("CALL_SLOTS", Integer.toString(concurrentCalls))
+                                .replace("SECOND_COPIES", Boolean.toString(mayHedge))
                         + "}");
     }
 
@@ -267,7 +275,7 @@
               {"name":"unsafe","repeat":"once","goal-time-s":2,"deadline-s":20,"worth":1},
               {"name":"ordered","repeat":"once","goal-time-s":2,"deadline-s":20,"worth":1,"fifo-by-key":true}],
              "family-info":{"call-slots":CALL_SLOTS,"batch-by-kind":[1,4],"routes-apart":[false,false]},
-             "limits":{"max-open":MAX_OPEN,"send-cap":12,"may-cancel":true,"probes":true,"second-copies":true,
+             "limits":{"max-open":MAX_OPEN,"send-cap":12,"may-cancel":true,"probes":true,"second-copies":SECOND_COPIES,
               "connect-timeout-s":1.5,"conn-idle-s":10},
              "contract":{"drain-grace-s":0.5,"fall-s":2.0,"fall-multiple":2.5,"cold-from":0.2,"warm-up-s":9},
              "stats":{"how":"inline","fields":["x0","x1"]},"fees":{}}""";
--- a/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
+++ b/src/test/java/loftflow/upstream/http/BatchResponseOrderTest.java
@@ -16,6 +16,7 @@
 import loftflow.engine.UpstreamClient;
 import loftflow.fake.ScriptedPeer;
 import loftflow.policy.api.AttemptOutcome;
+import loftflow.policy.api.CallSharing;
 import loftflow.server.KernelSocketState;
 import loftflow.server.RelayProcess;
 import org.junit.jupiter.api.Test;
@@ -114,7 +115,7 @@
                 "r",
                 List.of(
                         attempts.get(0),
-                        new UpstreamClient.OutboundAttempt(alone, LONG_MICROS, Long.MAX_VALUE, false, false),
+                        new UpstreamClient.OutboundAttempt(alone, LONG_MICROS, Long.MAX_VALUE, false, CallSharing.NONE),
                         attempts.get(2))));
         await(() -> results.size() == 3);
         assertEquals(2, host.requests.size());
