A publish is repeated only once the connection that awaits its confirm is closed

What callers saw: a partner behind a broker that confirms late gets a message again while the first publish is outstanding, where the settings forbid second copies.

Cause: as for calls over HTTP, the timeout of an attempt was taken for the end of its publish. The channel stays open, and the broker may still handle it.

Change: BrokerClient answers the same two questions as HttpUpstreamClient: what is outstanding (a publish whose fate is not known; a redrive waits for its confirm up to 60 s), and the end of it before a repeat. A publish can only be given up by closing its connection; other publishes without a confirm end with it as they do when it breaks, and what waits for the connection goes out on the next one.

Evidence: OutstandingAttemptsTest.publishWithoutAConfirmIsRepeatedOnceItsConnectionIsClosed, a relay process and a broker: on both publishes come on one connection, now the first one is closed before the second publish.

--- a/src/main/java/loftflow/server/RoutingUpstreamClient.java
+++ b/src/main/java/loftflow/server/RoutingUpstreamClient.java
@@ -47,11 +47,12 @@
     @Override
     public void endCalls(String messageId) {
         httpClient.endCalls(messageId);
+        brokerClient.endCalls(messageId);
     }
 
     @Override
     public boolean isOutstanding(String messageId) {
-        return httpClient.isOutstanding(messageId);
+        return httpClient.isOutstanding(messageId) || brokerClient.isOutstanding(messageId);
     }
 
     @Override
--- a/src/main/java/loftflow/upstream/amqp/BrokerClient.java
+++ b/src/main/java/loftflow/upstream/amqp/BrokerClient.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import loftflow.engine.Clock;
 import loftflow.engine.Endpoint;
 import loftflow.engine.Message;
@@ -27,6 +28,8 @@
     private final long connectTimeoutMicros;
     private final Map<String, BrokerDestination> destinations;
     private final Map<String, BrokerConnection> connections = new HashMap<>();
+    /** Connections to routes that are not listed any more, which may await confirms. */
+    private final Set<BrokerConnection> stopped = new HashSet<>();
     /** The connection of every attempt that has no outcome yet. */
     private final Map<Message.Attempt, BrokerConnection> openAttempts = new HashMap<>();
 
@@ -85,6 +88,8 @@
     private void remove(BrokerConnection connection) {
         connection.stop();
         connections.remove(connection.route());
+        stopped.removeIf(BrokerConnection::isClosed);
+        stopped.add(connection);
     }
 
     @Override
@@ -108,6 +113,20 @@
         }
     }
 
+    @Override
+    public void endCalls(String messageId) {
+        allConnections().toList().forEach(connection -> connection.endPublishes(messageId));
+    }
+
+    @Override
+    public boolean isOutstanding(String messageId) {
+        return allConnections().anyMatch(connection -> connection.awaitsConfirm(messageId));
+    }
+
+    private Stream<BrokerConnection> allConnections() {
+        return Stream.concat(connections.values().stream(), stopped.stream());
+    }
+
     @Override
     public void probe(String route) {
         BrokerConnection connection = connections.get(route);
--- a/src/main/java/loftflow/upstream/amqp/BrokerConnection.java
+++ b/src/main/java/loftflow/upstream/amqp/BrokerConnection.java
@@ -54,6 +54,9 @@
     /** The back-off that is reported while the broker blocks publishers; it is reported again after that time. */
     private static final long BLOCKED_RETRY_AFTER_MICROS = 1_000_000;
 
+    /** A confirm that takes longer is not waited for. */
+    private static final long MAX_CONFIRM_DELAY_MICROS = 60_000_000;
+
     private static final long PROBE_TIMEOUT_MICROS = 1_000_000;
     private static final String NOT_LISTED_REASON = "the route is not listed any more";
 
@@ -67,6 +70,8 @@
     private final Map<Message.Attempt, PendingAttempt> unpublished = new LinkedHashMap<>();
     /** Published attempts without an outcome. Those with one remain in {@link #confirms} for a late confirm. */
     private final Map<Message.Attempt, PendingAttempt> published = new HashMap<>();
+    /** When the messages in {@link #confirms} whose fate is not known were published, by their ids. */
+    private final Map<String, Long> publishedAtMicros = new HashMap<>();
     /** The start times of unanswered probes, oldest first. */
     private final ArrayDeque<Long> probeStarts = new ArrayDeque<>();
 
@@ -78,6 +83,9 @@
     /** The connection has been ready, so that its end does not mean that the broker is unreachable. */
     private boolean hasBeenReady;
 
+    /** This relay has closed the connection for a message that is sent again, and opens another one. */
+    private boolean isReconnecting;
+
     private boolean isStopped;
 
     BrokerConnection(String route, Endpoint endpoint, BrokerDestination destination, Owner owner) {
@@ -95,6 +103,10 @@
         return endpoint.address().equals(other.address());
     }
 
+    boolean isClosed() {
+        return connection == null;
+    }
+
     // ---- requests of the engine
 
     /** Publishes an attempt, once the connection is ready. */
@@ -130,6 +142,29 @@
         }
     }
 
+    /**
+     * Closes the connection if a publish of a message has no confirm, whatever outcome its attempt has, because the
+     * message is to be sent again. Other publishes without a confirm end with it; those that wait for the connection
+     * are sent on the next one.
+     */
+    void endPublishes(String messageId) {
+        if (connection != null && publishedAtMicros.containsKey(messageId)) {
+            isReady = false;
+            isReconnecting = true;
+            closeConnection("a message without a confirm is sent again");
+        }
+    }
+
+    /** Returns whether a late confirm of a message may still come. */
+    boolean awaitsConfirm(String messageId) {
+        Long atMicros = publishedAtMicros.get(messageId);
+        return atMicros != null && owner.nowMicros() - atMicros < MAX_CONFIRM_DELAY_MICROS;
+    }
+
+    private static String messageId(Message.Attempt attempt) {
+        return attempt.message().content().messageId();
+    }
+
     private void end(Message.Attempt attempt, PendingAttempt pending, AttemptOutcome outcome, long retryAfterMicros) {
         pending.timeout().cancel(false);
         owner.onAttemptCompleted(attempt, outcome, retryAfterMicros);
@@ -237,7 +272,7 @@
     }
 
     private boolean isBlocked() {
-        return connection != null && !connection.canPublish(CHANNEL);
+        return connection != null && !isReconnecting && !connection.canPublish(CHANNEL);
     }
 
     /** The broker blocks publishers, or accepts them again: while it blocks, unpublished attempts end as rejected. */
@@ -283,6 +318,7 @@
     private void publish(Message.Attempt attempt) {
         Message.Content content = attempt.message().content();
         long tag = confirms.publish(attempt);
+        publishedAtMicros.put(content.messageId(), owner.nowMicros());
         PublisherConfirms<Message.Attempt> current = confirms;
         Method method =
                 Method.of(MethodType.BASIC_PUBLISH, destination.exchange(), destination.routingKey(), true, false);
@@ -313,8 +349,8 @@
     private void onReturn(Command command) {
         Object tagHeader = command.properties().headers().get(PublisherConfirms.DELIVERY_TAG_HEADER);
         String messageId = command.properties().text(Property.MESSAGE_ID);
-        List<PublisherConfirms.Settled<Message.Attempt>> settled = confirms.returned(
-                tagHeader, attempt -> attempt.message().content().messageId().equals(messageId));
+        List<PublisherConfirms.Settled<Message.Attempt>> settled =
+                confirms.returned(tagHeader, attempt -> messageId(attempt).equals(messageId));
         if (settled.isEmpty()) {
             log("return of an unknown publish", "");
         } else {
@@ -331,6 +367,7 @@
 
     private void settle(PublisherConfirms.Settled<Message.Attempt> settled) {
         Message.Attempt attempt = settled.publish();
+        publishedAtMicros.remove(messageId(attempt));
         PendingAttempt pending = published.remove(attempt);
         if (pending != null) {
             end(attempt, pending, BrokerOutcomes.ofFate(settled.outcome()), 0);
@@ -369,7 +406,13 @@
         }
         connection = null;
         settleAll(false);
-        endUnpublished(BrokerOutcomes.ofUnpublished(wasReady), 0);
+        boolean mayReconnect = isReconnecting && !isStopped && !unpublished.isEmpty();
+        isReconnecting = false;
+        if (mayReconnect) {
+            connect();
+        } else {
+            endUnpublished(BrokerOutcomes.ofUnpublished(wasReady), 0);
+        }
         endProbes(BrokerOutcomes.ofUnansweredProbe(wasReady));
     }
 
--- a/src/test/java/loftflow/server/OutstandingAttemptsTest.java
+++ b/src/test/java/loftflow/server/OutstandingAttemptsTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import loftflow.config.tool.ConfigTool;
+import loftflow.fake.FakeBroker;
 import loftflow.fake.FakeClient;
 import loftflow.fake.ScriptedPeer;
 import loftflow.fake.ServedRelay;
@@ -183,6 +184,24 @@
                 .formatted(batch, hung.address(), sound.address());
     }
 
+    private static String brokerPartner(FakeBroker broker) {
+        return """
+                [[broker]]
+                name = "broker"
+                [[partner]]
+                name = "iron-line"
+                number = 7
+                kind = "railways"
+                response = "150ms"
+                [[partner.endpoint]]
+                id = "iron-1"
+                address = "%s"
+                broker = "broker"
+                routing-key = "orders"
+                """
+                .formatted(broker.address());
+    }
+
     private Path writeRelayFile(String statusUpdate, String undeliverable, String deadline, String partner)
             throws Exception {
         String text =
@@ -276,4 +295,23 @@
         assertEquals(List.of(), second.receivedIds());
         assertEquals(List.of(), secondCopies());
     }
+
+    /** A publish without a confirm was published again after its timeout, on the connection that awaited the confirm. */
+    @Test
+    void publishWithoutAConfirmIsRepeatedOnceItsConnectionIsClosed() throws Exception {
+        try (FakeBroker broker = new FakeBroker()) {
+            broker.declare("orders");
+            broker.setOutcome(FakeBroker.PublishOutcome.NO_CONFIRM);
+            ServedRelay relay =
+                    launch(writeRelayFile("", "", "20s", brokerPartner(broker))).awaitServing();
+            submitRounds(1, clientOf(relay, BUDGET_MILLIS), "status");
+            await(() -> broker.postings().size() == 1);
+            int connectionsBefore = broker.connections();
+            broker.setOutcome(FakeBroker.PublishOutcome.CONFIRM);
+            await(() -> broker.postings().size() == 2);
+            assertEquals(accepted.get(0), broker.postings().get(1).id());
+            assertEquals(connectionsBefore + 1, broker.connections());
+            assertEquals(1, broker.connected());
+        }
+    }
 }
