Messages share a call, whatever their timeouts, while no other call may be sent

Cause: messages were kept apart also where the send rate, the slots or the permits allow no other call now, so that one of the two calls waits.

Change: CallSender asks RouteAvailability whether any route takes another call; if none does, the messages share the call. Should it hang, the first repeat ends it for all (OutstandingAttempts), as a settlement in it may have run. The decision is made once and passed on by PolicyActions.send, which says CallSharing in place of a flag; the engine made it a second time.

--- a/src/main/java/loftflow/engine/AttemptDispatcher.java
+++ b/src/main/java/loftflow/engine/AttemptDispatcher.java
@@ -8,7 +8,6 @@
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.AttemptOutcomeDisproved;
 import loftflow.policy.api.CallSharing;
-import loftflow.policy.api.HedgingRule;
 import loftflow.policy.api.LimitReport;
 import loftflow.policy.api.MessageWithdrawn;
 
@@ -23,7 +22,6 @@
     private final MessageLifecycle lifecycle;
     private final MessageAdmission admission;
     private final RequestClassRegistry requestClasses;
-    private final HedgingRule hedging;
     private final OutstandingAttempts outstanding;
     private final UnrecordedAttempts unrecorded;
     private final Map<String, List<UpstreamClient.OutboundAttempt>> pendingByRoute = new LinkedHashMap<>();
@@ -42,7 +40,6 @@
         this.lifecycle = lifecycle;
         this.admission = admission;
         this.requestClasses = requestClasses;
-        hedging = new HedgingRule(context.settings());
         outstanding = new OutstandingAttempts(context);
         unrecorded = new UnrecordedAttempts(
                 context, outbound -> sendBatch(outbound.attempt().route(), List.of(outbound)), this::completeAsNotSent);
@@ -59,9 +56,9 @@
      * @param timeoutMicros the attempt's time-out, in microseconds; 0 if only the message's deadline bounds the attempt
      * @param sendWithinMicros if the attempt is not sent within this many microseconds, it ends as not sent; 0 for no
      *     bound
-     * @param mayShareCall whether other attempts of the round may travel in the same call
+     * @param sharing which other attempts of the round may travel in the same call
      */
-    void start(long number, String route, long timeoutMicros, long sendWithinMicros, boolean mayShareCall) {
+    void start(long number, String route, long timeoutMicros, long sendWithinMicros, CallSharing sharing) {
         Message message = messages.find(number);
         if (message == null || message.completion() != null) {
             return;
@@ -80,9 +77,7 @@
                 timeoutMicros > 0 ? Math.min(timeoutMicros, remainingMicros) : remainingMicros,
                 sendWithinMicros > 0 ? nowMicros + sendWithinMicros : Long.MAX_VALUE,
                 requestClasses.mayRepeatAtAnyTime(message),
-                mayShareCall
-                        ? hedging.sharing(message.content().requestClass(), timeoutMicros == 0)
-                        : CallSharing.NONE);
+                sharing);
         // An attempt missing from the journal would be unknown after a restart.
         if (context.journal().recordAttempt(attempt) || outbound.mayRepeat()) {
             pendingByRoute.computeIfAbsent(route, newRoute -> new ArrayList<>()).add(outbound);
--- a/src/main/java/loftflow/engine/PolicyActionExecutor.java
+++ b/src/main/java/loftflow/engine/PolicyActionExecutor.java
@@ -1,5 +1,6 @@
 package loftflow.engine;
 
+import loftflow.policy.api.CallSharing;
 import loftflow.policy.api.PolicyActions;
 import loftflow.policy.api.TimerFired;
 
@@ -25,9 +26,8 @@
     }
 
     @Override
-    public void send(
-            long messageNumber, String route, long timeoutMicros, long sendWithinMicros, boolean mayShareCall) {
-        dispatcher.start(messageNumber, route, timeoutMicros, sendWithinMicros, mayShareCall);
+    public void send(long messageNumber, String route, long timeoutMicros, long sendWithinMicros, CallSharing sharing) {
+        dispatcher.start(messageNumber, route, timeoutMicros, sendWithinMicros, sharing);
     }
 
     @Override
--- a/src/main/java/loftflow/policy/AttemptTimeouts.java
+++ b/src/main/java/loftflow/policy/AttemptTimeouts.java
@@ -49,12 +49,18 @@
     /**
      * Returns how the next attempt of a message may share a call. One that is likely to reach its deadline before the
      * answer comes would leave it open whether the others of its call were delivered, so it travels alone.
+     *
+     * @param areCallsScarce whether no other call may be sent now: messages then share calls that the timeout of one
+     *     ends for all, rather than wait for another call
      */
-    CallSharing sharing(PendingMessage message, Route route) {
+    CallSharing sharing(PendingMessage message, Route route, boolean areCallsScarce) {
         double leftMicros = message.deadlineMicros - context.now();
         if (leftMicros <= SHARED_CALL_RATIO * responseTimes.expectedMicros(route)) {
             return CallSharing.NONE;
         }
+        if (areCallsScarce) {
+            return CallSharing.ANY;
+        }
         return hedging.sharing(message.requestClass.name(), isLastAttempt(message, message.attempts.size() + 1));
     }
 
--- a/src/main/java/loftflow/policy/CallSender.java
+++ b/src/main/java/loftflow/policy/CallSender.java
@@ -16,6 +16,7 @@
     private final SendRateLimiter rateLimiter;
     private final SendPermits permits;
     private final ConcurrencyLimiter concurrency;
+    private final RouteAvailability availability;
 
     CallSender(
             RoundContext context,
@@ -25,7 +26,8 @@
             AttemptTimeouts timeouts,
             SendRateLimiter rateLimiter,
             SendPermits permits,
-            ConcurrencyLimiter concurrency) {
+            ConcurrencyLimiter concurrency,
+            RouteAvailability availability) {
         this.context = context;
         this.messages = messages;
         this.keyOrder = keyOrder;
@@ -34,6 +36,7 @@
         this.rateLimiter = rateLimiter;
         this.permits = permits;
         this.concurrency = concurrency;
+        this.availability = availability;
     }
 
     /**
@@ -46,17 +49,18 @@
         route.group.sentCalls.increment(context.now());
         permits.onSent(route.group);
         rateLimiter.onSent(route.group);
-        CallSharing sharing = isProbe ? CallSharing.NONE : timeouts.sharing(message, route);
+        boolean areCallsScarce = message.destination.routes.values().stream().noneMatch(availability::isUsable);
+        CallSharing sharing = isProbe ? CallSharing.NONE : timeouts.sharing(message, route, areCallsScarce);
         addAttempt(message, call, sharing);
         if (sharing != CallSharing.NONE && route.maxBatchSize > 1) {
-            fillBatch(message.destination, call);
+            fillBatch(message.destination, call, areCallsScarce);
         }
         return call;
     }
 
-    private void fillBatch(Destination destination, Call call) {
+    private void fillBatch(Destination destination, Call call, boolean areCallsScarce) {
         for (PendingMessage message : List.copyOf(destination.waitingMessages)) {
-            CallSharing sharing = timeouts.sharing(message, call.route);
+            CallSharing sharing = timeouts.sharing(message, call.route, areCallsScarce);
             if (call.pendingOutcomes < call.route.maxBatchSize
                     && keyOrder.isNextInOrder(message)
                     && sharing.isCompatibleWithAll(call.sharings)
@@ -77,11 +81,6 @@
         call.messages.add(message);
         call.sharings.add(sharing);
         context.actions()
-                .send(
-                        message.id,
-                        call.route.name,
-                        timeouts.timeoutMicros(message, call),
-                        sendTimeoutMicros,
-                        sharing != CallSharing.NONE);
+                .send(message.id, call.route.name, timeouts.timeoutMicros(message, call), sendTimeoutMicros, sharing);
     }
 }
--- a/src/test/java/loftflow/policy/PolicyHarness.java
+++ b/src/test/java/loftflow/policy/PolicyHarness.java
@@ -8,6 +8,7 @@
 import loftflow.policy.api.AttemptCompleted;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.Availability;
+import loftflow.policy.api.CallSharing;
 import loftflow.policy.api.DeliveryPolicy;
 import loftflow.policy.api.DestinationKind;
 import loftflow.policy.api.EndpointEntry;
@@ -39,7 +40,11 @@
             String route,
             long timeoutMicros,
             long sendTimeoutMicros,
-            boolean mayShareCall) {}
+            CallSharing sharing) {
+        boolean mayShareCall() {
+            return sharing != CallSharing.NONE;
+        }
+    }
 
     final List<Sent> sent = new ArrayList<>();
     final List<Sent> unanswered = new ArrayList<>();
@@ -237,9 +242,9 @@
     }
 
     @Override
-    public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros, boolean mayShareCall) {
+    public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros, CallSharing sharing) {
         int attemptNumber = attempts.merge(id, 1, Integer::sum) - 1;
-        Sent attempt = new Sent(now, id, attemptNumber, route, timeoutMicros, sendTimeoutMicros, mayShareCall);
+        Sent attempt = new Sent(now, id, attemptNumber, route, timeoutMicros, sendTimeoutMicros, sharing);
         sent.add(attempt);
         unanswered.add(attempt);
     }
--- a/src/test/java/loftflow/policy/RandomEventsTest.java
+++ b/src/test/java/loftflow/policy/RandomEventsTest.java
@@ -13,6 +13,7 @@
 import loftflow.policy.api.AttemptCompleted;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.Availability;
+import loftflow.policy.api.CallSharing;
 import loftflow.policy.api.DeliveryPolicy;
 import loftflow.policy.api.EndpointEntry;
 import loftflow.policy.api.EndpointListKind;
@@ -221,7 +222,7 @@
         }
 
         @Override
-        public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros, boolean mayShareCall) {
+        public void send(long id, String route, long timeoutMicros, long sendTimeoutMicros, CallSharing sharing) {
             TrackedMessage message = messages.get(id);
             EndpointEntry entry = entries.get(route);
             assertFalse(message.closed, "sent after its final answer");
