--- a/src/main/java/loftflow/policy/CallSender.java
+++ b/src/main/java/loftflow/policy/CallSender.java
@@ -49,7 +49,7 @@
         route.group.sentCalls.increment(context.now());
         permits.onSent(route.group);
         rateLimiter.onSent(route.group);
-        boolean areCallsScarce = message.destination.routes.values().stream().noneMatch(availability::isUsable);
+        boolean areCallsScarce = route.maxBatchSize > 1 && !isAnyRouteUsable(message.destination);
         CallSharing sharing = isProbe ? CallSharing.NONE : timeouts.sharing(message, route, areCallsScarce);
         addAttempt(message, call, sharing);
         if (sharing != CallSharing.NONE && route.maxBatchSize > 1) {
@@ -58,11 +58,18 @@
         return call;
     }
 
+    /** Returns whether another call to the destination may be sent now. */
+    private boolean isAnyRouteUsable(Destination destination) {
+        return destination.routes.values().stream().anyMatch(availability::isUsable);
+    }
+
     private void fillBatch(Destination destination, Call call, boolean areCallsScarce) {
         for (PendingMessage message : List.copyOf(destination.waitingMessages)) {
+            if (call.pendingOutcomes >= call.route.maxBatchSize) {
+                return;
+            }
             CallSharing sharing = timeouts.sharing(message, call.route, areCallsScarce);
-            if (call.pendingOutcomes < call.route.maxBatchSize
-                    && keyOrder.isNextInOrder(message)
+            if (keyOrder.isNextInOrder(message)
                     && sharing.isCompatibleWithAll(call.sharings)
                     && retryPolicy.isAllowed(message, call.route)) {
                 addAttempt(message, call, sharing);
