Settlements share calls again: keeping them apart overran destinations that return cold

Cause: not found whole.

The rule itself stays: before a message that may be outstanding only once is sent again, its call is ended. A settlement in that call ends as "may have run", as where its connection breaks; its host could still have answered.

--- a/src/main/java/loftflow/engine/AttemptDispatcher.java
+++ b/src/main/java/loftflow/engine/AttemptDispatcher.java
@@ -7,7 +7,6 @@
 import loftflow.policy.api.AttemptCompleted;
 import loftflow.policy.api.AttemptOutcome;
 import loftflow.policy.api.AttemptOutcomeDisproved;
-import loftflow.policy.api.CallSharing;
 import loftflow.policy.api.LimitReport;
 import loftflow.policy.api.MessageWithdrawn;
 
@@ -56,9 +55,9 @@
      * @param timeoutMicros the attempt's time-out, in microseconds; 0 if only the message's deadline bounds the attempt
      * @param sendWithinMicros if the attempt is not sent within this many microseconds, it ends as not sent; 0 for no
      *     bound
-     * @param sharing which other attempts of the round may travel in the same call
+     * @param mayShareCall whether other attempts of the round may travel in the same call
      */
-    void start(long number, String route, long timeoutMicros, long sendWithinMicros, CallSharing sharing) {
+    void start(long number, String route, long timeoutMicros, long sendWithinMicros, boolean mayShareCall) {
         Message message = messages.find(number);
         if (message == null || message.completion() != null) {
             return;
@@ -77,7 +76,7 @@
                 timeoutMicros > 0 ? Math.min(timeoutMicros, remainingMicros) : remainingMicros,
                 sendWithinMicros > 0 ? nowMicros + sendWithinMicros : Long.MAX_VALUE,
                 requestClasses.mayRepeatAtAnyTime(message),
-                sharing);
+                mayShareCall);
         // An attempt missing from the journal would be unknown after a restart.
         if (context.journal().recordAttempt(attempt) || outbound.mayRepeat()) {
             pendingByRoute.computeIfAbsent(route, newRoute -> new ArrayList<>()).add(outbound);
--- a/src/main/java/loftflow/engine/PolicyActionExecutor.java
+++ b/src/main/java/loftflow/engine/PolicyActionExecutor.java
@@ -1,6 +1,5 @@
 package loftflow.engine;
 
-import loftflow.policy.api.CallSharing;
 import loftflow.policy.api.PolicyActions;
 import loftflow.policy.api.TimerFired;
 
@@ -26,8 +25,9 @@
     }
 
     @Override
-    public void send(long messageNumber, String route, long timeoutMicros, long sendWithinMicros, CallSharing sharing) {
-        dispatcher.start(messageNumber, route, timeoutMicros, sendWithinMicros, sharing);
+    public void send(
+            long messageNumber, String route, long timeoutMicros, long sendWithinMicros, boolean mayShareCall) {
+        dispatcher.start(messageNumber, route, timeoutMicros, sendWithinMicros, mayShareCall);
     }
 
     @Override
--- a/src/main/java/loftflow/engine/UpstreamClient.java
+++ b/src/main/java/loftflow/engine/UpstreamClient.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import loftflow.policy.api.AttemptOutcome;
-import loftflow.policy.api.CallSharing;
 import loftflow.policy.api.EndpointListKind;
 import loftflow.policy.api.LimitReport;
 
@@ -70,17 +69,17 @@
      *     attempt that can't arrive by then, because it waits for a connection or is the first on a new one, ends as
      *     not sent; {@link Long#MAX_VALUE} for no bound
      * @param mayRepeat whether another attempt is harmless even if this one was executed
-     * @param sharing which other attempts may travel in the same call
+     * @param mayShareCall whether other attempts may travel in the same call
      */
     record OutboundAttempt(
             Message.Attempt attempt,
             long timeoutMicros,
             long latestArrivalMicros,
             boolean mayRepeat,
-            CallSharing sharing) {
+            boolean mayShareCall) {
         /** Creates an attempt that must not be repeated once it may have been executed, and that may share a call. */
         public OutboundAttempt(Message.Attempt attempt, long timeoutMicros, long latestArrivalMicros) {
-            this(attempt, timeoutMicros, latestArrivalMicros, false, CallSharing.ANY);
+            this(attempt, timeoutMicros, latestArrivalMicros, false, true);
         }
     }
 
--- a/src/main/java/loftflow/policy/AttemptTimeouts.java
+++ b/src/main/java/loftflow/policy/AttemptTimeouts.java
@@ -1,7 +1,5 @@
 package loftflow.policy;
 
-import loftflow.policy.api.CallSharing;
-import loftflow.policy.api.HedgingRule;
 import loftflow.policy.api.Idempotency;
 
 /**
@@ -21,17 +19,17 @@
 
     private final RoundContext context;
     private final ResponseTimes responseTimes;
-    private final HedgingRule hedging;
 
     AttemptTimeouts(RoundContext context, ResponseTimes responseTimes) {
         this.context = context;
         this.responseTimes = responseTimes;
-        hedging = new HedgingRule(context.settings());
     }
 
     /** Returns the timeout of the attempt that was just added to a message. */
     long timeoutMicros(PendingMessage message, Call call) {
-        if (isLastAttempt(message, message.attempts.size())) {
+        boolean isLastAttempt = message.requestClass.idempotency() == Idempotency.NON_IDEMPOTENT
+                || message.attempts.size() >= context.settings().limits().maxAttempts();
+        if (isLastAttempt) {
             return UNTIL_DEADLINE;
         }
         if (call.isProbe) {
@@ -41,27 +39,13 @@
         return Math.max(MIN_TIMEOUT_MICROS, (long) (OutlierDetector.OVERDUE_RATIO * expected));
     }
 
-    private boolean isLastAttempt(PendingMessage message, int attemptNumber) {
-        return message.requestClass.idempotency() == Idempotency.NON_IDEMPOTENT
-                || attemptNumber >= context.settings().limits().maxAttempts();
-    }
-
     /**
-     * Returns how the next attempt of a message may share a call. One that is likely to reach its deadline before the
-     * answer comes would leave it open whether the others of its call were delivered, so it travels alone.
-     *
-     * @param areCallsScarce whether no other call may be sent now: messages then share calls that the timeout of one
-     *     ends for all, rather than wait for another call
+     * Returns whether a message may share a call. One that is likely to reach its deadline before the answer comes
+     * would leave it open whether the others of its call were delivered, so it travels alone.
      */
-    CallSharing sharing(PendingMessage message, Route route, boolean areCallsScarce) {
+    boolean mayShareCall(PendingMessage message, Route route) {
         double leftMicros = message.deadlineMicros - context.now();
-        if (leftMicros <= SHARED_CALL_RATIO * responseTimes.expectedMicros(route)) {
-            return CallSharing.NONE;
-        }
-        if (areCallsScarce) {
-            return CallSharing.ANY;
-        }
-        return hedging.sharing(message.requestClass.name(), isLastAttempt(message, message.attempts.size() + 1));
+        return leftMicros > SHARED_CALL_RATIO * responseTimes.expectedMicros(route);
     }
 
     long probeTimeoutMicros(Route route) {
--- a/src/main/java/loftflow/policy/Call.java
+++ b/src/main/java/loftflow/policy/Call.java
@@ -1,10 +1,7 @@
 package loftflow.policy;
 
 import java.util.ArrayList;
-import java.util.EnumSet;
 import java.util.List;
-import java.util.Set;
-import loftflow.policy.api.CallSharing;
 
 /** One call to a route, which may carry several messages. */
 final class Call {
@@ -16,8 +13,6 @@
     final boolean isProbe;
 
     final List<PendingMessage> messages = new ArrayList<>(1);
-    /** How the attempts of the messages share the call. */
-    final Set<CallSharing> sharings = EnumSet.noneOf(CallSharing.class);
     /** Number of attempts of this call without an outcome. */
     int pendingOutcomes;
     /**
--- a/src/main/java/loftflow/policy/CallSender.java
+++ b/src/main/java/loftflow/policy/CallSender.java
@@ -1,7 +1,6 @@
 package loftflow.policy;
 
 import java.util.List;
-import loftflow.policy.api.CallSharing;
 
 /**
  * Sends a call to a route: records it with the rate limiter, the permits and the concurrency limiter, and fills it with
@@ -16,7 +15,6 @@
     private final SendRateLimiter rateLimiter;
     private final SendPermits permits;
     private final ConcurrencyLimiter concurrency;
-    private final RouteAvailability availability;
 
     CallSender(
             RoundContext context,
@@ -26,8 +24,7 @@
             AttemptTimeouts timeouts,
             SendRateLimiter rateLimiter,
             SendPermits permits,
-            ConcurrencyLimiter concurrency,
-            RouteAvailability availability) {
+            ConcurrencyLimiter concurrency) {
         this.context = context;
         this.messages = messages;
         this.keyOrder = keyOrder;
@@ -36,7 +33,6 @@
         this.rateLimiter = rateLimiter;
         this.permits = permits;
         this.concurrency = concurrency;
-        this.availability = availability;
     }
 
     /**
@@ -49,35 +45,26 @@
         route.group.sentCalls.increment(context.now());
         permits.onSent(route.group);
         rateLimiter.onSent(route.group);
-        boolean areCallsScarce = route.maxBatchSize > 1 && !isAnyRouteUsable(message.destination);
-        CallSharing sharing = isProbe ? CallSharing.NONE : timeouts.sharing(message, route, areCallsScarce);
-        addAttempt(message, call, sharing);
-        if (sharing != CallSharing.NONE && route.maxBatchSize > 1) {
-            fillBatch(message.destination, call, areCallsScarce);
+        boolean mayShare = !isProbe && timeouts.mayShareCall(message, route);
+        addAttempt(message, call, mayShare);
+        if (mayShare && route.maxBatchSize > 1) {
+            fillBatch(message.destination, call);
         }
         return call;
     }
 
-    /** Returns whether another call to the destination may be sent now. */
-    private boolean isAnyRouteUsable(Destination destination) {
-        return destination.routes.values().stream().anyMatch(availability::isUsable);
-    }
-
-    private void fillBatch(Destination destination, Call call, boolean areCallsScarce) {
+    private void fillBatch(Destination destination, Call call) {
         for (PendingMessage message : List.copyOf(destination.waitingMessages)) {
-            if (call.pendingOutcomes >= call.route.maxBatchSize) {
-                return;
-            }
-            CallSharing sharing = timeouts.sharing(message, call.route, areCallsScarce);
-            if (keyOrder.isNextInOrder(message)
-                    && sharing.isCompatibleWithAll(call.sharings)
+            if (call.pendingOutcomes < call.route.maxBatchSize
+                    && keyOrder.isNextInOrder(message)
+                    && timeouts.mayShareCall(message, call.route)
                     && retryPolicy.isAllowed(message, call.route)) {
-                addAttempt(message, call, sharing);
+                addAttempt(message, call, true);
             }
         }
     }
 
-    private void addAttempt(PendingMessage message, Call call, CallSharing sharing) {
+    private void addAttempt(PendingMessage message, Call call, boolean mayShareCall) {
         // A repeat must not wait for a connection beyond its key window, as the destination would then execute it
         // again.
         long sendTimeoutMicros = retryPolicy.keyWindowLeftMicros(message);
@@ -86,8 +73,12 @@
         message.attemptsInFlight++;
         call.pendingOutcomes++;
         call.messages.add(message);
-        call.sharings.add(sharing);
         context.actions()
-                .send(message.id, call.route.name, timeouts.timeoutMicros(message, call), sendTimeoutMicros, sharing);
+                .send(
+                        message.id,
+                        call.route.name,
+                        timeouts.timeoutMicros(message, call),
+                        sendTimeoutMicros,
+                        mayShareCall);
     }
 }
--- a/src/main/java/loftflow/policy/DefaultDeliveryPolicy.java
+++ b/src/main/java/loftflow/policy/DefaultDeliveryPolicy.java
@@ -72,8 +72,8 @@
                 new CallEvaluator(context, responseTimes, limits, ramp, circuitBreaker, rateLimiter, permits);
         outcomes = new OutcomeProcessor(
                 context, endpoints, messages, keyOrder, concurrency, timeouts, evaluator, completer);
-        CallSender sender = new CallSender(
-                context, messages, keyOrder, retryPolicy, timeouts, rateLimiter, permits, concurrency, availability);
+        CallSender sender =
+                new CallSender(context, messages, keyOrder, retryPolicy, timeouts, rateLimiter, permits, concurrency);
         HalfOpenProbe probes =
                 new HalfOpenProbe(context, circuitBreaker, concurrency, keyOrder, retryPolicy, timeouts, sender);
         RouteSelector selector = new RouteSelector(context, responseTimes, scorer, retryPolicy);
--- a/src/main/java/loftflow/policy/api/HedgingRule.java
+++ b/src/main/java/loftflow/policy/api/HedgingRule.java
@@ -31,16 +31,4 @@
     public boolean mayHedge(String requestClass) {
         return hedgedClasses.contains(requestClass);
     }
-
-    /**
-     * Returns how an attempt that may share a call does so.
-     *
-     * @param untilDeadline whether its response is awaited until the deadline of its message
-     */
-    public CallSharing sharing(String requestClass, boolean untilDeadline) {
-        if (untilDeadline) {
-            return CallSharing.UNTIL_DEADLINE;
-        }
-        return mayHedge(requestClass) ? CallSharing.ANY : CallSharing.UNTIL_TIMEOUT;
-    }
 }
--- a/src/main/java/loftflow/policy/api/PolicyActions.java
+++ b/src/main/java/loftflow/policy/api/PolicyActions.java
@@ -13,9 +13,9 @@
      * @param timeoutMicros maximum wait for an answer; 0 means until the message's deadline
      * @param sendTimeoutMicros maximum wait until the first byte is sent, after which the attempt ends as not sent; 0
      *     means no limit
-     * @param sharing with which others of the round to the same route the attempt may travel in one call
+     * @param mayShareCall whether the attempt may travel in one call with others of the round to the same route
      */
-    void send(long id, String route, long timeoutMicros, long sendTimeoutMicros, CallSharing sharing);
+    void send(long id, String route, long timeoutMicros, long sendTimeoutMicros, boolean mayShareCall);
 
     /** Cancels an attempt: its answer is no longer awaited. */
     void cancel(long id, int attempt);
--- a/src/main/java/loftflow/simulator/SimulatorCommandWriter.java
+++ b/src/main/java/loftflow/simulator/SimulatorCommandWriter.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.HexFormat;
-import loftflow.policy.api.CallSharing;
 import loftflow.policy.api.PolicyActions;
 
 /** Writes a policy's actions as the commands of one simulated instance. */
@@ -12,7 +11,7 @@
     private static final double MICROS_PER_SECOND = 1e6;
 
     @Override
-    public void send(long id, String route, long timeoutMicros, long leaveWithinMicros, CallSharing sharing) {
+    public void send(long id, String route, long timeoutMicros, long leaveWithinMicros, boolean mayShareCall) {
         write(SimulatorProtocol.SEND, id, route, timeoutMicros / MICROS_PER_SECOND);
     }
 
--- a/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
+++ b/src/main/java/loftflow/upstream/http/HttpUpstreamClient.java
@@ -6,13 +6,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import loftflow.engine.CallBatcher;
 import loftflow.engine.Clock;
 import loftflow.engine.Endpoint;
 import loftflow.engine.Message;
@@ -191,16 +191,27 @@
                     outbound.attempt(), AttemptOutcome.NOT_SENT, false, 0, LimitReport.NONE));
             return;
         }
-        CallBatcher.split(outgoing, (call, next) -> hasRoom(pool, call, next)).forEach(batch -> startCall(pool, batch));
-    }
-
-    private static boolean hasRoom(HostConnectionPool pool, List<OutboundAttempt> batch, OutboundAttempt next) {
-        int batchBytes = batch.stream().mapToInt(HttpUpstreamClient::sizeBytes).sum();
-        return batch.size() < pool.maxBatchSize() && batchBytes + sizeBytes(next) <= HostProtocol.MAX_BODY_BYTES;
-    }
-
-    private static int sizeBytes(OutboundAttempt outbound) {
-        return BatchCodec.encodedSizeBytes(outbound.attempt().message());
+        List<OutboundAttempt> batch = new ArrayList<>();
+        int batchBytes = 0;
+        for (OutboundAttempt next : outgoing) {
+            if (!next.mayShareCall()) {
+                startCall(pool, List.of(next));
+                continue;
+            }
+            int sizeBytes = BatchCodec.encodedSizeBytes(next.attempt().message());
+            boolean isFull =
+                    batch.size() >= pool.maxBatchSize() || batchBytes + sizeBytes > HostProtocol.MAX_BODY_BYTES;
+            if (!batch.isEmpty() && isFull) {
+                startCall(pool, batch);
+                batch = new ArrayList<>();
+                batchBytes = 0;
+            }
+            batch.add(next);
+            batchBytes += sizeBytes;
+        }
+        if (!batch.isEmpty()) {
+            startCall(pool, batch);
+        }
     }
 
     private void startCall(HostConnectionPool pool, List<OutboundAttempt> batch) {
